--- /dev/null
+++ b/ladderhub/__init__.py
@@ -0,0 +1,1 @@
+"""Placement decisions for schedulers of long-lived tasks."""
