--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -13,8 +13,8 @@
 from collections import OrderedDict, deque
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
-from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send, SetTimer, Settings, Stage
-from ladderhub.interface import TaskAsked, TaskNote, TaskOpen, TaskPlaced, TaskWithdrawn, TimerFired, Topic
+from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send
+from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen, TaskPlaced, TaskWithdrawn, TimerFired, Topic
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -307,11 +307,11 @@
         """Room by what is asked, which is what machines refuse by."""
         if not self.settings.kinds:
             return True
-        size, many = self.settings.kinds[machine.kind], self.settings.schedulers
-        cores = machine.asked.total(0, many) + task.asked.cores
-        memory = machine.asked.total(1, many) + task.asked.memory
-        most_cores, most_memory = size.cores * self.settings.admit_cores, size.memory * self.settings.admit_memory
-        return cores <= most_cores and memory <= most_memory
+        settings = self.settings
+        size = settings.kinds[machine.kind]
+        cores = machine.asked.total(0, settings.schedulers) + task.asked.cores
+        memory = machine.asked.total(1, settings.schedulers) + task.asked.memory
+        return cores <= size.cores * settings.admit_cores and memory <= size.memory * settings.admit_memory
 
     def _fill(self, now: int, task: _Task, machine: _Machine) -> float:
         """Use of the tighter of cores and memory, the task included, over what serves in full."""
@@ -448,7 +448,8 @@
         """The one final answer of a task that was not placed: refused where that is true, else failed."""
         if task.ended or task.placed:
             return
-        effect, scope = self.settings.classes[task.klass].effect, self.settings.classes[task.klass].dedupe_scope
+        klass = self.settings.classes[task.klass]
+        effect, scope = klass.effect, klass.dedupe_scope
         clean = task.attempt is None and task.maybe_ran is None
         may_refuse = clean or effect is Effect.SAFE or (effect is Effect.KEYED and scope is Scope.ALL)
         self._out.append(Refuse(task.asked.task) if may_refuse else Fail(task.asked.task))
