Learn which share of a line of starts is really waited

Cause: machines start several tasks side by side, so the plain sum priced a line of cold starts far too high and drove tasks of one service to cold machines. Covers any number of parallel starts; may harm while a jam begins, until the share has risen again. Time-outs now go by the cold figure, so a wrong guess of warm is not cut off.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -14,13 +14,15 @@
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
 from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send
-from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen, TaskPlaced, TaskWithdrawn, TimerFired, Topic
+from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen, TaskPlaced
+from ladderhub.interface import TaskWithdrawn, TimerFired, Topic
 
 MS = 1_000_000
 S = 1_000 * MS
 FIRST_WARM_NS = 250 * MS  # figures before anything was seen: a cold start is worth avoiding,
 FIRST_COLD_NS = 2 * S  # yet not at the price of a long line
 FIGURE_WEIGHT = 0.05  # weight of one start in a class's warm or cold figure: some 20 starts of memory
+LINE_WEIGHT = 0.05  # weight of one start in the share of a line that is really waited
 DEPTH_WEIGHT = 0.1  # weight of one start in the belief that programs so long unused are still kept
 KEPT_MOST = 16  # kept programs remembered for each machine; deeper ones have nearly always gone
 FLUSH_DOUBT = 0.3  # trust left in a machine's kept programs after one of them was missing
@@ -46,7 +48,7 @@
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
 TIMEOUT_LEAST_NS = 1_500 * MS  # shortest time-out of a repeatable offer
-TIMEOUT_TIMES = 4.0  # and as a multiple of the estimated time to start
+TIMEOUT_TIMES = 2.0  # and as a multiple of the time a cold start would take: most cold starts must end in it
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
 
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NEVER_SENT})
@@ -106,7 +108,6 @@
         self.memory_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
         self.poor_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
         self.sends: deque[int] = deque()
-        self.last_start_ns = 0
 
     def slow_at(self, now: int) -> float:
         return 1 + (self.slow - 1) * float(0.5 ** ((now - self.slow_ns) / SLOW_HALF_NS))
@@ -158,6 +159,7 @@
         self._next_timer = 1
         self._warm = [float(FIRST_WARM_NS)] * len(settings.classes)
         self._cold = [float(FIRST_COLD_NS)] * len(settings.classes)
+        self._line_share = 1.0  # how much of a line is really waited: starts run side by side
         self._depth = [1.0 - at / KEPT_MOST for at in range(KEPT_MOST)]
         self._class_use = [[FIRST_CORES, FIRST_MEMORY] for _ in settings.classes]
         self._service_use: OrderedDict[str, list[float]] = OrderedDict()
@@ -338,7 +340,7 @@
         return machine.used.own[at] + max(0.0, others) * mean
 
     def _time_to_start(self, now: int, task: _Task, machine: _Machine) -> float:
-        return self._line(now, machine) + self._own_figure(now, task, machine)
+        return self._line_share * self._line(now, machine) + self._own_figure(now, task, machine)
 
     def _line(self, now: int, machine: _Machine) -> float:
         """Remainder of the oldest open offer and the estimates of the others.
@@ -441,7 +443,7 @@
         unsafe = self.settings.classes[task.klass].effect is Effect.UNSAFE
         if unsafe or task.sent >= self.settings.max_attempts:
             return None
-        span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + attempt.own_ns)))
+        span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + self._cold[task.klass])))
         return span if now + span < task.deadline_ns - ANSWER_MARGIN_NS else None
 
     def _give_up(self, task: _Task) -> None:
@@ -506,13 +508,15 @@
         machine.leave_line(task.asked.task)
         if attempt.ready_ns != machine.ready_ns:
             return
-        own = now - max(attempt.sent_ns, machine.last_start_ns)
-        machine.last_start_ns = now
-        was_cold = self._learn_figure(now, task, attempt, own)
+        line = self._line_share * attempt.line_ns
+        was_cold = self._learn_figure(now, task, attempt, max(0.0, now - attempt.sent_ns - line))
         expected = (self._cold if was_cold else self._warm)[task.klass]
-        self._learn_pace(now, machine, (now - attempt.sent_ns) / max(expected + attempt.line_ns, 1.0))
+        if attempt.line_ns:
+            waited = min(1.0, max(0.0, (now - attempt.sent_ns - expected) / attempt.line_ns))
+            self._line_share += LINE_WEIGHT * (waited - self._line_share)
+        self._learn_pace(now, machine, (now - attempt.sent_ns) / max(expected + line, 1.0))
 
-    def _learn_figure(self, now: int, task: _Task, attempt: _Attempt, own: int) -> bool:
+    def _learn_figure(self, now: int, task: _Task, attempt: _Attempt, own: float) -> bool:
         """Average the start into its class's figures; say whether it was a cold one."""
         machine, klass = attempt.machine, task.klass
         pace = self._slowness(now, machine)
