--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -70,6 +70,16 @@
         self.own[1] += memory
         self.history.append((now, self.own[0], self.own[1]))
 
+    def add_running(self, cores: float, memory: float) -> None:
+        """A task that ran before it was told of: earlier readings held it, then as somebody else's."""
+        for at, amount in enumerate((cores, memory)):
+            self.own[at] += amount
+            if self.seen:
+                self.other[at] -= amount
+        self.history = deque((when, c + cores, m + memory) for when, c, m in self.history)
+        if not self.history:
+            self.history.append((0, cores, memory))
+
     def observe(self, now: int, totals: tuple[float, float]) -> None:
         then = now - VIEW_LAG_NS
         while len(self.history) > 1 and self.history[1][0] <= then:
@@ -231,7 +241,7 @@
         task.sent, task.placed = 1, True
         task.attempt = attempt = _Attempt(0, machine, now)
         attempt.started = now
-        self._charge(now, task, attempt)
+        self._charge(now, task, attempt, running=True)
 
     def _place(self, now: int, task: _Task) -> None:
         """Send the task, or hold it, or give up where no further attempt can be allowed."""
@@ -579,15 +589,19 @@
     def _use_of(self, asked: TaskAsked) -> list[float]:
         return self._service_use.get(asked.service) or self._class_use[asked.klass]
 
-    def _charge(self, now: int, task: _Task, attempt: _Attempt) -> None:
+    def _charge(self, now: int, task: _Task, attempt: _Attempt, running: bool = False) -> None:
         machine, asked = attempt.machine, task.asked
         machine.placed[asked.service] = machine.placed.get(asked.service, 0) + 1
         machine.held[asked.service] = machine.held.get(asked.service, 0) + 1
         machine.kept.pop(asked.service, None)
         use = self._use_of(asked)
         attempt.use = [use[0] * asked.cores, use[1] * asked.memory]
-        machine.asked.add(now, asked.cores, asked.memory)
-        machine.used.add(now, attempt.use[0], attempt.use[1])
+        if running:
+            machine.asked.add_running(asked.cores, asked.memory)
+            machine.used.add_running(attempt.use[0], attempt.use[1])
+        else:
+            machine.asked.add(now, asked.cores, asked.memory)
+            machine.used.add(now, attempt.use[0], attempt.use[1])
 
     def _release(self, now: int, task: _Task, attempt: _Attempt) -> None:
         machine, asked = attempt.machine, task.asked
