Schedulers tell each other what they hold, where messages are allowed

Cause: with neither view nor reports, own tasks times the scheduler count misjudged room; machines refused and pushed out. Every 200 ms changed accounts go to all peers, 8 bytes a machine. Covers any cause of uneven load between schedulers; a lost message is stale until the machine's account changes again. Checks of settings moved to the interface.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -10,12 +10,14 @@
 from __future__ import annotations
 
 import random
+import struct
+import zlib
 from collections import OrderedDict, deque
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
-from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send
-from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen, TaskPlaced
-from ladderhub.interface import TaskWithdrawn, TimerFired, Topic
+from ladderhub.interface import MachineEntry, MachineList, Outcome, PeerMessage, Reason, Refuse, Scope, Send
+from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen
+from ladderhub.interface import TaskPlaced, TaskWithdrawn, Tell, TimerFired, Topic
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -51,6 +53,11 @@
 TIMEOUT_TIMES = 2.0  # and as a multiple of the time a cold start would take: most cold starts must end in it
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
 
+TELL_NS = 200 * MS  # how often peers are told what changed: cheap, and fresher than any list
+SWEEP_TIMER, TELL_TIMER = 0, 1
+
+TOLD = struct.Struct(">IHH")  # a machine's number, cores and memory asked for there, in TOLD_PARTS of a unit
+TOLD_PARTS = 8
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NEVER_SENT})
 
 
@@ -63,6 +70,7 @@
         self.own = [0.0, 0.0]
         self.other = [0.0, 0.0]
         self.seen = False
+        self.peers: dict[int, tuple[float, float]] = {}  # what each other scheduler told that it holds
         self.history: deque[tuple[int, float, float]] = deque()
 
     def add(self, now: int, cores: float, memory: float) -> None:
@@ -93,6 +101,8 @@
     def total(self, at: int, schedulers: int) -> float:
         if self.seen:
             return self.own[at] + self.other[at]
+        if self.peers:
+            return self.own[at] + sum(held[at] for held in self.peers.values())
         return self.own[at] * schedulers
 
 
@@ -113,6 +123,7 @@
         self.kept: OrderedDict[str, None] = OrderedDict()  # services whose last task ended, oldest first
         self.trust = 1.0
         self.asked, self.used = _Account(), _Account()
+        self.told: tuple[float, float] | None = None
         self.slow, self.slow_ns = 1.0, 0
         self.away_until, self.down_span = 0, DOWN_FIRST_NS
         self.memory_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
@@ -158,15 +169,14 @@
     """Decides for one scheduler.  Feed it events in order; carry out its actions in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        _check(settings)
         self.settings = settings
         self._random = random.Random(seed)
         self._machines: dict[str, _Machine] = {}
         self._tasks: dict[int, _Task] = {}
         self._held: dict[int, _Task] = {}
-        self._sweep_set = False
+        self._sweep_set = self._tell_set = False
         self._timers: dict[int, int] = {}
-        self._next_timer = 1
+        self._next_timer = TELL_TIMER + 1
         self._warm = [float(FIRST_WARM_NS)] * len(settings.classes)
         self._cold = [float(FIRST_COLD_NS)] * len(settings.classes)
         self._line_share = 1.0  # how much of a line is really waited: starts run side by side
@@ -196,8 +206,11 @@
                 self._on_open(now_ns, event)
             case TaskWithdrawn():
                 self._end(event.task)
+            case PeerMessage():
+                self._on_message(event)
             case _:
-                pass  # probes and messages are not used
+                pass  # probes are not used
+        self._need_tell(now_ns)
         return self._out
 
     # --- the machine list -------------------------------------------------------------------------------
@@ -260,7 +273,7 @@
     def _need_sweep(self, now: int) -> None:
         if self._held and not self._sweep_set:
             self._sweep_set = True
-            self._out.append(SetTimer(now + HOLD_STEP_NS, 0))
+            self._out.append(SetTimer(now + HOLD_STEP_NS, SWEEP_TIMER))
 
     def _sweep(self, now: int) -> None:
         """Look again at the tasks that wait: the highest class first, the oldest first within it."""
@@ -274,10 +287,14 @@
         self._need_sweep(now)
 
     def _on_timer(self, now: int, timer: int) -> None:
-        if timer == 0:
+        if timer == SWEEP_TIMER:
             self._sweep_set = False
             self._sweep(now)
             return
+        if timer == TELL_TIMER:
+            self._tell_set = False
+            self._tell()
+            return
         task = self._tasks.get(self._timers.pop(timer, -1))
         if task is not None and not task.placed and not task.ended:
             self._give_up(task)
@@ -311,6 +328,8 @@
         best = min(total for total, _, _ in sums)
         band = best * (1 + NEAR_SHARE) + NEAR_NS
         near = [(fill, machine) for total, fill, machine in sums if total <= band]
+        if self.settings.price_cross_zone > 0:
+            near = [pair for pair in near if pair[1].zone == self.settings.zone] or near
         pack = self.settings.price_machines_in_use > 0
         self._random.shuffle(near)
         return (max if pack else min)(near, key=lambda pair: pair[0])[1]
@@ -584,6 +603,33 @@
             ratio = (now - attempt.sent_ns) / max(attempt.own_ns + attempt.line_ns, 1)
             self._learn_pace(now, machine, max(ratio, 2.0))
 
+    # --- what the schedulers tell each other, where they may ---------------------------------------------
+
+    def _need_tell(self, now: int) -> None:
+        if self.settings.may_message and self.settings.schedulers > 1 and not self._tell_set:
+            self._tell_set = True
+            self._out.append(SetTimer(now + TELL_NS, TELL_TIMER))
+
+    def _tell(self) -> None:
+        """Tell all peers the own account of the machines where it changed since it was last told."""
+        parts: list[bytes] = []
+        for machine in self._machines.values():
+            held = (machine.asked.own[0], machine.asked.own[1])
+            if held != machine.told and len(parts) < self.settings.message_bytes // TOLD.size:
+                machine.told = held
+                figures = (min(0xFFFF, max(0, round(amount * TOLD_PARTS))) for amount in held)
+                parts.append(TOLD.pack(zlib.crc32(machine.id.encode()), *figures))
+        if parts:
+            self._out.append(Tell(b"".join(parts)))
+
+    def _on_message(self, event: PeerMessage) -> None:
+        if len(event.data) % TOLD.size:
+            return
+        numbers = {zlib.crc32(machine.id.encode()): machine for machine in self._machines.values()}
+        for number, cores, memory in TOLD.iter_unpack(event.data):
+            if number in numbers:
+                numbers[number].asked.peers[event.peer] = (cores / TOLD_PARTS, memory / TOLD_PARTS)
+
     # --- accounts ---------------------------------------------------------------------------------------
 
     def _use_of(self, asked: TaskAsked) -> list[float]:
@@ -667,27 +713,3 @@
     if scope is Scope.ZONE:
         return machine.zone
     return 0
-
-
-def _check(settings: Settings) -> None:
-    """Settings that make no sense are told at once, by field."""
-    if not settings.classes:
-        raise ValueError("classes: at least one is needed")
-    for field in ("schedulers", "max_attempts", "tick_ns"):
-        if getattr(settings, field) < 1:
-            raise ValueError(f"{field}: must be at least 1")
-    for field in ("admit_cores", "admit_memory", "cold_multiple"):
-        if getattr(settings, field) <= 0:
-            raise ValueError(f"{field}: must be above 0")
-    if not 0 < settings.cold_pace <= 1:
-        raise ValueError("cold_pace: must be above 0 and at most 1")
-    for field in ("cold_span_ns", "cold_window_ns", "drain_grace_ns", "settle_ns"):
-        if getattr(settings, field) < 0:
-            raise ValueError(f"{field}: must not be negative")
-    for at, klass in enumerate(settings.classes):
-        if klass.deadline_ns <= 0 or klass.aim_ns < 0 or klass.spread_most < 1 or klass.calm_level <= 0:
-            raise ValueError(f"classes[{at}]: deadline, aim, spread_most or calm_level makes no sense")
-        if klass.kind >= len(settings.kinds):
-            raise ValueError(f"classes[{at}].kind: there is no such machine kind")
-    if any(kind.cores <= 0 or kind.memory <= 0 for kind in settings.kinds):
-        raise ValueError("kinds: cores and memory must be above 0")
--- a/ladderhub/interface.py
+++ b/ladderhub/interface.py
@@ -164,6 +164,29 @@
     price_probe: float = 0.0
     price_message: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Settings that make no sense are told at once, by field."""
+        if not self.classes:
+            raise ValueError("classes: at least one is needed")
+        for field in ("schedulers", "max_attempts", "tick_ns"):
+            if getattr(self, field) < 1:
+                raise ValueError(f"{field}: must be at least 1")
+        for field in ("admit_cores", "admit_memory", "cold_multiple"):
+            if getattr(self, field) <= 0:
+                raise ValueError(f"{field}: must be above 0")
+        if not 0 < self.cold_pace <= 1:
+            raise ValueError("cold_pace: must be above 0 and at most 1")
+        for field in ("cold_span_ns", "cold_window_ns", "drain_grace_ns", "settle_ns"):
+            if getattr(self, field) < 0:
+                raise ValueError(f"{field}: must not be negative")
+        for at, klass in enumerate(self.classes):
+            if klass.deadline_ns <= 0 or klass.aim_ns < 0 or klass.spread_most < 1 or klass.calm_level <= 0:
+                raise ValueError(f"classes[{at}]: deadline, aim, spread_most or calm_level makes no sense")
+            if klass.kind >= len(self.kinds):
+                raise ValueError(f"classes[{at}].kind: there is no such machine kind")
+        if any(kind.cores <= 0 or kind.memory <= 0 for kind in self.kinds):
+            raise ValueError("kinds: cores and memory must be above 0")
+
 
 @dataclass(frozen=True, slots=True)
 class MachineEntry:
