--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -35,6 +35,7 @@
 SLOW_HALF_NS = 8 * S  # a slow machine that gets nothing proves nothing: doubt halves in this time
 ROOM_SPELL_NS = 500 * MS  # a refusal for room holds until some tasks may have ended
 LINE_SPELL_NS = 200 * MS  # a full line of offers empties faster
+LEAVING_SPELL_NS = 4 * S  # a machine that sends tasks away or takes none is leaving: the list will tell
 DOWN_FIRST_NS, DOWN_MOST_NS = 500 * MS, 8 * S  # unreachable machines are tried again at doubling spans
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
 OTHER_WEIGHT = 0.3  # weight of one view in what the other schedulers are thought to hold
@@ -585,7 +586,13 @@
 
     def _learn_end(self, now: int, task: _Task, attempt: _Attempt, event: AttemptEnded) -> None:
         machine = attempt.machine
-        if event.outcome is Outcome.REFUSED:
+        # Danger: a machine drains seconds before any list tells.  Sending tasks away, or taking none where a
+        # standing copy can't be the reason, shows it.  Harm: a machine that only erred rests for a spell.
+        leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
+        if event.reason is Reason.SENT_AWAY or leaving:
+            task.struck.add(machine.id)
+            machine.away_until = now + LEAVING_SPELL_NS
+        elif event.outcome is Outcome.REFUSED:
             task.struck.add(machine.id)
             if event.reason is Reason.LINE_FULL:
                 machine.away_until = now + LINE_SPELL_NS
