Price crowding as time to start in place of a cut-off

Cause: machines with the program at hand were struck out at a fixed fill, so starts went cold at high load. Now crowding adds to the sum: nothing up to 0.8 of the calm level, a cold start's length at the level, steeper above; over 1.1 tasks wait where use is known. Covers any shortage of cores or memory that the account sees; harms where the learned use is wrong.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -46,7 +46,7 @@
 GROW_NS = 10 * S  # a task's memory still grows while it is younger
 SERVICES_MOST = 5_000  # services remembered for their use
 MEMORY_CALM = 0.9  # machines slow down, then evict, as memory use nears the whole
-COMFORT = 0.95  # projected use over the calm level up to which a machine counts as having room
+EASY = 0.8  # projected use over the calm level up to which crowding costs nothing
 CROWDED = 1.1  # above this a task waits rather than crowd a machine
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
@@ -319,13 +319,14 @@
         ]
         if not fills:
             return None
-        roomy = [pair for pair in fills if pair[0] <= COMFORT]
-        if not roomy:
-            least = min(fill for fill, _ in fills)
-            if self._knows_use and least > CROWDED:
+        if self._knows_use:
+            fills = [pair for pair in fills if pair[0] <= CROWDED]
+            if not fills:
                 return None
-            roomy = [pair for pair in fills if pair[0] <= least + 0.03]
-        sums = [(self._time_to_start(now, task, machine), fill, machine) for fill, machine in roomy]
+        sums = [
+            (self._time_to_start(now, task, machine) + self._crowding(fill, task), fill, machine)
+            for fill, machine in fills
+        ]
         best = min(total for total, _, _ in sums)
         band = best * (1 + NEAR_SHARE) + NEAR_NS
         near = [(fill, machine) for total, fill, machine in sums if total <= band]
@@ -369,6 +370,11 @@
         others = machine.asked.total(at, self.settings.schedulers) - machine.asked.own[at]
         return machine.used.own[at] + max(0.0, others) * mean
 
+    def _crowding(self, fill: float, task: _Task) -> float:
+        """What crowding is worth avoiding, as time to start: a cold start's length where use reaches the calm
+        level, since from there every task on the machine is served worse; nothing while use is easy."""
+        return self._cold[task.klass] * (max(0.0, fill - EASY) / (1 - EASY)) ** 2
+
     def _time_to_start(self, now: int, task: _Task, machine: _Machine) -> float:
         return self._line_share * self._line(now, machine) + self._own_figure(now, task, machine)
 
