--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -47,7 +47,6 @@
 SERVICES_MOST = 5_000  # services remembered for their use
 MEMORY_CALM = 0.9  # machines slow down, then evict, as memory use nears the whole
 EASY = 0.8  # projected use over the calm level up to which crowding costs nothing
-CROWDED = 1.3  # above this a task waits rather than crowd a machine
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
 TIMEOUT_LEAST_NS = 1_500 * MS  # shortest time-out of a repeatable offer
@@ -184,7 +183,6 @@
         self._depth = [1.0 - at / KEPT_MOST for at in range(KEPT_MOST)]
         self._class_use = [[FIRST_CORES, FIRST_MEMORY] for _ in settings.classes]
         self._service_use: OrderedDict[str, list[float]] = OrderedDict()
-        self._knows_use = False
         self._out: list[Action] = []
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
@@ -319,10 +317,6 @@
         ]
         if not fills:
             return None
-        if self._knows_use:
-            fills = [pair for pair in fills if pair[0] <= CROWDED]
-            if not fills:
-                return None
         sums = [
             (self._time_to_start(now, task, machine) + self._crowding(fill, task), fill, machine)
             for fill, machine in fills
@@ -681,7 +675,6 @@
                     machine.kept.popitem(last=False)
 
     def _learn_use(self, now: int, task: _Task, attempt: _Attempt, note: TaskNote) -> None:
-        self._knows_use = True
         asked, at = task.asked, 0 if note.topic is Topic.CORES_USED else 1
         ratio = note.level / max(asked.cores if at == 0 else asked.memory, 1e-9)
         young = attempt.started is None or now - attempt.started < GROW_NS
