Time out by the time to acceptance where that is the first answer

Cause: on a deployment whose machines answer on acceptance, offers to a floor that was cut off waited for the whole deadline, since the time-out went by start times; 11% failed. A silent machine now also rests at doubling spans. Covers any machine that answers nothing; harms where acceptance takes over a second all at once.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -51,6 +51,7 @@
 ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
 TIMEOUT_LEAST_NS = 1_500 * MS  # shortest time-out of a repeatable offer
 TIMEOUT_TIMES = 2.0  # and as a multiple of the time a cold start would take: most cold starts must end in it
+ACCEPT_LEAST_NS, ACCEPT_TIMES = 1 * S, 8.0  # the same where machines answer on acceptance, by its average
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
 
 TELL_NS = 200 * MS  # how often peers are told what changed: cheap, and fresher than any list
@@ -179,6 +180,7 @@
         self._next_timer = TELL_TIMER + 1
         self._warm = [float(FIRST_WARM_NS)] * len(settings.classes)
         self._cold = [float(FIRST_COLD_NS)] * len(settings.classes)
+        self._accept = 0.0  # average time to acceptance, where that is the first answer
         self._line_share = 1.0  # how much of a line is really waited: starts run side by side
         self._depth = [1.0 - at / KEPT_MOST for at in range(KEPT_MOST)]
         self._class_use = [[FIRST_CORES, FIRST_MEMORY] for _ in settings.classes]
@@ -473,7 +475,10 @@
         unsafe = self.settings.classes[task.klass].effect is Effect.UNSAFE
         if unsafe or task.sent >= self.settings.max_attempts:
             return None
-        span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + self._cold[task.klass])))
+        if self.settings.first_at_running:
+            span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + self._cold[task.klass])))
+        else:
+            span = max(ACCEPT_LEAST_NS, round(ACCEPT_TIMES * self._accept))
         return span if now + span < task.deadline_ns - ANSWER_MARGIN_NS else None
 
     def _give_up(self, task: _Task) -> None:
@@ -512,6 +517,7 @@
             task, attempt = found
             task.placed = True
             attempt.machine.down_span = DOWN_FIRST_NS
+            self._accept += FIGURE_WEIGHT * (now - attempt.sent_ns - self._accept)
             if self.settings.first_at_running:
                 self._started(now, task, attempt)
 
@@ -606,7 +612,11 @@
             machine.away_until = now + machine.down_span
             machine.down_span = min(DOWN_MOST_NS, 2 * machine.down_span)
         elif attempt.started is None and event.outcome is Outcome.TIMED_OUT:
+            # Danger: a machine that is cut off answers nothing, and a list of processes still shows it.
             task.struck.add(machine.id)
+            if not self.settings.first_at_running:
+                machine.away_until = now + machine.down_span
+                machine.down_span = min(DOWN_MOST_NS, 2 * machine.down_span)
             ratio = (now - attempt.sent_ns) / max(attempt.own_ns + attempt.line_ns, 1)
             self._learn_pace(now, machine, max(ratio, 2.0))
 
