--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -13,6 +13,7 @@
 import struct
 import zlib
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
 from ladderhub.interface import MachineEntry, MachineList, Outcome, PeerMessage, Reason, Refuse, Scope, Send
@@ -33,10 +34,8 @@
 SLOW_WEIGHT = 0.2  # weight of one start in a machine's own pace
 SLOW_MOST = 10.0  # no evidence makes a machine look slower than this
 SLOW_HALF_NS = 8 * S  # a slow machine that gets nothing proves nothing: doubt halves in this time
-ROOM_SPELL_NS = 500 * MS  # a refusal for room holds until some tasks may have ended
-LINE_SPELL_NS = 200 * MS  # a full line of offers empties faster
+REST_FIRST_NS, REST_MOST_NS = 300 * MS, 8 * S  # who turned work away is tried again at doubling spans
 LEAVING_SPELL_NS = 4 * S  # a machine that sends tasks away or takes none is leaving: the list will tell
-DOWN_FIRST_NS, DOWN_MOST_NS = 500 * MS, 8 * S  # unreachable machines are tried again at doubling spans
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
 OTHER_WEIGHT = 0.3  # weight of one view in what the other schedulers are thought to hold
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
@@ -110,7 +109,8 @@
 class _Machine:
     """What is known of one machine; all but `shut` and `placed` starts anew when it restarts."""
 
-    def __init__(self, entry: MachineEntry, listed: bool) -> None:
+    def __init__(self, entry: MachineEntry, listed: bool, classes: int) -> None:
+        self.classes = classes
         self.id, self.kind, self.zone, self.cell = entry.machine, entry.kind, entry.zone, entry.cell
         self.shut = not listed
         self.placed: dict[str, int] = {}  # attempts and open tasks without an outcome, by service
@@ -126,7 +126,8 @@
         self.asked, self.used = _Account(), _Account()
         self.told: tuple[float, float] | None = None
         self.slow, self.slow_ns = 1.0, 0
-        self.away_until, self.down_span = 0, DOWN_FIRST_NS
+        self.rests = [0] * self.classes  # by class, until when nothing is offered
+        self.spans = [REST_FIRST_NS] * self.classes
         self.memory_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
         self.poor_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
         self.sends: deque[int] = deque()
@@ -134,6 +135,13 @@
     def slow_at(self, now: int) -> float:
         return 1 + (self.slow - 1) * float(0.5 ** ((now - self.slow_ns) / SLOW_HALF_NS))
 
+    def rest(self, now: int, classes: Iterable[int]) -> None:
+        """Nothing of these classes for a while, twice as long each time until one is placed here."""
+        for klass in classes:
+            if self.rests[klass] <= now:
+                self.rests[klass] = now + self.spans[klass]
+                self.spans[klass] = min(REST_MOST_NS, 2 * self.spans[klass])
+
     def leave_line(self, task: int) -> None:
         attempt = self.line.pop(task, None)
         if attempt is not None:
@@ -222,7 +230,7 @@
         for entry in event.entries:
             machine = self._machines.get(entry.machine)
             if machine is None:
-                machine = self._machines[entry.machine] = _Machine(entry, listed=True)
+                machine = self._machines[entry.machine] = _Machine(entry, True, len(self.settings.classes))
             elif entry.ready_ns > machine.ready_ns:
                 machine.restart(entry.ready_ns)
             machine.kind, machine.zone, machine.cell = entry.kind, entry.zone, entry.cell
@@ -250,7 +258,7 @@
         machine = self._machines.get(event.machine)
         if machine is None:
             entry = MachineEntry(event.machine, Stage.GONE)
-            machine = self._machines[event.machine] = _Machine(entry, listed=False)
+            machine = self._machines[event.machine] = _Machine(entry, False, len(self.settings.classes))
         task = self._tasks[event.asked.task] = _Task(event.asked, now)
         task.sent, task.placed = 1, True
         task.attempt = attempt = _Attempt(0, machine, now)
@@ -313,7 +321,7 @@
             (self._fill(now, task, machine), machine)
             for machine in self._machines.values()
             if machine.id not in task.struck
-            and machine.away_until <= now
+            and machine.rests[task.klass] <= now
             and self._may_send(now, task, machine)
             and self._fits(task, machine)
         ]
@@ -516,7 +524,7 @@
         if found:
             task, attempt = found
             task.placed = True
-            attempt.machine.down_span = DOWN_FIRST_NS
+            attempt.machine.spans[task.klass] = REST_FIRST_NS
             self._accept += FIGURE_WEIGHT * (now - attempt.sent_ns - self._accept)
             if self.settings.first_at_running:
                 self._started(now, task, attempt)
@@ -591,34 +599,29 @@
             self._place(now, task)
 
     def _learn_end(self, now: int, task: _Task, attempt: _Attempt, event: AttemptEnded) -> None:
-        machine = attempt.machine
+        machine, every = attempt.machine, range(attempt.machine.classes)
+        never_started = attempt.started is None and not task.placed
+        if event.outcome in NEVER_RAN or (never_started and event.outcome is Outcome.TIMED_OUT):
+            task.struck.add(machine.id)
         # Danger: a machine drains seconds before any list tells.  Sending tasks away, or taking none where a
         # standing copy can't be the reason, shows it.  Harm: a machine that only erred rests for a spell.
         leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
         if event.reason is Reason.SENT_AWAY or leaving:
-            task.struck.add(machine.id)
-            machine.away_until = now + LEAVING_SPELL_NS
+            machine.rests = [now + LEAVING_SPELL_NS for _ in every]
         elif event.outcome is Outcome.REFUSED:
-            task.struck.add(machine.id)
-            if event.reason is Reason.LINE_FULL:
-                machine.away_until = now + LINE_SPELL_NS
-            elif event.reason in (Reason.CORES, Reason.MEMORY):
-                machine.away_until = now + ROOM_SPELL_NS
+            # Danger: a machine that turns a class away, for whatever reason or none, keeps an empty line and
+            # draws all of it.  Harm: one that was full for a moment rests a little longer than needed.
+            machine.rest(now, (task.klass,))
         elif event.reason is Reason.EVICTED:
             machine.memory_note = (now, 1.0)
-        elif event.outcome is Outcome.UNREACHABLE or (
-            event.outcome is Outcome.LOST and event.reason is Reason.UNKNOWN
-        ):
-            machine.away_until = now + machine.down_span
-            machine.down_span = min(DOWN_MOST_NS, 2 * machine.down_span)
-        elif attempt.started is None and event.outcome is Outcome.TIMED_OUT:
+        elif event.outcome is Outcome.UNREACHABLE or event.outcome is Outcome.LOST:
+            machine.rest(now, every)
+        elif never_started and event.outcome is Outcome.TIMED_OUT:
             # Danger: a machine that is cut off answers nothing, and a list of processes still shows it.
-            task.struck.add(machine.id)
+            expected = attempt.own_ns + attempt.line_ns + 1
+            self._learn_pace(now, machine, max(2.0, (now - attempt.sent_ns) / expected))
             if not self.settings.first_at_running:
-                machine.away_until = now + machine.down_span
-                machine.down_span = min(DOWN_MOST_NS, 2 * machine.down_span)
-            ratio = (now - attempt.sent_ns) / max(attempt.own_ns + attempt.line_ns, 1)
-            self._learn_pace(now, machine, max(ratio, 2.0))
+                machine.rest(now, every)
 
     # --- what the schedulers tell each other, where they may ---------------------------------------------
 
