--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -35,7 +35,6 @@
 SLOW_MOST = 10.0  # no evidence makes a machine look slower than this
 SLOW_HALF_NS = 8 * S  # a slow machine that gets nothing proves nothing: doubt halves in this time
 REST_FIRST_NS, REST_MOST_NS = 600 * MS, 8 * S  # who turned work away is tried again at doubling spans
-LEAVING_SPELL_NS = 4 * S  # a machine that sends tasks away or takes none is leaving: the list will tell
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
 OTHER_WEIGHT = 0.3  # weight of one view in what the other schedulers are thought to hold
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
@@ -98,9 +97,13 @@
             self.other[at] += weight * (totals[at] - old[at] - self.other[at])
         self.seen = True
 
-    def total(self, at: int, schedulers: int) -> float:
+    def total(self, at: int, schedulers: int, now: int) -> float:
+        """Danger: late readings hide what the others sent meanwhile, and all flock to one machine.  They are
+        taken to have sent as this scheduler did; harms, a little, where only this one is busy."""
         if self.seen:
-            return self.own[at] + self.other[at]
+            then = next((row for row in reversed(self.history) if row[0] <= now - VIEW_LAG_NS), None)
+            fresh = max(0.0, self.own[at] - (then[1 + at] if then else 0.0))
+            return self.own[at] + self.other[at] + fresh * (schedulers - 1)
         if self.peers:
             return self.own[at] + sum(held[at] for held in self.peers.values())
         return self.own[at] * schedulers
@@ -323,7 +326,7 @@
             if machine.id not in task.struck
             and machine.rests[task.klass] <= now
             and self._may_send(now, task, machine)
-            and self._fits(task, machine)
+            and self._fits(now, task, machine)
         ]
         if not fills:
             return None
@@ -340,14 +343,14 @@
         self._random.shuffle(near)
         return (max if pack else min)(near, key=lambda pair: pair[0])[1]
 
-    def _fits(self, task: _Task, machine: _Machine) -> bool:
+    def _fits(self, now: int, task: _Task, machine: _Machine) -> bool:
         """Room by what is asked, which is what machines refuse by."""
         if not self.settings.kinds:
             return True
         settings = self.settings
         size = settings.kinds[machine.kind]
-        cores = machine.asked.total(0, settings.schedulers) + task.asked.cores
-        memory = machine.asked.total(1, settings.schedulers) + task.asked.memory
+        cores = machine.asked.total(0, settings.schedulers, now) + task.asked.cores
+        memory = machine.asked.total(1, settings.schedulers, now) + task.asked.memory
         return cores <= size.cores * settings.admit_cores and memory <= size.memory * settings.admit_memory
 
     def _fill(self, now: int, task: _Task, machine: _Machine) -> float:
@@ -356,8 +359,8 @@
             return 0.0
         size = self.settings.kinds[machine.kind]
         cores_ratio, memory_ratio = self._use_of(task.asked)
-        cores = self._used(machine, 0) + cores_ratio * task.asked.cores
-        memory = self._used(machine, 1)
+        cores = self._used(now, machine, 0) + cores_ratio * task.asked.cores
+        memory = self._used(now, machine, 1)
         if now - machine.memory_note[0] < NOTE_FRESH_NS:
             memory = max(memory, machine.memory_note[1] * size.memory)
         memory += memory_ratio * task.asked.memory
@@ -367,11 +370,11 @@
             fill += machine.poor_note[1] * 0.3
         return fill
 
-    def _used(self, machine: _Machine, at: int) -> float:
+    def _used(self, now: int, machine: _Machine, at: int) -> float:
         if machine.used.seen:
-            return machine.used.total(at, self.settings.schedulers)
+            return machine.used.total(at, self.settings.schedulers, now)
         mean = sum(use[at] for use in self._class_use) / len(self._class_use)
-        others = machine.asked.total(at, self.settings.schedulers) - machine.asked.own[at]
+        others = machine.asked.total(at, self.settings.schedulers, now) - machine.asked.own[at]
         return machine.used.own[at] + max(0.0, others) * mean
 
     def _crowding(self, fill: float, task: _Task) -> float:
@@ -606,15 +609,15 @@
         # Danger: a machine drains seconds before any list tells.  Sending tasks away, or taking none where a
         # standing copy can't be the reason, shows it.  Harm: a machine that only erred rests for a spell.
         leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
-        if event.reason is Reason.SENT_AWAY or leaving:
-            machine.rests = [now + LEAVING_SPELL_NS for _ in every]
+        if leaving or event.reason is Reason.SENT_AWAY or event.outcome is Outcome.UNREACHABLE:
+            machine.rest(now, every)
         elif event.outcome is Outcome.REFUSED:
             # Danger: a machine that turns a class away, for whatever reason or none, keeps an empty line and
             # draws all of it.  Harm: one that was full for a moment rests a little longer than needed.
             machine.rest(now, (task.klass,))
         elif event.reason is Reason.EVICTED:
             machine.memory_note = (now, 1.0)
-        elif event.outcome is Outcome.UNREACHABLE or event.outcome is Outcome.LOST:
+        elif event.outcome is Outcome.LOST:
             machine.rest(now, every)
         elif never_started and event.outcome is Outcome.TIMED_OUT:
             # Danger: a machine that is cut off answers nothing, and a list of processes still shows it.
