--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -97,13 +97,9 @@
             self.other[at] += weight * (totals[at] - old[at] - self.other[at])
         self.seen = True
 
-    def total(self, at: int, schedulers: int, now: int) -> float:
-        """Danger: late readings hide what the others sent meanwhile, and all flock to one machine.  They are
-        taken to have sent as this scheduler did; harms, a little, where only this one is busy."""
+    def total(self, at: int, schedulers: int) -> float:
         if self.seen:
-            then = next((row for row in reversed(self.history) if row[0] <= now - VIEW_LAG_NS), None)
-            fresh = max(0.0, self.own[at] - (then[1 + at] if then else 0.0))
-            return self.own[at] + self.other[at] + fresh * (schedulers - 1)
+            return self.own[at] + self.other[at]
         if self.peers:
             return self.own[at] + sum(held[at] for held in self.peers.values())
         return self.own[at] * schedulers
@@ -326,7 +322,7 @@
             if machine.id not in task.struck
             and machine.rests[task.klass] <= now
             and self._may_send(now, task, machine)
-            and self._fits(now, task, machine)
+            and self._fits(task, machine)
         ]
         if not fills:
             return None
@@ -343,14 +339,14 @@
         self._random.shuffle(near)
         return (max if pack else min)(near, key=lambda pair: pair[0])[1]
 
-    def _fits(self, now: int, task: _Task, machine: _Machine) -> bool:
+    def _fits(self, task: _Task, machine: _Machine) -> bool:
         """Room by what is asked, which is what machines refuse by."""
         if not self.settings.kinds:
             return True
         settings = self.settings
         size = settings.kinds[machine.kind]
-        cores = machine.asked.total(0, settings.schedulers, now) + task.asked.cores
-        memory = machine.asked.total(1, settings.schedulers, now) + task.asked.memory
+        cores = machine.asked.total(0, settings.schedulers) + task.asked.cores
+        memory = machine.asked.total(1, settings.schedulers) + task.asked.memory
         return cores <= size.cores * settings.admit_cores and memory <= size.memory * settings.admit_memory
 
     def _fill(self, now: int, task: _Task, machine: _Machine) -> float:
@@ -359,8 +355,8 @@
             return 0.0
         size = self.settings.kinds[machine.kind]
         cores_ratio, memory_ratio = self._use_of(task.asked)
-        cores = self._used(now, machine, 0) + cores_ratio * task.asked.cores
-        memory = self._used(now, machine, 1)
+        cores = self._used(machine, 0) + cores_ratio * task.asked.cores
+        memory = self._used(machine, 1)
         if now - machine.memory_note[0] < NOTE_FRESH_NS:
             memory = max(memory, machine.memory_note[1] * size.memory)
         memory += memory_ratio * task.asked.memory
@@ -370,11 +366,11 @@
             fill += machine.poor_note[1] * 0.3
         return fill
 
-    def _used(self, now: int, machine: _Machine, at: int) -> float:
+    def _used(self, machine: _Machine, at: int) -> float:
         if machine.used.seen:
-            return machine.used.total(at, self.settings.schedulers, now)
+            return machine.used.total(at, self.settings.schedulers)
         mean = sum(use[at] for use in self._class_use) / len(self._class_use)
-        others = machine.asked.total(at, self.settings.schedulers, now) - machine.asked.own[at]
+        others = machine.asked.total(at, self.settings.schedulers) - machine.asked.own[at]
         return machine.used.own[at] + max(0.0, others) * mean
 
     def _crowding(self, fill: float, task: _Task) -> float:
