--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -44,6 +44,7 @@
 GROW_NS = 10 * S  # a task's memory still grows while it is younger
 SERVICES_MOST = 5_000  # services remembered for their use
 MEMORY_CALM = 0.9  # machines slow down, then evict, as memory use nears the whole
+POOR_FILL = 0.6  # fill added where tasks got no service at all, in proportion above that
 EASY = 0.8  # projected use over the calm level up to which crowding costs nothing
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
@@ -363,7 +364,7 @@
         calm = self.settings.classes[task.klass].calm_level
         fill = max(cores / size.cores / calm, memory / size.memory / MEMORY_CALM)
         if now - machine.poor_note[0] < NOTE_FRESH_NS:
-            fill += machine.poor_note[1] * 0.3
+            fill += machine.poor_note[1] * POOR_FILL
         return fill
 
     def _used(self, machine: _Machine, at: int) -> float:
