--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,245 @@
+"""One small test for each failure found: it fails without the defence that the module's comment names."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ladderhub.interface import (
+    AttemptEnded,
+    Effect,
+    ListKind,
+    LoadReport,
+    MachineEntry,
+    Outcome,
+    PeerMessage,
+    Reason,
+    Settings,
+    Stage,
+    TaskClass,
+    TaskNote,
+    TaskOpen,
+    Tell,
+    Topic,
+)
+from tests.helpers import CLASS, MS, Bed, S, settings
+
+
+def run(bed: Bed, task: int, machine: str, after_ns: int) -> None:
+    bed.wait(after_ns)
+    bed.placed(task, machine)
+
+
+def test_a_service_goes_where_it_is_warm() -> None:
+    bed = Bed(settings())
+    first = bed.place(1)
+    assert {bed.place(task) for task in range(2, 6)} == {first}
+
+
+def test_followers_start_where_the_first_one_is_starting() -> None:
+    """Machines start tasks side by side: once that is learned, a batch does not spread its cold starts."""
+    bed = Bed(settings(), machines=1)
+    for first in range(0, 180, 3):  # three cold starts side by side take as long as one
+        batch = range(first, first + 3)
+        for task in batch:
+            bed.ask(task, service=f"s{task}", cores=0.1, memory=0.1)
+        bed.wait(2 * S)
+        for task in batch:
+            bed.placed(task, "m0")
+            bed.end(task, "m0")
+    bed.listed(ListKind.FULL, *(MachineEntry(f"m{at}", Stage.SERVING) for at in range(6)))
+    asked = [bed.ask(task, service="new", cores=0.1, memory=0.1) for task in (200, 201, 202)]
+    assert len({bed.sent(actions).machine for actions in asked}) == 1
+
+
+def test_a_machine_with_an_overdue_offer_looks_long() -> None:
+    bed = Bed(settings(replace(CLASS, effect=Effect.UNSAFE)), machines=2)
+    stalled = bed.sent(bed.ask(1, service="a")).machine
+    bed.wait(4_500 * MS)
+    assert bed.sent(bed.ask(2, service="b")).machine != stalled
+
+
+def test_a_slow_machine_is_left_for_one_that_is_not() -> None:
+    bed = Bed(settings(), machines=2)
+    picks = []
+    for task in range(60):
+        machine = bed.sent(bed.ask(task, service=f"s{task}")).machine
+        run(bed, task, machine, 4 * S if machine == "m0" else 500 * MS)
+        bed.end(task, machine)
+        picks.append(machine)
+    assert picks[20:].count("m1") > 2 * picks[20:].count("m0")
+
+
+def test_a_missing_program_casts_doubt_on_the_others_of_that_machine() -> None:
+    """After a flush one cold start where a kept program was expected is enough to doubt the rest."""
+    bed = Bed(settings(), machines=1)
+    for task in range(40):  # learn a cold and a warm figure that lie far apart
+        cold = bed.sent(bed.ask(task, service=f"c{task}"))
+        run(bed, task, cold.machine, 2 * S)
+        bed.ask(1000 + task, service=f"c{task}")
+        run(bed, 1000 + task, "m0", 100 * MS)
+        for number in (task, 1000 + task):
+            bed.end(number, "m0")
+    machine = bed.scheduler._machines["m0"]
+    trust = machine.trust
+    bed.ask(500, service="c39")
+    run(bed, 500, "m0", 2 * S)
+    assert machine.trust < 0.5 * trust
+
+
+def test_an_open_task_is_counted_once() -> None:
+    """The list at a start already shows the tasks that then come as open ones."""
+    bed = Bed(settings(list_shows_room=True), machines=0)
+    entry = MachineEntry("m0", Stage.SERVING, free_cores=0.0, free_memory=16.0)
+    bed.listed(ListKind.RECALLED, entry)
+    for task in range(16):
+        bed.feed(TaskOpen(bed.asked(task), "m0"))
+    assert bed.scheduler._machines["m0"].asked.total(0, 1) == pytest.approx(16.0)
+    assert bed.sent(bed.ask(50)).machine == "m0"  # the machine takes up to 32 cores asked
+
+
+def test_a_crowded_machine_loses_to_a_cold_one() -> None:
+    bed = Bed(settings(), machines=2)
+    first = bed.place(1, service="warm")
+    for task in range(2, 16):
+        other = bed.sent(bed.ask(task, service="warm", cores=2.0)).machine
+        bed.placed(task, other)
+        bed.feed(TaskNote(task, 0, other, Topic.CORES_USED, 2.0))
+    held = [bed.scheduler._machines[name].used.own[0] for name in ("m0", "m1")]
+    assert max(held) < 1.2 * 16
+    assert min(held) > 0
+    assert first in ("m0", "m1")
+
+
+def test_use_in_reports_tells_of_the_others_tasks() -> None:
+    bed = Bed(settings(reports_count_use=True), machines=2)
+    first = bed.place(1)
+    bed.wait(S)
+    full = LoadReport(cores_free=0.5, memory_free=1.0)
+    bed.feed(AttemptEnded(1, 0, first, Outcome.DONE, concluded=True, report=full))
+    assert bed.place(2) != first
+
+
+def test_a_machine_that_turns_one_class_away_rests_for_that_class_only() -> None:
+    """A machine that refuses at once keeps an empty line: without a rest it draws the whole class."""
+    bed = Bed(settings(CLASS, CLASS), machines=2)
+    bad = bed.sent(bed.ask(1)).machine
+    good = bed.sent(bed.end(1, bad, Outcome.REFUSED)).machine
+    assert good != bad
+    for task in range(2, 12):
+        assert bed.sent(bed.ask(task, service=f"s{task}", cores=0.1)).machine == good
+    others = [bed.ask(task, klass=1, service=f"o{task}", cores=0.1) for task in range(20, 24)]
+    assert bad in [bed.sent(actions).machine for actions in others]
+
+
+def test_rests_double_until_something_is_placed() -> None:
+    bed = Bed(settings(max_attempts=1), machines=1)
+    spans = []
+    for task in range(4):
+        begun = bed.now
+        actions = bed.ask(task, budget_ns=60 * S)
+        while not actions:
+            actions = bed.wait(20 * MS)
+        spans.append(bed.now - begun)
+        bed.end(task, "m0", Outcome.UNREACHABLE)
+    assert spans[3] > 1.5 * spans[2] > 2 * spans[1]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "reason"), [(Outcome.LOST, Reason.SENT_AWAY), (Outcome.REFUSED, Reason.NOT_HERE)]
+)
+def test_a_machine_that_is_leaving_rests_before_the_list_tells(outcome: Outcome, reason: Reason) -> None:
+    bed = Bed(settings(CLASS, CLASS), machines=2)
+    leaving = bed.sent(bed.ask(1)).machine
+    if outcome is Outcome.LOST:
+        bed.placed(1, leaving)
+    bed.end(1, leaving, outcome, reason=reason, concluded=outcome is Outcome.LOST)
+    later = [bed.sent(bed.ask(task, klass=1, service=f"s{task}")).machine for task in range(2, 8)]
+    assert leaving not in later
+
+
+def test_a_cut_off_machine_is_timed_out_by_the_time_to_acceptance() -> None:
+    """Where machines answer on acceptance, start times say nothing of how long an answer may take."""
+    given = settings(replace(CLASS, effect=Effect.KEYED, dedupe_window_ns=5 * S), first_at_running=False)
+    bed = Bed(given, machines=2)
+    sent = bed.sent(bed.ask(1))
+    assert sent.timeout_ns == S
+    bed.wait(S)
+    again = bed.sent(bed.end(1, sent.machine, Outcome.TIMED_OUT))
+    assert again.machine != sent.machine
+    assert bed.sent(bed.ask(2, service="b")).machine != sent.machine
+
+
+def pair(**changes: object) -> tuple[Settings, Settings]:
+    first = settings(may_message=True, schedulers=2, **changes)
+    return first, replace(first, ordinal=1)
+
+
+def test_peers_tell_each_other_what_they_hold() -> None:
+    one, two = (Bed(given, machines=2) for given in pair())
+    placed = one.place(1, cores=30.0, memory=4.0)
+    tells = [action for action in one.wait(S) if isinstance(action, Tell)]
+    assert tells
+    for tell in tells:
+        assert len(tell.data) <= 256
+        two.feed(PeerMessage(0, tell.data))
+    assert two.place(1, cores=4.0, service="b") != placed
+    assert not [action for action in one.wait(10 * S) if isinstance(action, Tell)]  # nothing changed
+
+
+@pytest.mark.parametrize("data", [b"", b"abc", b"\xff" * 8, b"\x00" * 256])
+def test_a_peers_message_that_makes_no_sense_is_ignored(data: bytes) -> None:
+    bed = Bed(pair()[0])
+    assert bed.feed(PeerMessage(1, data)) == []
+    assert bed.sent(bed.ask(1))
+
+
+def test_no_message_where_none_is_allowed() -> None:
+    bed = Bed(settings(schedulers=3))
+    bed.place(1)
+    assert bed.wait(5 * S) == []
+
+
+def test_the_own_zone_is_chosen_among_near_equals_where_crossing_is_priced() -> None:
+    bed = Bed(settings(price_cross_zone=0.03, zone=1), machines=4)
+    assert bed.place(1) in ("m1", "m3")
+
+
+def test_near_equals_are_packed_where_machines_in_use_are_priced() -> None:
+    for price, count in ((0.0, 4), (0.2, 1)):
+        bed = Bed(settings(price_machines_in_use=price), machines=4)
+        places = set()
+        for task in range(4):
+            machine = bed.sent(bed.ask(task, service=f"s{task}")).machine
+            run(bed, task, machine, 2 * S)
+            places.add(machine)
+        assert len(places) == count
+
+
+def test_the_same_events_give_the_same_actions() -> None:
+    logs = []
+    for _ in range(2):
+        bed = Bed(settings(), machines=5, seed=3)
+        for task in range(50):
+            bed.place(task, service=f"s{task % 7}")
+        logs.append(bed.log)
+    assert logs[0] == logs[1]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("classes", ()),
+        ("schedulers", 0),
+        ("max_attempts", 0),
+        ("admit_cores", 0.0),
+        ("cold_pace", 0.0),
+        ("cold_span_ns", -1),
+        ("classes", (TaskClass(Effect.SAFE, 1, 0),)),
+        ("classes", (TaskClass(Effect.SAFE, 1, 1, kind=7),)),
+    ],
+)
+def test_settings_without_sense_name_the_field(field: str, value: object) -> None:
+    with pytest.raises(ValueError, match=field):
+        replace(settings(), **{field: value})  # type: ignore[arg-type]
