--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -55,9 +55,12 @@
 
 def test_a_machine_with_an_overdue_offer_looks_long() -> None:
     bed = Bed(settings(replace(CLASS, effect=Effect.UNSAFE)), machines=2)
-    stalled = bed.sent(bed.ask(1, service="a")).machine
-    bed.wait(4_500 * MS)
-    assert bed.sent(bed.ask(2, service="b")).machine != stalled
+    stalled = bed.sent(bed.ask(1, service="a", cores=0.1, memory=0.1)).machine
+    fuller = bed.sent(bed.ask(2, service="b", cores=8.0)).machine  # the emptier machine wins a tie
+    run(bed, 2, fuller, 2 * S)
+    bed.wait(2_500 * MS)
+    assert stalled != fuller
+    assert bed.sent(bed.ask(3, service="c")).machine == fuller
 
 
 def test_a_slow_machine_is_left_for_one_that_is_not() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,9 +160,10 @@
 
 @pytest.mark.parametrize("kind", [ListKind.FULL, ListKind.RECALLED])
 def test_a_machine_absent_from_a_full_list_is_gone(kind: ListKind) -> None:
-    bed = Bed(settings(), machines=2)
-    bed.listed(kind, bed.entries[1])
-    assert {bed.place(task) for task in range(6)} == {"m1"}
+    for left in (0, 1):
+        bed = Bed(settings(), machines=2)
+        bed.listed(kind, bed.entries[left])
+        assert {bed.place(task, service=f"s{task}") for task in range(6)} == {f"m{left}"}
 
 
 def test_a_failed_list_call_changes_nothing() -> None:
