--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -10,42 +10,36 @@
 from __future__ import annotations
 
 import random
-import struct
 import zlib
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
-from ladderhub.interface import MachineEntry, MachineList, Outcome, PeerMessage, Reason, Refuse, Scope, Send
+from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send
 from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen
-from ladderhub.interface import TaskPlaced, TaskWithdrawn, Tell, TimerFired, Topic
+from ladderhub.interface import TaskPlaced, TaskWithdrawn, TimerFired, Topic
 
 MS = 1_000_000
 S = 1_000 * MS
 FIRST_WARM_NS = 250 * MS  # figures before anything was seen: a cold start is worth avoiding,
 FIRST_COLD_NS = 2 * S  # yet not at the price of a long line
-FIGURE_WEIGHT = 0.05  # weight of one start in a class's warm or cold figure: some 20 starts of memory
-LINE_WEIGHT = 0.05  # weight of one start in the share of a line that is really waited
-DEPTH_WEIGHT = 0.1  # weight of one start in the belief that programs so long unused are still kept
+GUESS_COUNTS = 4  # a first guess counts as so many values: a scheduler that sees little must leave it soon
+MEMORY_SHORT, MEMORY_LONG = 20, 60  # values that an average holds on to: of one thing, of a whole class
 KEPT_MOST = 16  # kept programs remembered for each machine; deeper ones have nearly always gone
-FLUSH_DOUBT = 0.3  # trust left in a machine's kept programs after one of them was missing
-TRUST_BACK = 0.5  # how much of the missing trust a kept program that was found gives back
 NEAR_SHARE, NEAR_NS = 0.1, 30 * MS  # sums this close are equal: estimates are no better than this
 SLOW_WEIGHT = 0.2  # weight of one start in a machine's own pace
 SLOW_MOST = 10.0  # no evidence makes a machine look slower than this
 SLOW_HALF_NS = 8 * S  # a slow machine that gets nothing proves nothing: doubt halves in this time
 REST_FIRST_NS, REST_MOST_NS = 600 * MS, 8 * S  # who turned work away is tried again at doubling spans
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
-OTHER_WEIGHT = 0.3  # weight of one view in what the other schedulers are thought to hold
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
 FIRST_CORES, FIRST_MEMORY = 0.6, 0.8  # use against asked before any note came
-USE_WEIGHT = 0.15  # weight of one note in a service's use
-CLASS_USE_WEIGHT = 0.02  # and in its class's
 GROW_NS = 10 * S  # a task's memory still grows while it is younger
 SERVICES_MOST = 5_000  # services remembered for their use
 MEMORY_CALM = 0.9  # machines slow down, then evict, as memory use nears the whole
 POOR_FILL = 0.3  # fill added where tasks got no service at all, in proportion above that
 EASY = 0.8  # projected use over the calm level up to which crowding costs nothing
+FORGET_NS = 600 * S  # a machine gone for so long is forgotten
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
 TIMEOUT_LEAST_NS = 1_500 * MS  # shortest time-out of a repeatable offer
@@ -53,67 +47,71 @@
 ACCEPT_LEAST_NS, ACCEPT_TIMES = 1 * S, 8.0  # the same where machines answer on acceptance, by its average
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
 
-TELL_NS = 200 * MS  # how often peers are told what changed: cheap, and fresher than any list
-SWEEP_TIMER, TELL_TIMER = 0, 1
+SWEEP_TIMER = 0  # a task's own timer bears its number and one
 
-TOLD = struct.Struct(">IHH")  # a machine's number, cores and memory asked for there, in TOLD_PARTS of a unit
-TOLD_PARTS = 8
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NEVER_SENT})
 
 
+class _Mean:
+    """A running average that leaves its first guess soon and lets old values fade."""
+
+    __slots__ = ("count", "most", "value")
+
+    def __init__(self, guess: float, most: int = MEMORY_SHORT) -> None:
+        self.value, self.count, self.most = guess, GUESS_COUNTS, most
+
+    def add(self, value: float) -> None:
+        self.count = min(self.count + 1, self.most)
+        self.value += (value - self.value) / self.count
+
+
 class _Account:
     """Cores and memory on one machine: this scheduler's share exactly, the rest from late readings.
 
-    The rest is the smoothed gap between a reading and the own share at the time it speaks of."""
+    The rest is the gap between the last reading and the own share at the time it speaks of."""
 
     def __init__(self) -> None:
         self.own = [0.0, 0.0]
         self.other = [0.0, 0.0]
-        self.seen = False
-        self.peers: dict[int, tuple[float, float]] = {}  # what each other scheduler told that it holds
-        self.history: deque[tuple[int, float, float]] = deque()
+        self.seen_ns = -1
+        self.history: deque[tuple[int, float, float]] = deque(((-1, 0.0, 0.0),))  # own share since the lag
 
     def add(self, now: int, cores: float, memory: float) -> None:
         self.own[0] += cores
         self.own[1] += memory
+        self._forget(now - VIEW_LAG_NS)
         self.history.append((now, self.own[0], self.own[1]))
 
+    def _forget(self, then: int) -> None:
+        while len(self.history) > 1 and self.history[1][0] <= then:
+            self.history.popleft()
+
     def add_running(self, cores: float, memory: float) -> None:
         """A task that ran before it was told of: earlier readings held it, then as somebody else's."""
         for at, amount in enumerate((cores, memory)):
             self.own[at] += amount
-            if self.seen:
+            if self.seen_ns >= 0:
                 self.other[at] -= amount
         self.history = deque((when, c + cores, m + memory) for when, c, m in self.history)
-        if not self.history:
-            self.history.append((0, cores, memory))
 
-    def observe(self, now: int, totals: tuple[float, float]) -> None:
-        then = now - VIEW_LAG_NS
-        while len(self.history) > 1 and self.history[1][0] <= then:
-            self.history.popleft()
-        old = self.history[0][1:] if self.history and self.history[0][0] <= then else (0.0, 0.0)
-        weight = OTHER_WEIGHT if self.seen else 1.0
-        for at in (0, 1):
-            self.other[at] += weight * (totals[at] - old[at] - self.other[at])
-        self.seen = True
+    def observe(self, now: int, cores: float, memory: float) -> None:
+        self._forget(now - VIEW_LAG_NS)
+        _, own_cores, own_memory = self.history[0]
+        self.other = [cores - own_cores, memory - own_memory]
+        self.seen_ns = now
 
-    def total(self, at: int, schedulers: int) -> float:
-        if self.seen:
-            return self.own[at] + self.other[at]
-        if self.peers:
-            return self.own[at] + sum(held[at] for held in self.peers.values())
-        return self.own[at] * schedulers
+    def total(self, at: int) -> float:
+        return self.own[at] + self.other[at]
 
 
 class _Machine:
-    """What is known of one machine; all but `shut` and `placed` starts anew when it restarts."""
+    """What is known of one machine; all but `shut` and `gone_ns` starts anew when it restarts."""
 
     def __init__(self, entry: MachineEntry, listed: bool, classes: int) -> None:
         self.classes = classes
         self.id, self.kind, self.zone, self.cell = entry.machine, entry.kind, entry.zone, entry.cell
         self.shut = not listed
-        self.placed: dict[str, int] = {}  # attempts and open tasks without an outcome, by service
+        self.gone_ns: int | None = None if listed else 0  # since when it is gone
         self.restart(entry.ready_ns)
 
     def restart(self, ready_ns: int) -> None:
@@ -122,9 +120,7 @@
         self.line_sum = 0  # their estimates
         self.held: dict[str, int] = {}  # services with tasks or offers of ours here
         self.kept: OrderedDict[str, None] = OrderedDict()  # services whose last task ended, oldest first
-        self.trust = 1.0
         self.asked, self.used = _Account(), _Account()
-        self.told: tuple[float, float] | None = None
         self.slow, self.slow_ns = 1.0, 0
         self.rests = [0] * self.classes  # by class, until when nothing is offered
         self.spans = [REST_FIRST_NS] * self.classes
@@ -159,6 +155,7 @@
         self.cold = False
         self.started: int | None = None
         self.use = [0.0, 0.0]
+        self.place: tuple[str | int, str] = ("", "")  # where it counts for its service's spread
 
 
 class _Task:
@@ -183,21 +180,26 @@
         self._machines: dict[str, _Machine] = {}
         self._tasks: dict[int, _Task] = {}
         self._held: dict[int, _Task] = {}
-        self._sweep_set = self._tell_set = False
-        self._timers: dict[int, int] = {}
-        self._next_timer = TELL_TIMER + 1
-        self._warm = [float(FIRST_WARM_NS)] * len(settings.classes)
-        self._cold = [float(FIRST_COLD_NS)] * len(settings.classes)
-        self._accept = 0.0  # average time to acceptance, where that is the first answer
-        self._line_share = 1.0  # how much of a line is really waited: starts run side by side
-        self._depth = [1.0 - at / KEPT_MOST for at in range(KEPT_MOST)]
-        self._class_use = [[FIRST_CORES, FIRST_MEMORY] for _ in settings.classes]
-        self._service_use: OrderedDict[str, list[float]] = OrderedDict()
+        self._sweep_set = False
+        self._warm = [_Mean(FIRST_WARM_NS) for _ in settings.classes]
+        self._cold = [_Mean(FIRST_COLD_NS) for _ in settings.classes]
+        self._accept = _Mean(0.0)  # time to acceptance, where that is the first answer
+        self._line_share = _Mean(1.0)  # how much of a line is really waited: starts run side by side
+        self._depth = [_Mean(1.0 - at / KEPT_MOST) for at in range(KEPT_MOST)]
+        self._class_use = [_use_means(MEMORY_LONG) for _ in settings.classes]
+        self._use_share = _use_means(MEMORY_LONG)  # the same over all tasks, for what others hold
+        self._service_use: OrderedDict[str, tuple[_Mean, _Mean]] = OrderedDict()
+        self._cold_span = settings.cold_span_ns
+        self._cold_window = round(settings.cold_window_ns * COLD_WINDOW_SLACK)
+        self._born_ns = -1
+        self._spread: dict[tuple[str | int, str], int] = {}  # attempts and open tasks, by place and service
         self._out: list[Action] = []
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
         """Take one event at its time and give the actions it calls for."""
         self._out = []
+        if self._born_ns < 0:
+            self._born_ns = now_ns
         match event:
             case TaskAsked():
                 self._on_asked(now_ns, event)
@@ -215,11 +217,8 @@
                 self._on_open(now_ns, event)
             case TaskWithdrawn():
                 self._end(event.task)
-            case PeerMessage():
-                self._on_message(event)
             case _:
-                pass  # probes are not used
-        self._need_tell(now_ns)
+                pass  # probes and messages are not used: each is paid for, a message by every receiver
         return self._out
 
     # --- the machine list -------------------------------------------------------------------------------
@@ -233,17 +232,24 @@
                 machine = self._machines[entry.machine] = _Machine(entry, True, len(self.settings.classes))
             elif entry.ready_ns > machine.ready_ns:
                 machine.restart(entry.ready_ns)
+            moved = (machine.zone, machine.cell) != (entry.zone, entry.cell)
             machine.kind, machine.zone, machine.cell = entry.kind, entry.zone, entry.cell
+            if moved:
+                self._recount_spread()
             machine.shut = entry.stage is not Stage.SERVING
+            machine.gone_ns = now if entry.stage is Stage.GONE else None
             if self.settings.list_shows_room and not machine.shut:
                 size = self.settings.kinds[machine.kind]
-                free = (size.cores - entry.free_cores, size.memory - entry.free_memory)
-                machine.asked.observe(now, free)
+                machine.asked.observe(now, size.cores - entry.free_cores, size.memory - entry.free_memory)
         if event.kind is not ListKind.CHANGES:
             listed = {entry.machine for entry in event.entries}
             for machine in self._machines.values():
-                if machine.id not in listed:
-                    machine.shut = True
+                if machine.id not in listed and machine.gone_ns is None:
+                    machine.shut, machine.gone_ns = True, now
+        # Machines long gone are forgotten; not at once: tasks there may yet be handed over and must count.
+        for machine in [other for other in self._machines.values() if other.gone_ns is not None]:
+            if now - (machine.gone_ns or 0) > FORGET_NS and not machine.held:
+                del self._machines[machine.id]
 
     # --- asking, placing, holding -----------------------------------------------------------------------
 
@@ -251,7 +257,7 @@
         if asked.task in self._tasks:
             return
         task = self._tasks[asked.task] = _Task(asked, now)
-        self._set_timer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task)
+        self._out.append(SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 1))
         self._place(now, task)
 
     def _on_open(self, now: int, event: TaskOpen) -> None:
@@ -267,8 +273,7 @@
 
     def _place(self, now: int, task: _Task) -> None:
         """Send the task, or hold it, or give up where no further attempt can be allowed."""
-        late = now >= task.deadline_ns - ANSWER_MARGIN_NS
-        if late or task.sent >= self.settings.max_attempts or not self._may_repeat(now, task):
+        if not self._may_go(now, task):
             self._give_up(task)
         else:
             machine = self._pick(now, task)
@@ -300,19 +305,10 @@
             self._sweep_set = False
             self._sweep(now)
             return
-        if timer == TELL_TIMER:
-            self._tell_set = False
-            self._tell()
-            return
-        task = self._tasks.get(self._timers.pop(timer, -1))
-        if task is not None and not task.placed and not task.ended:
+        task = self._tasks.get(timer - 1)
+        if task is not None and now >= task.deadline_ns - ANSWER_MARGIN_NS:
             self._give_up(task)
 
-    def _set_timer(self, at_ns: int, task: int) -> None:
-        self._timers[self._next_timer] = task
-        self._out.append(SetTimer(at_ns, self._next_timer))
-        self._next_timer += 1
-
     # --- the pick ---------------------------------------------------------------------------------------
 
     def _pick(self, now: int, task: _Task) -> _Machine | None:
@@ -320,8 +316,8 @@
         fills = [
             (self._fill(now, task, machine), machine)
             for machine in self._machines.values()
-            if machine.id not in task.struck
-            and machine.rests[task.klass] <= now
+            if machine.rests[task.klass] <= now
+            and machine.id not in task.struck
             and self._may_send(now, task, machine)
             and self._fits(task, machine)
         ]
@@ -346,8 +342,8 @@
             return True
         settings = self.settings
         size = settings.kinds[machine.kind]
-        cores = machine.asked.total(0, settings.schedulers) + task.asked.cores
-        memory = machine.asked.total(1, settings.schedulers) + task.asked.memory
+        cores = machine.asked.total(0) + task.asked.cores
+        memory = machine.asked.total(1) + task.asked.memory
         return cores <= size.cores * settings.admit_cores and memory <= size.memory * settings.admit_memory
 
     def _fill(self, now: int, task: _Task, machine: _Machine) -> float:
@@ -355,32 +351,32 @@
         if not self.settings.kinds:
             return 0.0
         size = self.settings.kinds[machine.kind]
-        cores_ratio, memory_ratio = self._use_of(task.asked)
-        cores = self._used(machine, 0) + cores_ratio * task.asked.cores
-        memory = self._used(machine, 1)
+        use = self._use_of(task.asked)
+        cores = self._used(now, machine, 0) + use[0].value * task.asked.cores
+        memory = self._used(now, machine, 1)
         if now - machine.memory_note[0] < NOTE_FRESH_NS:
             memory = max(memory, machine.memory_note[1] * size.memory)
-        memory += memory_ratio * task.asked.memory
+        memory += use[1].value * task.asked.memory
         calm = self.settings.classes[task.klass].calm_level
         fill = max(cores / size.cores / calm, memory / size.memory / MEMORY_CALM)
         if now - machine.poor_note[0] < NOTE_FRESH_NS:
             fill += machine.poor_note[1] * POOR_FILL
         return fill
 
-    def _used(self, machine: _Machine, at: int) -> float:
-        if machine.used.seen:
-            return machine.used.total(at, self.settings.schedulers)
-        mean = sum(use[at] for use in self._class_use) / len(self._class_use)
-        others = machine.asked.total(at, self.settings.schedulers) - machine.asked.own[at]
-        return machine.used.own[at] + max(0.0, others) * mean
+    def _used(self, now: int, machine: _Machine, at: int) -> float:
+        """A fresh reading of use, else what is asked there by the usual use of what was asked."""
+        if now - machine.used.seen_ns < NOTE_FRESH_NS and machine.used.seen_ns >= 0:
+            return machine.used.total(at)
+        others = machine.asked.total(at) - machine.asked.own[at]
+        return machine.used.own[at] + max(0.0, others) * self._use_share[at].value
 
     def _crowding(self, fill: float, task: _Task) -> float:
         """What crowding is worth avoiding, as time to start: a cold start's length where use reaches the calm
         level, since from there every task on the machine is served worse; nothing while use is easy."""
-        return self._cold[task.klass] * (max(0.0, fill - EASY) / (1 - EASY)) ** 2
+        return self._cold[task.klass].value * (max(0.0, fill - EASY) / (1 - EASY)) ** 2
 
     def _time_to_start(self, now: int, task: _Task, machine: _Machine) -> float:
-        return self._line_share * self._line(now, machine) + self._own_figure(now, task, machine)
+        return self._line_share.value * self._line(now, machine) + self._own_figure(now, task, machine)
 
     def _line(self, now: int, machine: _Machine) -> float:
         """Remainder of the oldest open offer and the estimates of the others.
@@ -394,7 +390,7 @@
 
     def _own_figure(self, now: int, task: _Task, machine: _Machine) -> float:
         warm = self._warmth(task.asked.service, machine)
-        figure = warm * self._warm[task.klass] + (1 - warm) * self._cold[task.klass]
+        figure = warm * self._warm[task.klass].value + (1 - warm) * self._cold[task.klass].value
         return figure * self._slowness(now, machine)
 
     def _warmth(self, service: str, machine: _Machine) -> float:
@@ -402,7 +398,7 @@
         if service in machine.held:
             return 1.0
         if service in machine.kept:
-            return machine.trust * self._depth[_depth(service, machine)]
+            return self._depth[_depth(service, machine)].value
         return 0.0
 
     def _slowness(self, now: int, machine: _Machine) -> float:
@@ -415,16 +411,22 @@
 
     # --- the doors: every offer and every final answer --------------------------------------------------
 
-    def _may_send(self, now: int, task: _Task, machine: _Machine) -> bool:
-        """The rules of the service, for one task and one machine."""
+    def _may_go(self, now: int, task: _Task) -> bool:
+        """May the task have a further attempt at all?"""
         return (
-            not machine.shut
-            and not task.ended
+            not task.ended
             and task.attempt is None
             and task.sent < self.settings.max_attempts
-            and now < task.deadline_ns
+            and now < task.deadline_ns - ANSWER_MARGIN_NS
+            and self._may_repeat(now, task)
+        )
+
+    def _may_send(self, now: int, task: _Task, machine: _Machine) -> bool:
+        """The rules of the service for one machine, where the task may go at all."""
+        return (
+            not machine.shut
             and self.settings.classes[task.klass].kind in (-1, machine.kind)
-            and self._may_repeat(now, task, machine)
+            and (task.maybe_ran is None or self._may_repeat(now, task, machine))
             and self._spread_ok(task, machine)
             and self._cold_ok(now, machine)
         )
@@ -446,23 +448,40 @@
         klass = self.settings.classes[task.klass]
         if klass.spread is Scope.NONE:
             return True
-        place, service = _place_of(machine, klass.spread), task.asked.service
-        others = (other for other in self._machines.values() if _place_of(other, klass.spread) == place)
-        return sum(other.placed.get(service, 0) for other in others) < klass.spread_most
+        place = (_place_of(machine, klass.spread), task.asked.service)
+        return self._spread.get(place, 0) < klass.spread_most
+
+    def _count_spread(self, task: _Task, attempt: _Attempt) -> None:
+        place = (_place_of(attempt.machine, self.settings.classes[task.klass].spread), task.asked.service)
+        attempt.place = place
+        self._spread[place] = self._spread.get(place, 0) + 1
+
+    def _recount_spread(self) -> None:
+        """A machine stands elsewhere than was thought: open tasks may name it before any list does."""
+        self._spread.clear()
+        for task in self._tasks.values():
+            if task.attempt is not None:
+                self._count_spread(task, task.attempt)
 
     def _cold_ok(self, now: int, machine: _Machine) -> bool:
-        """Cold budget: a fresh machine always bears so many offers a window, shared by the schedulers."""
-        age = now - machine.ready_ns
-        if not machine.ready_ns or age > self.settings.cold_span_ns + self.settings.cold_window_ns:
+        """Cold budget: a fresh machine always bears so many offers a window; these are dealt out as seats.
+
+        Danger: more schedulers than seats.  Who has one follows from ordinal, machine and ready time, so all
+        reckon alike and together never pass the number.  A scheduler younger than the machine forgot what it
+        sent, so it first lets a window pass.  Harm: where the whole fleet is fresh, tasks wait."""
+        if not machine.ready_ns or now - machine.ready_ns > self._cold_span + self._cold_window:
+            machine.sends.clear()
             return True
-        window = self.settings.cold_window_ns * COLD_WINDOW_SLACK
-        while machine.sends and machine.sends[0] < now - window:
+        if machine.ready_ns < self._born_ns and now < self._born_ns + self._cold_window:
+            return False
+        while machine.sends and machine.sends[0] < now - self._cold_window:
             machine.sends.popleft()
-        share = max(1, int(self.settings.cold_safe_offers / self.settings.schedulers))
-        return len(machine.sends) < share
+        count, safe = self.settings.schedulers, int(self.settings.cold_safe_offers)
+        seat = (self.settings.ordinal + zlib.crc32(f"{machine.id} {machine.ready_ns}".encode())) % count
+        return len(machine.sends) < safe // count + (seat < safe % count)
 
     def _send(self, now: int, task: _Task, machine: _Machine) -> None:
-        if not self._may_send(now, task, machine):
+        if not (self._may_go(now, task) and self._may_send(now, task, machine)):
             return
         task.attempt = attempt = _Attempt(task.sent, machine, now)
         attempt.line_ns = round(self._line(now, machine))
@@ -472,7 +491,8 @@
         if service not in machine.held and service in machine.kept:
             attempt.depth = _depth(service, machine)
         task.sent += 1
-        machine.sends.append(now)
+        if machine.ready_ns:
+            machine.sends.append(now)
         machine.line[task.asked.task] = attempt
         machine.line_sum += attempt.own_ns
         self._charge(now, task, attempt)
@@ -484,9 +504,10 @@
         if unsafe or task.sent >= self.settings.max_attempts:
             return None
         if self.settings.first_at_running:
-            span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + self._cold[task.klass])))
+            cold = self._cold[task.klass].value
+            span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + cold)))
         else:
-            span = max(ACCEPT_LEAST_NS, round(ACCEPT_TIMES * self._accept))
+            span = max(ACCEPT_LEAST_NS, round(ACCEPT_TIMES * self._accept.value))
         return span if now + span < task.deadline_ns - ANSWER_MARGIN_NS else None
 
     def _give_up(self, task: _Task) -> None:
@@ -525,7 +546,7 @@
             task, attempt = found
             task.placed = True
             attempt.machine.spans[task.klass] = REST_FIRST_NS
-            self._accept += FIGURE_WEIGHT * (now - attempt.sent_ns - self._accept)
+            self._accept.add(now - attempt.sent_ns)
             if self.settings.first_at_running:
                 self._started(now, task, attempt)
 
@@ -552,28 +573,23 @@
         machine.leave_line(task.asked.task)
         if attempt.ready_ns != machine.ready_ns:
             return
-        line = self._line_share * attempt.line_ns
+        line = self._line_share.value * attempt.line_ns
         was_cold = self._learn_figure(now, task, attempt, max(0.0, now - attempt.sent_ns - line))
-        expected = (self._cold if was_cold else self._warm)[task.klass]
+        expected = (self._cold if was_cold else self._warm)[task.klass].value
         if attempt.line_ns:
             waited = min(1.0, max(0.0, (now - attempt.sent_ns - expected) / attempt.line_ns))
-            self._line_share += LINE_WEIGHT * (waited - self._line_share)
+            self._line_share.add(waited)
         self._learn_pace(now, machine, (now - attempt.sent_ns) / max(expected + line, 1.0))
 
     def _learn_figure(self, now: int, task: _Task, attempt: _Attempt, own: float) -> bool:
         """Average the start into its class's figures; say whether it was a cold one."""
         machine, klass = attempt.machine, task.klass
         pace = self._slowness(now, machine)
-        line = (self._warm[klass] * self._cold[klass]) ** 0.5
+        line = (self._warm[klass].value * self._cold[klass].value) ** 0.5
         was_cold = attempt.cold or (attempt.depth is not None and own / pace > line)
-        figures = self._cold if was_cold else self._warm
-        figures[klass] += FIGURE_WEIGHT * (own / pace - figures[klass])
+        (self._cold if was_cold else self._warm)[klass].add(own / pace)
         if attempt.depth is not None:
-            belief = self._depth[attempt.depth]
-            self._depth[attempt.depth] = belief + DEPTH_WEIGHT * ((not was_cold) - belief)
-            # Danger: flushed machines still read warm.  One kept program found missing casts doubt on all.
-            gain = TRUST_BACK * (1 - machine.trust)
-            machine.trust = machine.trust * FLUSH_DOUBT if was_cold else machine.trust + gain
+            self._depth[attempt.depth].add(not was_cold)
         return was_cold
 
     def _learn_pace(self, now: int, machine: _Machine, ratio: float) -> None:
@@ -623,45 +639,18 @@
             if not self.settings.first_at_running:
                 machine.rest(now, every)
 
-    # --- what the schedulers tell each other, where they may ---------------------------------------------
-
-    def _need_tell(self, now: int) -> None:
-        if self.settings.may_message and self.settings.schedulers > 1 and not self._tell_set:
-            self._tell_set = True
-            self._out.append(SetTimer(now + TELL_NS, TELL_TIMER))
-
-    def _tell(self) -> None:
-        """Tell all peers the own account of the machines where it changed since it was last told."""
-        parts: list[bytes] = []
-        for machine in self._machines.values():
-            held = (machine.asked.own[0], machine.asked.own[1])
-            if held != machine.told and len(parts) < self.settings.message_bytes // TOLD.size:
-                machine.told = held
-                figures = (min(0xFFFF, max(0, round(amount * TOLD_PARTS))) for amount in held)
-                parts.append(TOLD.pack(zlib.crc32(machine.id.encode()), *figures))
-        if parts:
-            self._out.append(Tell(b"".join(parts)))
-
-    def _on_message(self, event: PeerMessage) -> None:
-        if len(event.data) % TOLD.size:
-            return
-        numbers = {zlib.crc32(machine.id.encode()): machine for machine in self._machines.values()}
-        for number, cores, memory in TOLD.iter_unpack(event.data):
-            if number in numbers:
-                numbers[number].asked.peers[event.peer] = (cores / TOLD_PARTS, memory / TOLD_PARTS)
-
     # --- accounts ---------------------------------------------------------------------------------------
 
-    def _use_of(self, asked: TaskAsked) -> list[float]:
+    def _use_of(self, asked: TaskAsked) -> tuple[_Mean, _Mean]:
         return self._service_use.get(asked.service) or self._class_use[asked.klass]
 
     def _charge(self, now: int, task: _Task, attempt: _Attempt, running: bool = False) -> None:
         machine, asked = attempt.machine, task.asked
-        machine.placed[asked.service] = machine.placed.get(asked.service, 0) + 1
+        self._count_spread(task, attempt)
         machine.held[asked.service] = machine.held.get(asked.service, 0) + 1
         machine.kept.pop(asked.service, None)
         use = self._use_of(asked)
-        attempt.use = [use[0] * asked.cores, use[1] * asked.memory]
+        attempt.use = [use[0].value * asked.cores, use[1].value * asked.memory]
         if running:
             machine.asked.add_running(asked.cores, asked.memory)
             machine.used.add_running(attempt.use[0], attempt.use[1])
@@ -672,9 +661,9 @@
     def _release(self, now: int, task: _Task, attempt: _Attempt) -> None:
         machine, asked = attempt.machine, task.asked
         machine.leave_line(asked.task)
-        machine.placed[asked.service] -= 1
-        if not machine.placed[asked.service]:
-            del machine.placed[asked.service]
+        self._spread[attempt.place] -= 1
+        if not self._spread[attempt.place]:
+            del self._spread[attempt.place]
         if attempt.ready_ns != machine.ready_ns:
             return
         machine.asked.add(now, -asked.cores, -asked.memory)
@@ -692,17 +681,19 @@
         ratio = note.level / max(asked.cores if at == 0 else asked.memory, 1e-9)
         young = attempt.started is None or now - attempt.started < GROW_NS
         if asked.service not in self._service_use:
-            self._service_use[asked.service] = list(self._class_use[asked.klass])
+            usual = self._class_use[asked.klass]
+            self._service_use[asked.service] = (_Mean(usual[0].value), _Mean(usual[1].value))
             if len(self._service_use) > SERVICES_MOST:
                 self._service_use.popitem(last=False)
         use = self._service_use[asked.service]
-        if at == 0 or not young or ratio > use[1]:
-            use[at] += USE_WEIGHT * (ratio - use[at])
-            mean = self._class_use[asked.klass]
-            mean[at] += CLASS_USE_WEIGHT * (ratio - mean[at])
+        if at == 0 or not young or ratio > use[1].value:
+            use[at].add(ratio)
+            self._class_use[asked.klass][at].add(ratio)
+            if not self.settings.reports_count_use:
+                self._use_share[at].add(ratio)
         level = note.level
         if at == 1 and young:
-            level = max(level, use[1] * asked.memory)
+            level = max(level, use[1].value * asked.memory)
         change = [0.0, 0.0]
         change[at] = level - attempt.use[at]
         attempt.use[at] = level
@@ -713,11 +704,19 @@
         if report.cores_free is None or report.memory_free is None or not self.settings.kinds:
             return
         size = self.settings.kinds[machine.kind]
-        totals = (size.cores - report.cores_free, size.memory - report.memory_free)
-        if self.settings.reports_count_use:
-            machine.used.observe(now, totals)
-        else:
-            machine.asked.observe(now, totals)
+        cores, memory = size.cores - report.cores_free, size.memory - report.memory_free
+        if not self.settings.reports_count_use:
+            machine.asked.observe(now, cores, memory)
+            return
+        machine.used.observe(now, cores, memory)
+        for at, used in enumerate((cores, memory)):
+            if machine.asked.total(at) > 0:
+                ratio = min(2.0, used / machine.asked.total(at))
+                self._use_share[at].add(ratio)
+
+
+def _use_means(most: int) -> tuple[_Mean, _Mean]:
+    return _Mean(FIRST_CORES, most), _Mean(FIRST_MEMORY, most)
 
 
 def _depth(service: str, machine: _Machine) -> int:
