Homes: warmth that others made, by one order of machines for each service

Cause: at full size a scheduler sees under one task a second, so its augmented set is empty and every start is cold. Departure: machines are ranked by a rendezvous hash of service and machine, alike in every scheduler; the first four (in each zone, where crossing is priced) are believed to hold the program to a learned degree, the next four to a lesser one. It acts only on the warm share in the design's own figure, and not at all for one scheduler. It should also cover restarts that forgot everything. Harm: the order is blind to load, which crowding prices.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -2,7 +2,7 @@
 
 The path of a task: `_on_asked` takes it and sets the timer for its answer; `_place` looks for a machine with
 `_pick`, which strikes out machines (`_may_send`, `_fits`) and takes the lowest estimated time to start
-(`_time_to_start`); `_send` is the one door for offers; `_on_placed` and `_on_note` learn from the start;
+(`_line`, `_own_figure`); `_send` is the door for all offers; `_on_placed`, `_on_note` learn from the start;
 `_on_ended` settles the attempt and, where the task is still owed an answer, places it again or gives up by
 `_give_up`, the one door for refusals and failures.  A task that finds no machine waits in `_held`.
 """
@@ -25,7 +25,10 @@
 FIRST_COLD_NS = 2 * S  # yet not at the price of a long line
 GUESS_COUNTS = 4  # a first guess counts as so many values: a scheduler that sees little must leave it soon
 MEMORY_SHORT, MEMORY_LONG = 20, 60  # values that an average holds on to: of one thing, of a whole class
-KEPT_MOST = 16  # kept programs remembered for each machine; deeper ones have nearly always gone
+KEPT_MOST = 8  # programs that a machine is thought to keep after their last task
+KEPT_GUESS = 0.7  # how many of these are found
+HOMES = 4  # machines over which all schedulers place a service: few keep it warm, several share its load
+HOME_GUESSES = (0.8, 0.3)  # share of warm starts believed of a service's first homes, and of the next as many
 NEAR_SHARE, NEAR_NS = 0.1, 30 * MS  # sums this close are equal: estimates are no better than this
 SLOW_WEIGHT = 0.2  # weight of one start in a machine's own pace
 SLOW_MOST = 10.0  # no evidence makes a machine look slower than this
@@ -49,6 +52,7 @@
 
 SWEEP_TIMER = 0  # a task's own timer bears its number and one
 
+MIX = 4_294_967_291  # a prime: products by it scatter well
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NEVER_SENT})
 
 
@@ -76,9 +80,13 @@
         self.seen_ns = -1
         self.history: deque[tuple[int, float, float]] = deque(((-1, 0.0, 0.0),))  # own share since the lag
 
-    def add(self, now: int, cores: float, memory: float) -> None:
-        self.own[0] += cores
-        self.own[1] += memory
+    def add(self, now: int, cores: float, memory: float, ran: bool = False) -> None:
+        """Change the own share; a task that ran before it was told of was in readings, as another's."""
+        for at, amount in enumerate((cores, memory)):
+            self.own[at] += amount
+            self.other[at] -= amount if ran and self.seen_ns >= 0 else 0.0
+        if ran:
+            self.history.clear()
         self._forget(now - VIEW_LAG_NS)
         self.history.append((now, self.own[0], self.own[1]))
 
@@ -86,14 +94,6 @@
         while len(self.history) > 1 and self.history[1][0] <= then:
             self.history.popleft()
 
-    def add_running(self, cores: float, memory: float) -> None:
-        """A task that ran before it was told of: earlier readings held it, then as somebody else's."""
-        for at, amount in enumerate((cores, memory)):
-            self.own[at] += amount
-            if self.seen_ns >= 0:
-                self.other[at] -= amount
-        self.history = deque((when, c + cores, m + memory) for when, c, m in self.history)
-
     def observe(self, now: int, cores: float, memory: float) -> None:
         self._forget(now - VIEW_LAG_NS)
         _, own_cores, own_memory = self.history[0]
@@ -112,6 +112,7 @@
         self.id, self.kind, self.zone, self.cell = entry.machine, entry.kind, entry.zone, entry.cell
         self.shut = not listed
         self.gone_ns: int | None = None if listed else 0  # since when it is gone
+        self.number = zlib.crc32(self.id.encode()) + 1
         self.restart(entry.ready_ns)
 
     def restart(self, ready_ns: int) -> None:
@@ -124,8 +125,7 @@
         self.slow, self.slow_ns = 1.0, 0
         self.rests = [0] * self.classes  # by class, until when nothing is offered
         self.spans = [REST_FIRST_NS] * self.classes
-        self.memory_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
-        self.poor_note: tuple[int, float] = (-NOTE_FRESH_NS, 0.0)
+        self.notes = [(-NOTE_FRESH_NS, 0.0), (-NOTE_FRESH_NS, 0.0)]  # last of poor service, of short memory
         self.sends: deque[int] = deque()
 
     def slow_at(self, now: int) -> float:
@@ -151,8 +151,9 @@
         self.number, self.machine, self.sent_ns = number, machine, sent_ns
         self.ready_ns = machine.ready_ns
         self.own_ns = self.line_ns = 0
-        self.depth: int | None = None  # how many kept programs were used more lately; None if not from there
-        self.cold = False
+        self.kept = False  # the service was thought to be kept there
+        self.held = False  # the service had tasks or offers of ours there
+        self.level: int | None = None  # how early the machine comes among the service's homes
         self.started: int | None = None
         self.use = [0.0, 0.0]
         self.place: tuple[str | int, str] = ("", "")  # where it counts for its service's spread
@@ -185,18 +186,19 @@
         self._cold = [_Mean(FIRST_COLD_NS) for _ in settings.classes]
         self._accept = _Mean(0.0)  # time to acceptance, where that is the first answer
         self._line_share = _Mean(1.0)  # how much of a line is really waited: starts run side by side
-        self._depth = [_Mean(1.0 - at / KEPT_MOST) for at in range(KEPT_MOST)]
+        # What one scheduler alone has not placed is warm nowhere.
+        self._homes = [_Mean(guess * (1 - 1 / settings.schedulers)) for guess in HOME_GUESSES]
+        self._kept = _Mean(KEPT_GUESS)
         self._class_use = [_use_means(MEMORY_LONG) for _ in settings.classes]
         self._use_share = _use_means(MEMORY_LONG)  # the same over all tasks, for what others hold
         self._service_use: OrderedDict[str, tuple[_Mean, _Mean]] = OrderedDict()
-        self._cold_span = settings.cold_span_ns
         self._cold_window = round(settings.cold_window_ns * COLD_WINDOW_SLACK)
         self._born_ns = -1
         self._spread: dict[tuple[str | int, str], int] = {}  # attempts and open tasks, by place and service
         self._out: list[Action] = []
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
-        """Take one event at its time and give the actions it calls for."""
+        """Take one event and give its actions.  Probes and messages, each paid for, are not used."""
         self._out = []
         if self._born_ns < 0:
             self._born_ns = now_ns
@@ -217,8 +219,6 @@
                 self._on_open(now_ns, event)
             case TaskWithdrawn():
                 self._end(event.task)
-            case _:
-                pass  # probes and messages are not used: each is paid for, a message by every receiver
         return self._out
 
     # --- the machine list -------------------------------------------------------------------------------
@@ -313,20 +313,17 @@
 
     def _pick(self, now: int, task: _Task) -> _Machine | None:
         """The design's rule: of the machines not struck out, the lowest estimated time to start."""
-        fills = [
-            (self._fill(now, task, machine), machine)
-            for machine in self._machines.values()
-            if machine.rests[task.klass] <= now
-            and machine.id not in task.struck
-            and self._may_send(now, task, machine)
-            and self._fits(task, machine)
-        ]
-        if not fills:
+        homes, sums = self._homes_of(task), []
+        for machine in self._machines.values():
+            if machine.rests[task.klass] > now or machine.id in task.struck:
+                continue
+            if self._may_send(now, task, machine) and self._fits(task, machine):
+                fill = self._fill(now, task, machine)
+                total = self._line_share.value * self._line(now, machine) + self._crowding(fill, task)
+                total += self._own_figure(now, task, machine, homes.get(machine.id))
+                sums.append((total, fill, machine))
+        if not sums:
             return None
-        sums = [
-            (self._time_to_start(now, task, machine) + self._crowding(fill, task), fill, machine)
-            for fill, machine in fills
-        ]
         best = min(total for total, _, _ in sums)
         band = best * (1 + NEAR_SHARE) + NEAR_NS
         near = [(fill, machine) for total, fill, machine in sums if total <= band]
@@ -336,6 +333,28 @@
         self._random.shuffle(near)
         return (max if pack else min)(near, key=lambda pair: pair[0])[1]
 
+    def _homes_of(self, task: _Task) -> dict[str, int]:
+        """Homes of the task's service: machines by an order that every scheduler reckons alike.
+
+        Danger: warmth that others made can't be seen, and schedulers that each see little start every program
+        cold, everywhere.  By one order they warm the same few machines, in each zone where crossing
+        is priced.  Harm: the order knows nothing of load, which is left to the price of crowding."""
+        kind, priced = self.settings.classes[task.klass].kind, self.settings.price_cross_zone > 0
+        number = zlib.crc32(task.asked.service.encode()) + 1
+        ranked = sorted(
+            (machine.number * number % MIX, machine.id, machine.zone if priced else 0)
+            for machine in self._machines.values()
+            if not machine.shut and kind in (-1, machine.kind)
+        )
+        each = -(-HOMES // (len({zone for _, _, zone in ranked}) or 1))
+        seen: dict[int, int] = {}
+        levels: dict[str, int] = {}
+        for _, name, zone in ranked:
+            at = seen[zone] = seen.get(zone, -1) + 1
+            if at < each * len(HOME_GUESSES):
+                levels[name] = at // each
+        return levels
+
     def _fits(self, task: _Task, machine: _Machine) -> bool:
         """Room by what is asked, which is what machines refuse by."""
         if not self.settings.kinds:
@@ -354,14 +373,10 @@
         use = self._use_of(task.asked)
         cores = self._used(now, machine, 0) + use[0].value * task.asked.cores
         memory = self._used(now, machine, 1)
-        if now - machine.memory_note[0] < NOTE_FRESH_NS:
-            memory = max(memory, machine.memory_note[1] * size.memory)
-        memory += use[1].value * task.asked.memory
+        poor, short = (level if now - at < NOTE_FRESH_NS else 0.0 for at, level in machine.notes)
+        memory = max(memory, short * size.memory) + use[1].value * task.asked.memory
         calm = self.settings.classes[task.klass].calm_level
-        fill = max(cores / size.cores / calm, memory / size.memory / MEMORY_CALM)
-        if now - machine.poor_note[0] < NOTE_FRESH_NS:
-            fill += machine.poor_note[1] * POOR_FILL
-        return fill
+        return max(cores / size.cores / calm, memory / size.memory / MEMORY_CALM) + poor * POOR_FILL
 
     def _used(self, now: int, machine: _Machine, at: int) -> float:
         """A fresh reading of use, else what is asked there by the usual use of what was asked."""
@@ -375,9 +390,6 @@
         level, since from there every task on the machine is served worse; nothing while use is easy."""
         return self._cold[task.klass].value * (max(0.0, fill - EASY) / (1 - EASY)) ** 2
 
-    def _time_to_start(self, now: int, task: _Task, machine: _Machine) -> float:
-        return self._line_share.value * self._line(now, machine) + self._own_figure(now, task, machine)
-
     def _line(self, now: int, machine: _Machine) -> float:
         """Remainder of the oldest open offer and the estimates of the others.
 
@@ -388,18 +400,17 @@
         oldest = next(iter(machine.line.values()))
         return abs(oldest.sent_ns + oldest.own_ns - now) + machine.line_sum - oldest.own_ns
 
-    def _own_figure(self, now: int, task: _Task, machine: _Machine) -> float:
-        warm = self._warmth(task.asked.service, machine)
+    def _own_figure(self, now: int, task: _Task, machine: _Machine, level: int | None) -> float:
+        warm = self._warmth(task.asked.service, machine, level)
         figure = warm * self._warm[task.klass].value + (1 - warm) * self._cold[task.klass].value
         return figure * self._slowness(now, machine)
 
-    def _warmth(self, service: str, machine: _Machine) -> float:
-        """1 where the service is held or offered, 0 where unknown; kept programs by their depth."""
+    def _warmth(self, service: str, machine: _Machine, level: int | None) -> float:
+        """1 where the service is held or offered; kept and unseen programs by what was found."""
         if service in machine.held:
             return 1.0
-        if service in machine.kept:
-            return self._depth[_depth(service, machine)].value
-        return 0.0
+        unseen = 0.0 if level is None else self._homes[level].value
+        return max(unseen, self._kept.value) if service in machine.kept else unseen
 
     def _slowness(self, now: int, machine: _Machine) -> float:
         """How many times longer starts take here: its own record, fading, and the pace of a fresh start."""
@@ -469,7 +480,7 @@
         Danger: more schedulers than seats.  Who has one follows from ordinal, machine and ready time, so all
         reckon alike and together never pass the number.  A scheduler younger than the machine forgot what it
         sent, so it first lets a window pass.  Harm: where the whole fleet is fresh, tasks wait."""
-        if not machine.ready_ns or now - machine.ready_ns > self._cold_span + self._cold_window:
+        if not machine.ready_ns or now - machine.ready_ns > self.settings.cold_span_ns + self._cold_window:
             machine.sends.clear()
             return True
         if machine.ready_ns < self._born_ns and now < self._born_ns + self._cold_window:
@@ -485,11 +496,12 @@
             return
         task.attempt = attempt = _Attempt(task.sent, machine, now)
         attempt.line_ns = round(self._line(now, machine))
-        attempt.own_ns = round(self._own_figure(now, task, machine))
         service = task.asked.service
-        attempt.cold = service not in machine.held and service not in machine.kept
-        if service not in machine.held and service in machine.kept:
-            attempt.depth = _depth(service, machine)
+        attempt.held = service in machine.held
+        if not attempt.held:
+            attempt.kept = service in machine.kept
+            attempt.level = self._homes_of(task).get(machine.id)
+        attempt.own_ns = round(self._own_figure(now, task, machine, attempt.level))
         task.sent += 1
         if machine.ready_ns:
             machine.sends.append(now)
@@ -558,9 +570,9 @@
         if event.topic is Topic.RUNNING:
             self._started(now, task, attempt)
         elif event.topic is Topic.SERVICE_LEVEL:
-            attempt.machine.poor_note = (now, max(0.0, 1 - event.level))
+            attempt.machine.notes[0] = (now, max(0.0, 1 - event.level))
         elif event.topic is Topic.MACHINE_MEMORY:
-            attempt.machine.memory_note = (now, event.level)
+            attempt.machine.notes[1] = (now, event.level)
         else:
             self._learn_use(now, task, attempt, event)
 
@@ -586,10 +598,13 @@
         machine, klass = attempt.machine, task.klass
         pace = self._slowness(now, machine)
         line = (self._warm[klass].value * self._cold[klass].value) ** 0.5
-        was_cold = attempt.cold or (attempt.depth is not None and own / pace > line)
+        unknown = attempt.kept or self.settings.schedulers > 1
+        was_cold = not attempt.held and (own / pace > line if unknown else True)
         (self._cold if was_cold else self._warm)[klass].add(own / pace)
-        if attempt.depth is not None:
-            self._depth[attempt.depth].add(not was_cold)
+        if attempt.level is not None:
+            self._homes[attempt.level].add(not was_cold)
+        if attempt.kept:
+            self._kept.add(not was_cold)
         return was_cold
 
     def _learn_pace(self, now: int, machine: _Machine, ratio: float) -> None:
@@ -629,7 +644,7 @@
             # draws all of it.  Harm: one that was full for a moment rests a little longer than needed.
             machine.rest(now, (task.klass,))
         elif event.reason is Reason.EVICTED:
-            machine.memory_note = (now, 1.0)
+            machine.notes[1] = (now, 1.0)
         elif event.outcome is Outcome.LOST:
             machine.rest(now, every)
         elif never_started and event.outcome is Outcome.TIMED_OUT:
@@ -651,12 +666,8 @@
         machine.kept.pop(asked.service, None)
         use = self._use_of(asked)
         attempt.use = [use[0].value * asked.cores, use[1].value * asked.memory]
-        if running:
-            machine.asked.add_running(asked.cores, asked.memory)
-            machine.used.add_running(attempt.use[0], attempt.use[1])
-        else:
-            machine.asked.add(now, asked.cores, asked.memory)
-            machine.used.add(now, attempt.use[0], attempt.use[1])
+        machine.asked.add(now, asked.cores, asked.memory, running)
+        machine.used.add(now, attempt.use[0], attempt.use[1], running)
 
     def _release(self, now: int, task: _Task, attempt: _Attempt) -> None:
         machine, asked = attempt.machine, task.asked
@@ -719,10 +730,6 @@
     return _Mean(FIRST_CORES, most), _Mean(FIRST_MEMORY, most)
 
 
-def _depth(service: str, machine: _Machine) -> int:
-    return list(reversed(machine.kept)).index(service)
-
-
 def _place_of(machine: _Machine, scope: Scope) -> str | int:
     if scope is Scope.MACHINE:
         return machine.id
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,6 +15,7 @@
     Outcome,
     PeerMessage,
     Reason,
+    Settings,
     Stage,
     TaskClass,
     TaskNote,
@@ -35,6 +36,38 @@
     assert {bed.place(task) for task in range(2, 6)} == {first}
 
 
+def homes(given: Settings, service: str) -> list[str]:
+    """Where schedulers that know nothing of each other place one task of a service each."""
+    beds = (Bed(replace(given, ordinal=at), machines=20, seed=at) for at in range(30))
+    return [bed.place(1, service=service) for bed in beds]
+
+
+def test_schedulers_that_never_talk_warm_the_same_few_machines() -> None:
+    """What others warmed can't be seen: without an order that all reckon alike every start is cold."""
+    given = settings(schedulers=30)
+    places = {service: homes(given, service) for service in ("a", "b", "c", "d", "e", "f")}
+    assert all(len(set(found)) <= 4 for found in places.values())
+    assert len({machine for found in places.values() for machine in found}) > 8
+
+
+def test_each_zone_has_homes_of_its_own_where_crossing_is_priced() -> None:
+    given = settings(schedulers=30, price_cross_zone=0.03, zone=1)
+    found = set(homes(given, "a"))
+    assert len(found) <= 2 and all(int(machine[1:]) % 2 == 1 for machine in found)
+
+
+def test_homes_lose_belief_where_starts_there_come_cold() -> None:
+    bed = Bed(settings(schedulers=30), machines=12)
+    for task in range(30):
+        run(bed, task, bed.sent(bed.ask(task, service=f"s{task}")).machine, 3 * S)
+        bed.wait(10 * S)
+    assert bed.scheduler._homes[0].value < 0.3
+
+
+def test_one_scheduler_alone_believes_in_no_home() -> None:
+    assert Bed(settings()).scheduler._homes[0].value == 0
+
+
 def test_followers_start_where_the_first_one_is_starting() -> None:
     """Machines start tasks side by side: once that is learned, a batch does not spread its cold starts."""
     bed = Bed(settings(), machines=1)
