Rests by class and tenant, longer where a refusal gives no reason

A told lack of room still rests 0.6 s. Covers throttling by class, by tenant or both, and any odd refusal. Harm: room that comes back is found some seconds late.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -12,7 +12,6 @@
 import random
 import zlib
 from collections import OrderedDict, deque
-from collections.abc import Iterable
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
 from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send
@@ -33,7 +32,8 @@
 SLOW_WEIGHT = 0.2  # weight of one start in a machine's own pace
 SLOW_MOST = 10.0  # no evidence makes a machine look slower than this
 SLOW_HALF_NS = 8 * S  # a slow machine that gets nothing proves nothing: doubt halves in this time
-REST_FIRST_NS, REST_MOST_NS = 600 * MS, 8 * S  # who turned work away is tried again at doubling spans
+REST_FIRST_NS, REST_ODD_NS = 600 * MS, 6 * S  # first rest after turning work away; where no reason came
+REST_TIMES = 8  # and doubling up to so many first ones
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
 FIRST_CORES, FIRST_MEMORY = 0.6, 0.8  # use against asked before any note came
@@ -107,8 +107,7 @@
 class _Machine:
     """What is known of one machine; all but `shut` and `gone_ns` starts anew when it restarts."""
 
-    def __init__(self, entry: MachineEntry, listed: bool, classes: int) -> None:
-        self.classes = classes
+    def __init__(self, entry: MachineEntry, listed: bool) -> None:
         self.id, self.kind, self.zone, self.cell = entry.machine, entry.kind, entry.zone, entry.cell
         self.shut = not listed
         self.gone_ns: int | None = None if listed else 0  # since when it is gone
@@ -123,20 +122,21 @@
         self.kept: OrderedDict[str, None] = OrderedDict()  # services whose last task ended, oldest first
         self.asked, self.used = _Account(), _Account()
         self.slow, self.slow_ns = 1.0, 0
-        self.rests = [0] * self.classes  # by class, until when nothing is offered
-        self.spans = [REST_FIRST_NS] * self.classes
+        self.rests: dict[tuple[int, int] | None, tuple[int, int]] = {}  # until when, next span
         self.notes = [(-NOTE_FRESH_NS, 0.0), (-NOTE_FRESH_NS, 0.0)]  # last of poor service, of short memory
         self.sends: deque[int] = deque()
 
     def slow_at(self, now: int) -> float:
         return 1 + (self.slow - 1) * float(0.5 ** ((now - self.slow_ns) / SLOW_HALF_NS))
 
-    def rest(self, now: int, classes: Iterable[int]) -> None:
-        """Nothing of these classes for a while, twice as long each time until one is placed here."""
-        for klass in classes:
-            if self.rests[klass] <= now:
-                self.rests[klass] = now + self.spans[klass]
-                self.spans[klass] = min(REST_MOST_NS, 2 * self.spans[klass])
+    def rest(self, now: int, what: tuple[int, int] | None, first_ns: int = REST_FIRST_NS) -> None:
+        """Nothing of this class and tenant, or at all, for spans that double until one is placed here."""
+        until, span = self.rests.get(what, (0, first_ns))
+        if until <= now:
+            self.rests[what] = (now + span, min(REST_TIMES * first_ns, 2 * span))
+
+    def rests_from(self, now: int, what: tuple[int, int]) -> bool:
+        return any(self.rests[each][0] > now for each in (None, what) if each in self.rests)
 
     def leave_line(self, task: int) -> None:
         attempt = self.line.pop(task, None)
@@ -164,6 +164,7 @@
 
     def __init__(self, asked: TaskAsked, now: int) -> None:
         self.asked, self.klass = asked, asked.klass
+        self.what = (asked.klass, asked.tenant)
         self.deadline_ns = now + asked.budget_ns
         self.sent = 0
         self.attempt: _Attempt | None = None
@@ -229,7 +230,7 @@
         for entry in event.entries:
             machine = self._machines.get(entry.machine)
             if machine is None:
-                machine = self._machines[entry.machine] = _Machine(entry, True, len(self.settings.classes))
+                machine = self._machines[entry.machine] = _Machine(entry, True)
             elif entry.ready_ns > machine.ready_ns:
                 machine.restart(entry.ready_ns)
             moved = (machine.zone, machine.cell) != (entry.zone, entry.cell)
@@ -264,7 +265,7 @@
         machine = self._machines.get(event.machine)
         if machine is None:
             entry = MachineEntry(event.machine, Stage.GONE)
-            machine = self._machines[event.machine] = _Machine(entry, False, len(self.settings.classes))
+            machine = self._machines[event.machine] = _Machine(entry, False)
         task = self._tasks[event.asked.task] = _Task(event.asked, now)
         task.sent, task.placed = 1, True
         task.attempt = attempt = _Attempt(0, machine, now)
@@ -315,7 +316,7 @@
         """The design's rule: of the machines not struck out, the lowest estimated time to start."""
         homes, sums = self._homes_of(task), []
         for machine in self._machines.values():
-            if machine.rests[task.klass] > now or machine.id in task.struck:
+            if machine.rests_from(now, task.what) or machine.id in task.struck:
                 continue
             if self._may_send(now, task, machine) and self._fits(task, machine):
                 fill = self._fill(now, task, machine)
@@ -557,7 +558,7 @@
         if found:
             task, attempt = found
             task.placed = True
-            attempt.machine.spans[task.klass] = REST_FIRST_NS
+            attempt.machine.rests = {}
             self._accept.add(now - attempt.sent_ns)
             if self.settings.first_at_running:
                 self._started(now, task, attempt)
@@ -630,7 +631,7 @@
             self._place(now, task)
 
     def _learn_end(self, now: int, task: _Task, attempt: _Attempt, event: AttemptEnded) -> None:
-        machine, every = attempt.machine, range(attempt.machine.classes)
+        machine = attempt.machine
         never_started = attempt.started is None and not task.placed
         if event.outcome in NEVER_RAN or (never_started and event.outcome is Outcome.TIMED_OUT):
             task.struck.add(machine.id)
@@ -638,21 +639,22 @@
         # standing copy can't be the reason, shows it.  Harm: a machine that only erred rests for a spell.
         leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
         if leaving or event.reason is Reason.SENT_AWAY or event.outcome is Outcome.UNREACHABLE:
-            machine.rest(now, every)
+            machine.rest(now, None)
         elif event.outcome is Outcome.REFUSED:
             # Danger: a machine that turns a class away, for whatever reason or none, keeps an empty line and
-            # draws all of it.  Harm: one that was full for a moment rests a little longer than needed.
-            machine.rest(now, (task.klass,))
+            # draws all of it.  Lack of room is told and passes; what comes with no reason lasts, and at many
+            # schedulers each asking again soon is a flood.  Harm: room that came back is found a little late.
+            machine.rest(now, task.what, REST_FIRST_NS if event.reason else REST_ODD_NS)
         elif event.reason is Reason.EVICTED:
             machine.notes[1] = (now, 1.0)
         elif event.outcome is Outcome.LOST:
-            machine.rest(now, every)
+            machine.rest(now, None)
         elif never_started and event.outcome is Outcome.TIMED_OUT:
             # Danger: a machine that is cut off answers nothing, and a list of processes still shows it.
             expected = attempt.own_ns + attempt.line_ns + 1
             self._learn_pace(now, machine, max(2.0, (now - attempt.sent_ns) / expected))
             if not self.settings.first_at_running:
-                machine.rest(now, every)
+                machine.rest(now, None)
 
     # --- accounts ---------------------------------------------------------------------------------------
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,6 +15,7 @@
     Outcome,
     PeerMessage,
     Reason,
+    Send,
     Settings,
     Stage,
     TaskClass,
@@ -150,6 +151,24 @@
     assert bad in [bed.sent(actions).machine for actions in others]
 
 
+def test_refusals_without_a_reason_rest_what_was_refused_for_longer() -> None:
+    """A machine that turns one tenant away does so for long; each scheduler asking again soon is a flood."""
+    bed = Bed(settings(CLASS, schedulers=100), machines=2)
+    bad = bed.sent(bed.ask(1, tenant=1)).machine
+    good = bed.sent(bed.end(1, bad, Outcome.REFUSED)).machine
+    bed.placed(1, good, attempt=1)
+    bed.end(1, good, attempt=1)
+    bed.wait(4 * S)
+    asked = [bed.sent(bed.ask(task, tenant=1, service=f"s{task}")).machine for task in range(2, 8)]
+    assert set(asked) == {good}
+    assert bad in [bed.sent(bed.ask(task, tenant=0, service=f"s{task}")).machine for task in range(8, 16)]
+    bed = Bed(settings(CLASS, schedulers=100), machines=1)
+    bed.ask(1)
+    bed.end(1, "m0", Outcome.REFUSED, reason=Reason.CORES)
+    bed.ask(2)
+    assert [action.task for action in bed.wait(S) if isinstance(action, Send)] == [2]
+
+
 def test_rests_double_until_something_is_placed() -> None:
     bed = Bed(settings(max_attempts=1), machines=1)
     spans = []
