Messages where few make them cheap; homes learned from unseen programs; out: own pace, use by service, growth

Homes were also learned from kept programs, which made one scheduler believe in them; now only unseen programs teach, one scheduler has none, and the first belief grows with the square of the others' share. Telling acts only where two lines a task cost under 0.006. Silence, loss and leaving fold into one rest.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import random
+import struct
 import zlib
 from collections import OrderedDict, deque
 
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, ListKind, LoadReport
-from ladderhub.interface import MachineEntry, MachineList, Outcome, Reason, Refuse, Scope, Send
+from ladderhub.interface import MachineEntry, MachineList, Outcome, PeerMessage, Reason, Refuse, Scope, Send
 from ladderhub.interface import SetTimer, Settings, Stage, TaskAsked, TaskNote, TaskOpen
-from ladderhub.interface import TaskPlaced, TaskWithdrawn, TimerFired, Topic
+from ladderhub.interface import TaskPlaced, TaskWithdrawn, Tell, TimerFired, Topic
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -24,21 +25,15 @@
 FIRST_COLD_NS = 2 * S  # yet not at the price of a long line
 GUESS_COUNTS = 4  # a first guess counts as so many values: a scheduler that sees little must leave it soon
 MEMORY_SHORT, MEMORY_LONG = 20, 60  # values that an average holds on to: of one thing, of a whole class
-KEPT_MOST = 8  # programs that a machine is thought to keep after their last task
-KEPT_GUESS = 0.7  # how many of these are found
+KEPT_MOST = 16  # kept programs remembered for each machine; deeper ones have nearly always gone
 HOMES = 4  # machines over which all schedulers place a service: few keep it warm, several share its load
 HOME_GUESSES = (0.8, 0.3)  # share of warm starts believed of a service's first homes, and of the next as many
 NEAR_SHARE, NEAR_NS = 0.1, 30 * MS  # sums this close are equal: estimates are no better than this
-SLOW_WEIGHT = 0.2  # weight of one start in a machine's own pace
-SLOW_MOST = 10.0  # no evidence makes a machine look slower than this
-SLOW_HALF_NS = 8 * S  # a slow machine that gets nothing proves nothing: doubt halves in this time
 REST_FIRST_NS, REST_ODD_NS = 600 * MS, 6 * S  # first rest after turning work away; where no reason came
 REST_TIMES = 8  # and doubling up to so many first ones
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
 FIRST_CORES, FIRST_MEMORY = 0.6, 0.8  # use against asked before any note came
-GROW_NS = 10 * S  # a task's memory still grows while it is younger
-SERVICES_MOST = 5_000  # services remembered for their use
 MEMORY_CALM = 0.9  # machines slow down, then evict, as memory use nears the whole
 POOR_FILL = 0.3  # fill added where tasks got no service at all, in proportion above that
 EASY = 0.8  # projected use over the calm level up to which crowding costs nothing
@@ -50,9 +45,12 @@
 ACCEPT_LEAST_NS, ACCEPT_TIMES = 1 * S, 8.0  # the same where machines answer on acceptance, by its average
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
 
-SWEEP_TIMER = 0  # a task's own timer bears its number and one
+TELL_NS = 200 * MS  # how often peers are told what changed: fresher than any list
+TELL_MOST = 0.006  # share of the result that telling may cost, at two lines a task: each receiver is paid for
+SWEEP_TIMER, TELL_TIMER = 0, 1  # a task's own timer bears its number and two
 
 MIX = 4_294_967_291  # a prime: products by it scatter well
+TOLD, TOLD_PARTS = struct.Struct(">IHH"), 8  # a machine's number, cores and memory asked there, in eighths
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NEVER_SENT})
 
 
@@ -78,6 +76,7 @@
         self.own = [0.0, 0.0]
         self.other = [0.0, 0.0]
         self.seen_ns = -1
+        self.peers: dict[int, tuple[float, float]] = {}  # what each other scheduler told that it holds
         self.history: deque[tuple[int, float, float]] = deque(((-1, 0.0, 0.0),))  # own share since the lag
 
     def add(self, now: int, cores: float, memory: float, ran: bool = False) -> None:
@@ -101,6 +100,8 @@
         self.seen_ns = now
 
     def total(self, at: int) -> float:
+        if self.seen_ns < 0 and self.peers:
+            return self.own[at] + sum(held[at] for held in self.peers.values())
         return self.own[at] + self.other[at]
 
 
@@ -111,24 +112,19 @@
         self.id, self.kind, self.zone, self.cell = entry.machine, entry.kind, entry.zone, entry.cell
         self.shut = not listed
         self.gone_ns: int | None = None if listed else 0  # since when it is gone
-        self.number = zlib.crc32(self.id.encode()) + 1
+        self.number = zlib.crc32(self.id.encode()) | 1
         self.restart(entry.ready_ns)
 
     def restart(self, ready_ns: int) -> None:
         self.ready_ns = ready_ns
         self.line: dict[int, _Attempt] = {}  # offers sent and not yet running, oldest first
-        self.line_sum = 0  # their estimates
         self.held: dict[str, int] = {}  # services with tasks or offers of ours here
         self.kept: OrderedDict[str, None] = OrderedDict()  # services whose last task ended, oldest first
         self.asked, self.used = _Account(), _Account()
-        self.slow, self.slow_ns = 1.0, 0
         self.rests: dict[tuple[int, int] | None, tuple[int, int]] = {}  # until when, next span
         self.notes = [(-NOTE_FRESH_NS, 0.0), (-NOTE_FRESH_NS, 0.0)]  # last of poor service, of short memory
         self.sends: deque[int] = deque()
 
-    def slow_at(self, now: int) -> float:
-        return 1 + (self.slow - 1) * float(0.5 ** ((now - self.slow_ns) / SLOW_HALF_NS))
-
     def rest(self, now: int, what: tuple[int, int] | None, first_ns: int = REST_FIRST_NS) -> None:
         """Nothing of this class and tenant, or at all, for spans that double until one is placed here."""
         until, span = self.rests.get(what, (0, first_ns))
@@ -138,10 +134,8 @@
     def rests_from(self, now: int, what: tuple[int, int]) -> bool:
         return any(self.rests[each][0] > now for each in (None, what) if each in self.rests)
 
-    def leave_line(self, task: int) -> None:
-        attempt = self.line.pop(task, None)
-        if attempt is not None:
-            self.line_sum -= attempt.own_ns
+    def depth_of(self, service: str) -> int | None:
+        return list(reversed(self.kept)).index(service) if service in self.kept else None
 
 
 class _Attempt:
@@ -151,7 +145,7 @@
         self.number, self.machine, self.sent_ns = number, machine, sent_ns
         self.ready_ns = machine.ready_ns
         self.own_ns = self.line_ns = 0
-        self.kept = False  # the service was thought to be kept there
+        self.depth: int | None = None  # how many kept programs were used more lately; None if not kept
         self.held = False  # the service had tasks or offers of ours there
         self.level: int | None = None  # how early the machine comes among the service's homes
         self.started: int | None = None
@@ -182,24 +176,26 @@
         self._machines: dict[str, _Machine] = {}
         self._tasks: dict[int, _Task] = {}
         self._held: dict[int, _Task] = {}
-        self._sweep_set = False
+        self._sweep_set = self._tell_set = False
+        self._changed: dict[str, _Machine] = {}  # machines whose account the peers have not been told
+        lines_cost = 2 * TOLD.size / 256 * settings.price_message * (settings.schedulers - 1)
+        self._may_tell = settings.may_message and settings.schedulers > 1 and lines_cost <= TELL_MOST
         self._warm = [_Mean(FIRST_WARM_NS) for _ in settings.classes]
         self._cold = [_Mean(FIRST_COLD_NS) for _ in settings.classes]
         self._accept = _Mean(0.0)  # time to acceptance, where that is the first answer
         self._line_share = _Mean(1.0)  # how much of a line is really waited: starts run side by side
         # What one scheduler alone has not placed is warm nowhere.
-        self._homes = [_Mean(guess * (1 - 1 / settings.schedulers)) for guess in HOME_GUESSES]
-        self._kept = _Mean(KEPT_GUESS)
+        self._homes = [_Mean(guess * (1 - 1 / settings.schedulers) ** 2) for guess in HOME_GUESSES]
+        self._depth = [_Mean(1.0 - at / KEPT_MOST) for at in range(KEPT_MOST)]
         self._class_use = [_use_means(MEMORY_LONG) for _ in settings.classes]
         self._use_share = _use_means(MEMORY_LONG)  # the same over all tasks, for what others hold
-        self._service_use: OrderedDict[str, tuple[_Mean, _Mean]] = OrderedDict()
         self._cold_window = round(settings.cold_window_ns * COLD_WINDOW_SLACK)
         self._born_ns = -1
         self._spread: dict[tuple[str | int, str], int] = {}  # attempts and open tasks, by place and service
         self._out: list[Action] = []
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
-        """Take one event and give its actions.  Probes and messages, each paid for, are not used."""
+        """Take one event and give the actions it calls for.  Probes, each paid for, are not used."""
         self._out = []
         if self._born_ns < 0:
             self._born_ns = now_ns
@@ -218,8 +214,13 @@
                 self._on_timer(now_ns, event.timer)
             case TaskOpen():
                 self._on_open(now_ns, event)
+            case PeerMessage():
+                self._on_message(event)
             case TaskWithdrawn():
                 self._end(event.task)
+        if self._changed and self._may_tell and not self._tell_set:
+            self._tell_set = True
+            self._out.append(SetTimer(now_ns + TELL_NS, TELL_TIMER))
         return self._out
 
     # --- the machine list -------------------------------------------------------------------------------
@@ -251,6 +252,7 @@
         for machine in [other for other in self._machines.values() if other.gone_ns is not None]:
             if now - (machine.gone_ns or 0) > FORGET_NS and not machine.held:
                 del self._machines[machine.id]
+                self._changed.pop(machine.id, None)
 
     # --- asking, placing, holding -----------------------------------------------------------------------
 
@@ -258,14 +260,12 @@
         if asked.task in self._tasks:
             return
         task = self._tasks[asked.task] = _Task(asked, now)
-        self._out.append(SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 1))
+        self._out.append(SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 2))
         self._place(now, task)
 
     def _on_open(self, now: int, event: TaskOpen) -> None:
-        machine = self._machines.get(event.machine)
-        if machine is None:
-            entry = MachineEntry(event.machine, Stage.GONE)
-            machine = self._machines[event.machine] = _Machine(entry, False)
+        unlisted = _Machine(MachineEntry(event.machine, Stage.GONE), False)
+        machine = self._machines.setdefault(event.machine, unlisted)
         task = self._tasks[event.asked.task] = _Task(event.asked, now)
         task.sent, task.placed = 1, True
         task.attempt = attempt = _Attempt(0, machine, now)
@@ -302,11 +302,16 @@
         self._need_sweep(now)
 
     def _on_timer(self, now: int, timer: int) -> None:
+        if timer == TELL_TIMER:
+            self._tell_set = False
+            if self._changed:
+                self._tell()
+            return
         if timer == SWEEP_TIMER:
             self._sweep_set = False
             self._sweep(now)
             return
-        task = self._tasks.get(timer - 1)
+        task = self._tasks.get(timer - 2)
         if task is not None and now >= task.deadline_ns - ANSWER_MARGIN_NS:
             self._give_up(task)
 
@@ -340,6 +345,8 @@
         Danger: warmth that others made can't be seen, and schedulers that each see little start every program
         cold, everywhere.  By one order they warm the same few machines, in each zone where crossing
         is priced.  Harm: the order knows nothing of load, which is left to the price of crowding."""
+        if self.settings.schedulers == 1:
+            return {}
         kind, priced = self.settings.classes[task.klass].kind, self.settings.price_cross_zone > 0
         number = zlib.crc32(task.asked.service.encode()) + 1
         ranked = sorted(
@@ -371,7 +378,7 @@
         if not self.settings.kinds:
             return 0.0
         size = self.settings.kinds[machine.kind]
-        use = self._use_of(task.asked)
+        use = self._class_use[task.klass]
         cores = self._used(now, machine, 0) + use[0].value * task.asked.cores
         memory = self._used(now, machine, 1)
         poor, short = (level if now - at < NOTE_FRESH_NS else 0.0 for at, level in machine.notes)
@@ -398,8 +405,8 @@
         past its estimate counts what it is overdue, the usual guess for a wait of unknown length."""
         if not machine.line:
             return 0.0
-        oldest = next(iter(machine.line.values()))
-        return abs(oldest.sent_ns + oldest.own_ns - now) + machine.line_sum - oldest.own_ns
+        oldest, *others = machine.line.values()
+        return abs(oldest.sent_ns + oldest.own_ns - now) + sum(other.own_ns for other in others)
 
     def _own_figure(self, now: int, task: _Task, machine: _Machine, level: int | None) -> float:
         warm = self._warmth(task.asked.service, machine, level)
@@ -411,15 +418,14 @@
         if service in machine.held:
             return 1.0
         unseen = 0.0 if level is None else self._homes[level].value
-        return max(unseen, self._kept.value) if service in machine.kept else unseen
+        depth = machine.depth_of(service)
+        return unseen if depth is None else max(unseen, self._depth[depth].value)
 
     def _slowness(self, now: int, machine: _Machine) -> float:
-        """How many times longer starts take here: its own record, fading, and the pace of a fresh start."""
-        slow = machine.slow_at(now)
+        """How many times longer starts take on a fresh machine, if its pace grows in a straight line."""
         age, span, pace = now - machine.ready_ns, self.settings.cold_span_ns, self.settings.cold_pace
-        if machine.ready_ns and age < span:
-            slow /= pace + (1 - pace) * max(0, age) / span
-        return slow
+        fresh = machine.ready_ns and age < span
+        return 1 / (pace + (1 - pace) * max(0, age) / span) if fresh else 1.0
 
     # --- the doors: every offer and every final answer --------------------------------------------------
 
@@ -500,14 +506,13 @@
         service = task.asked.service
         attempt.held = service in machine.held
         if not attempt.held:
-            attempt.kept = service in machine.kept
+            attempt.depth = machine.depth_of(service)
             attempt.level = self._homes_of(task).get(machine.id)
         attempt.own_ns = round(self._own_figure(now, task, machine, attempt.level))
         task.sent += 1
         if machine.ready_ns:
             machine.sends.append(now)
         machine.line[task.asked.task] = attempt
-        machine.line_sum += attempt.own_ns
         self._charge(now, task, attempt)
         self._out.append(Send(task.asked.task, machine.id, self._timeout(now, task, attempt)))
 
@@ -583,7 +588,7 @@
             return
         attempt.started = now
         machine = attempt.machine
-        machine.leave_line(task.asked.task)
+        machine.line.pop(task.asked.task, None)
         if attempt.ready_ns != machine.ready_ns:
             return
         line = self._line_share.value * attempt.line_ns
@@ -592,27 +597,21 @@
         if attempt.line_ns:
             waited = min(1.0, max(0.0, (now - attempt.sent_ns - expected) / attempt.line_ns))
             self._line_share.add(waited)
-        self._learn_pace(now, machine, (now - attempt.sent_ns) / max(expected + line, 1.0))
 
     def _learn_figure(self, now: int, task: _Task, attempt: _Attempt, own: float) -> bool:
         """Average the start into its class's figures; say whether it was a cold one."""
         machine, klass = attempt.machine, task.klass
         pace = self._slowness(now, machine)
         line = (self._warm[klass].value * self._cold[klass].value) ** 0.5
-        unknown = attempt.kept or self.settings.schedulers > 1
+        unknown = attempt.depth is not None or attempt.level is not None
         was_cold = not attempt.held and (own / pace > line if unknown else True)
         (self._cold if was_cold else self._warm)[klass].add(own / pace)
-        if attempt.level is not None:
+        if attempt.depth is not None:
+            self._depth[attempt.depth].add(not was_cold)
+        elif attempt.level is not None:
             self._homes[attempt.level].add(not was_cold)
-        if attempt.kept:
-            self._kept.add(not was_cold)
         return was_cold
 
-    def _learn_pace(self, now: int, machine: _Machine, ratio: float) -> None:
-        slow = machine.slow_at(now)
-        machine.slow = min(SLOW_MOST, max(0.5, slow + SLOW_WEIGHT * (min(ratio, SLOW_MOST) - slow)))
-        machine.slow_ns = now
-
     def _on_ended(self, now: int, event: AttemptEnded) -> None:
         if event.report is not None and event.machine in self._machines:
             self._read_report(now, self._machines[event.machine], event.report)
@@ -635,50 +634,62 @@
         never_started = attempt.started is None and not task.placed
         if event.outcome in NEVER_RAN or (never_started and event.outcome is Outcome.TIMED_OUT):
             task.struck.add(machine.id)
-        # Danger: a machine drains seconds before any list tells.  Sending tasks away, or taking none where a
-        # standing copy can't be the reason, shows it.  Harm: a machine that only erred rests for a spell.
+        silent = never_started and event.outcome is Outcome.TIMED_OUT
         leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
-        if leaving or event.reason is Reason.SENT_AWAY or event.outcome is Outcome.UNREACHABLE:
+        if event.reason is Reason.EVICTED:
+            machine.notes[1] = (now, 1.0)
+        elif leaving or silent or event.outcome in (Outcome.UNREACHABLE, Outcome.LOST):
+            # Danger: a machine drains, dies or is cut off seconds before any list tells, and has the shortest
+            # line.  Sending tasks away, silence, or taking none where a standing copy can't be the reason,
+            # shows it.  Harm: a machine that only erred, or whose answers alone are lost, rests for a spell.
             machine.rest(now, None)
         elif event.outcome is Outcome.REFUSED:
             # Danger: a machine that turns a class away, for whatever reason or none, keeps an empty line and
             # draws all of it.  Lack of room is told and passes; what comes with no reason lasts, and at many
             # schedulers each asking again soon is a flood.  Harm: room that came back is found a little late.
             machine.rest(now, task.what, REST_FIRST_NS if event.reason else REST_ODD_NS)
-        elif event.reason is Reason.EVICTED:
-            machine.notes[1] = (now, 1.0)
-        elif event.outcome is Outcome.LOST:
-            machine.rest(now, None)
-        elif never_started and event.outcome is Outcome.TIMED_OUT:
-            # Danger: a machine that is cut off answers nothing, and a list of processes still shows it.
-            expected = attempt.own_ns + attempt.line_ns + 1
-            self._learn_pace(now, machine, max(2.0, (now - attempt.sent_ns) / expected))
-            if not self.settings.first_at_running:
-                machine.rest(now, None)
 
-    # --- accounts ---------------------------------------------------------------------------------------
+    # --- what few schedulers tell each other ------------------------------------------------------------
 
-    def _use_of(self, asked: TaskAsked) -> tuple[_Mean, _Mean]:
-        return self._service_use.get(asked.service) or self._class_use[asked.klass]
+    def _tell(self) -> None:
+        """Tell all peers the own account of machines where it changed; the rest waits its turn."""
+        parts: list[bytes] = []
+        for machine in list(self._changed.values())[: self.settings.message_bytes // TOLD.size]:
+            del self._changed[machine.id]
+            figures = (min(0xFFFF, max(0, round(held * TOLD_PARTS))) for held in machine.asked.own)
+            parts.append(TOLD.pack(machine.number, *figures))
+        self._out.append(Tell(b"".join(parts)))
+
+    def _on_message(self, event: PeerMessage) -> None:
+        if len(event.data) % TOLD.size or not 0 <= event.peer < self.settings.schedulers:
+            return
+        told = {number: (c / TOLD_PARTS, m / TOLD_PARTS) for number, c, m in TOLD.iter_unpack(event.data)}
+        for machine in self._machines.values():
+            if machine.number in told:
+                machine.asked.peers[event.peer] = told[machine.number]
+
+    # --- accounts ---------------------------------------------------------------------------------------
 
     def _charge(self, now: int, task: _Task, attempt: _Attempt, running: bool = False) -> None:
         machine, asked = attempt.machine, task.asked
         self._count_spread(task, attempt)
+        self._changed[machine.id] = machine
         machine.held[asked.service] = machine.held.get(asked.service, 0) + 1
         machine.kept.pop(asked.service, None)
-        use = self._use_of(asked)
+        use = self._class_use[asked.klass]
         attempt.use = [use[0].value * asked.cores, use[1].value * asked.memory]
         machine.asked.add(now, asked.cores, asked.memory, running)
         machine.used.add(now, attempt.use[0], attempt.use[1], running)
 
     def _release(self, now: int, task: _Task, attempt: _Attempt) -> None:
         machine, asked = attempt.machine, task.asked
-        machine.leave_line(asked.task)
+        machine.line.pop(asked.task, None)
         self._spread[attempt.place] -= 1
         if not self._spread[attempt.place]:
             del self._spread[attempt.place]
         if attempt.ready_ns != machine.ready_ns:
             return
+        self._changed[machine.id] = machine
         machine.asked.add(now, -asked.cores, -asked.memory)
         machine.used.add(now, -attempt.use[0], -attempt.use[1])
         machine.held[asked.service] -= 1
@@ -692,24 +703,12 @@
     def _learn_use(self, now: int, task: _Task, attempt: _Attempt, note: TaskNote) -> None:
         asked, at = task.asked, 0 if note.topic is Topic.CORES_USED else 1
         ratio = note.level / max(asked.cores if at == 0 else asked.memory, 1e-9)
-        young = attempt.started is None or now - attempt.started < GROW_NS
-        if asked.service not in self._service_use:
-            usual = self._class_use[asked.klass]
-            self._service_use[asked.service] = (_Mean(usual[0].value), _Mean(usual[1].value))
-            if len(self._service_use) > SERVICES_MOST:
-                self._service_use.popitem(last=False)
-        use = self._service_use[asked.service]
-        if at == 0 or not young or ratio > use[1].value:
-            use[at].add(ratio)
-            self._class_use[asked.klass][at].add(ratio)
-            if not self.settings.reports_count_use:
-                self._use_share[at].add(ratio)
-        level = note.level
-        if at == 1 and young:
-            level = max(level, use[1].value * asked.memory)
+        self._class_use[asked.klass][at].add(ratio)
+        if not self.settings.reports_count_use:
+            self._use_share[at].add(ratio)
         change = [0.0, 0.0]
-        change[at] = level - attempt.use[at]
-        attempt.use[at] = level
+        change[at] = note.level - attempt.use[at]
+        attempt.use[at] = note.level
         if attempt.ready_ns == attempt.machine.ready_ns:
             attempt.machine.used.add(now, change[0], change[1])
 
