--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -26,7 +26,7 @@
 GUESS_COUNTS = 4  # a first guess counts as so many values: a scheduler that sees little must leave it soon
 MEMORY_SHORT, MEMORY_LONG = 20, 60  # values that an average holds on to: of one thing, of a whole class
 KEPT_MOST = 16  # kept programs remembered for each machine; deeper ones have nearly always gone
-HOMES = 4  # machines over which all schedulers place a service: few keep it warm, several share its load
+HOMES = 2  # machines over which all place a service, twice as many where they are also packed by fill
 HOME_GUESSES = (0.8, 0.3)  # share of warm starts believed of a service's first homes, and of the next as many
 NEAR_SHARE, NEAR_NS = 0.1, 30 * MS  # sums this close are equal: estimates are no better than this
 REST_FIRST_NS, REST_ODD_NS = 600 * MS, 6 * S  # first rest after turning work away; where no reason came
@@ -354,7 +354,8 @@
             for machine in self._machines.values()
             if not machine.shut and kind in (-1, machine.kind)
         )
-        each = -(-HOMES // (len({zone for _, _, zone in ranked}) or 1))
+        packed = self.settings.price_machines_in_use > 0 and self.settings.list_shows_room
+        each = -(-HOMES * (1 + packed) // (len({zone for _, _, zone in ranked}) or 1))
         seen: dict[int, int] = {}
         levels: dict[str, int] = {}
         for _, name, zone in ranked:
