--- a/ladderhub/benchlink.py
+++ b/ladderhub/benchlink.py
@@ -335,6 +335,8 @@
             return []
         scheduler, fields = self._instances[name]
         event = read_event(row, fields, self._tables)
+        if isinstance(event, api.TaskAsked | api.TaskOpen):
+            _check_indices(event.asked if isinstance(event, api.TaskOpen) else event, scheduler.settings)
         try:
             actions = scheduler.handle(now_ns, event)
         except Exception as fault:
@@ -356,6 +358,14 @@
         return []
 
 
+def _check_indices(asked: api.TaskAsked, settings: api.Settings) -> None:
+    """Tenant 0 also stands for none, where there are no tenants."""
+    if not 0 <= asked.klass < len(settings.classes):
+        raise WireError(f"field 'category' holds {asked.klass}, which is not in the list of classes")
+    if not 0 <= asked.tenant < max(1, len(settings.tenants)):
+        raise WireError(f"field 'project' holds {asked.tenant}, which is not in the list of tenants")
+
+
 def _internal_error(name: str, fault: Exception) -> Row:
     return {
         "scheduler": name,
--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -218,6 +218,9 @@
                 self._on_message(event)
             case TaskWithdrawn():
                 self._end(event.task)
+        if self._held and not self._sweep_set:
+            self._sweep_set = True
+            self._out.append(SetTimer(now_ns + HOLD_STEP_NS, SWEEP_TIMER))
         if self._changed and self._may_tell and not self._tell_set:
             self._tell_set = True
             self._out.append(SetTimer(now_ns + TELL_NS, TELL_TIMER))
@@ -283,12 +286,6 @@
                 self._send(now, task, machine)
             else:
                 self._held[task.asked.task] = task
-                self._need_sweep(now)
-
-    def _need_sweep(self, now: int) -> None:
-        if self._held and not self._sweep_set:
-            self._sweep_set = True
-            self._out.append(SetTimer(now + HOLD_STEP_NS, SWEEP_TIMER))
 
     def _sweep(self, now: int) -> None:
         """Look again at the tasks that wait: the highest class first, the oldest first within it."""
@@ -299,7 +296,6 @@
                 self._place(now, task)
                 if task.asked.task in self._held:
                     vain.add(like)
-        self._need_sweep(now)
 
     def _on_timer(self, now: int, timer: int) -> None:
         if timer == TELL_TIMER:
--- a/ladderhub/interface.py
+++ b/ladderhub/interface.py
@@ -171,6 +171,8 @@
         for field in ("schedulers", "max_attempts", "tick_ns"):
             if getattr(self, field) < 1:
                 raise ValueError(f"{field}: must be at least 1")
+        if not 0 <= self.ordinal < self.schedulers:
+            raise ValueError("ordinal: must be below the number of schedulers, counted from 0")
         for field in ("admit_cores", "admit_memory", "cold_multiple"):
             if getattr(self, field) <= 0:
                 raise ValueError(f"{field}: must be above 0")
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -147,6 +147,8 @@
     "not JSON": ("{what\n", "line 1: not JSON"),
     "not an object": ("[1]\n", "line 1: not an object"),
     "no round": (json.dumps(DEMAND) + "\n", "line 1: Demand outside a batch"),
+    "no such class": (START + batch(2, DEMAND | {"category": 9}), "'category' holds 9"),
+    "no such tenant": (START + batch(2, DEMAND | {"project": 9}), "'project' holds 9"),
     "two rounds": ('{"what":"Round","wall-ns":1}\n' * 2, "line 2: a Round inside a batch"),
     "unknown event": (
         START + batch(2, {"what": "Surprise", "scheduler": "scheduler_0"}),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -285,6 +285,8 @@
     [
         ("classes", ()),
         ("schedulers", 0),
+        ("ordinal", 1),
+        ("ordinal", -1),
         ("max_attempts", 0),
         ("admit_cores", 0.0),
         ("cold_pace", 0.0),
