Silence rests a machine only where acceptance is the first answer

Cause: folding silence into the common rest also rested machines whose starts were only long, where the first answer is the running task.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -631,7 +631,8 @@
         never_started = attempt.started is None and not task.placed
         if event.outcome in NEVER_RAN or (never_started and event.outcome is Outcome.TIMED_OUT):
             task.struck.add(machine.id)
-        silent = never_started and event.outcome is Outcome.TIMED_OUT
+        unplaced = event.outcome is Outcome.TIMED_OUT and not task.placed
+        silent = unplaced and not self.settings.first_at_running  # else a long start looks the same
         leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
         if event.reason is Reason.EVICTED:
             machine.notes[1] = (now, 1.0)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -222,6 +222,15 @@
     return first, replace(first, ordinal=1)
 
 
+def test_a_start_that_takes_long_does_not_rest_its_machine() -> None:
+    """Where the first answer is the running task, a time-out may be a long start: work still goes there."""
+    bed = Bed(settings(), machines=2)
+    slow = bed.sent(bed.ask(1, cores=0.1)).machine
+    bed.placed(1, bed.sent(bed.end(1, slow, Outcome.TIMED_OUT)).machine, attempt=1)
+    later = [bed.sent(bed.ask(task, service=f"s{task}", cores=0.1)).machine for task in range(2, 12)]
+    assert slow in later
+
+
 def test_peers_tell_each_other_what_they_hold() -> None:
     one, two = (Bed(given, machines=2) for given in pair())
     placed = one.place(1, cores=30.0, memory=4.0)
