--- /dev/null
+++ b/ladderhub/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m ladderhub`."""
+
+from ladderhub.cli import main
+
+main()
--- /dev/null
+++ b/ladderhub/loop/core.py
@@ -0,0 +1,179 @@
+"""The loop itself: what is ready, what is due, and nothing that can end the process by accident."""
+
+from __future__ import annotations
+
+import heapq
+import os
+import selectors
+import signal
+import socket
+import subprocess
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ladderhub.loop.clock import Clock, SteadyClock
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+IDLE_WAIT_NS = 1_000_000_000
+Trouble = Callable[[str, BaseException], None]
+
+
+class Timer:
+    """A call at a moment.  Revoking is a mark; the heap drops it when it surfaces or when marks abound."""
+
+    __slots__ = ("_loop", "args", "at_ns", "call")
+
+    def __init__(self, loop: Loop, at_ns: int, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        self._loop, self.at_ns = loop, at_ns
+        self.call: Callable[..., object] | None = call
+        self.args = args
+
+    def cancel(self) -> None:
+        if self.call is not None:
+            self.call, self.args = None, ()
+            self._loop._revoked()
+
+
+class Loop:
+    """One thread, one selector.  A callback's exception goes to `trouble` and the loop goes on; streams
+    close the connection it came from."""
+
+    def __init__(self, clock: Clock | None = None, trouble: Trouble | None = None) -> None:
+        self.clock = clock or SteadyClock()
+        self.trouble: Trouble = trouble or (lambda where, fault: None)
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._count = self._dead = 0
+        self._soon: deque[tuple[Callable[..., object], tuple[Any, ...]]] = deque()
+        self._running = False
+        self._signals: dict[int, Callable[[], object]] = {}
+        self._wake: tuple[socket.socket, socket.socket] | None = None
+
+    def now_ns(self) -> int:
+        return self.clock.now_ns()
+
+    # --- timers -----------------------------------------------------------------------------------------
+
+    def call_at(self, at_ns: int, call: Callable[..., object], *args: Any) -> Timer:
+        timer = Timer(self, at_ns, call, args)
+        self._count += 1
+        heapq.heappush(self._timers, (at_ns, self._count, timer))
+        return timer
+
+    def call_later(self, span_ns: int, call: Callable[..., object], *args: Any) -> Timer:
+        return self.call_at(self.now_ns() + span_ns, call, *args)
+
+    def call_soon(self, call: Callable[..., object], *args: Any) -> None:
+        self._soon.append((call, args))
+
+    def _revoked(self) -> None:
+        self._dead += 1
+        if self._dead > 1000 and self._dead * 2 > len(self._timers):
+            self._timers = [entry for entry in self._timers if entry[2].call is not None]
+            heapq.heapify(self._timers)
+            self._dead = 0
+
+    def pending_timers(self) -> int:
+        return len(self._timers) - self._dead
+
+    # --- descriptors ------------------------------------------------------------------------------------
+
+    def watch(self, fd: int, events: int, call: Callable[[int], object]) -> None:
+        """Call with the ready events; watching a descriptor again replaces what was asked; 0 ends it."""
+        known = fd in self._selector.get_map()
+        if not events:
+            if known:
+                self._selector.unregister(fd)
+        elif known:
+            self._selector.modify(fd, events, call)
+        else:
+            self._selector.register(fd, events, call)
+
+    # --- signals and children ---------------------------------------------------------------------------
+
+    def on_signal(self, number: int, call: Callable[[], object]) -> None:
+        """Signals arrive as bytes on a wake-up descriptor, so that handlers run between callbacks."""
+        if self._wake is None:
+            self._wake = socket.socketpair()
+            for end in self._wake:
+                end.setblocking(False)
+            signal.set_wakeup_fd(self._wake[1].fileno(), warn_on_full_buffer=False)
+            self.watch(self._wake[0].fileno(), READ, self._read_signals)
+        self._signals[number] = call
+        signal.signal(number, lambda *_: None)
+
+    def _read_signals(self, _: int) -> None:
+        assert self._wake is not None
+        try:
+            numbers = self._wake[0].recv(256)
+        except BlockingIOError:
+            return
+        for number in numbers:
+            if number in self._signals:
+                self._guard("signal", self._signals[number], ())
+
+    def spawn(
+        self, argv: Sequence[str], on_exit: Callable[[int], object], **options: Any
+    ) -> subprocess.Popen[bytes]:
+        """Start a child; `on_exit` gets its exit status, negative for a signal.  OSError where it can't
+        start."""
+        child = subprocess.Popen(list(argv), **options)
+        handle = os.pidfd_open(child.pid)
+
+        def ended(_: int) -> None:
+            self.watch(handle, 0, ended)
+            os.close(handle)
+            on_exit(child.wait())
+
+        self.watch(handle, READ, ended)
+        return child
+
+    # --- running ----------------------------------------------------------------------------------------
+
+    def run(self) -> None:
+        self._running = True
+        while self._running:
+            self.turn()
+
+    def stop(self) -> None:
+        self._running = False
+
+    def turn(self, most_wait_ns: int = IDLE_WAIT_NS) -> None:
+        """One round: wait for what is ready, at most so long, then timers that are due, then what was put
+        off."""
+        wait = most_wait_ns
+        if self._soon:
+            wait = 0
+        elif self._timers:
+            wait = min(wait, max(0, self._timers[0][0] - self.now_ns()))
+        for key, events in self._selector.select(wait / 1e9):
+            # A callback earlier in this round may have closed or replaced what stands here.
+            current = self._selector.get_map().get(key.fd)
+            if current is not None and current.data == key.data:
+                self._guard("descriptor", key.data, (events,))
+        now = self.now_ns()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if timer.call is None:
+                self._dead -= 1
+                continue
+            call, args = timer.call, timer.args
+            timer.call = None
+            self._guard("timer", call, args)
+        for _ in range(len(self._soon)):
+            call, args = self._soon.popleft()
+            self._guard("soon", call, args)
+
+    def _guard(self, where: str, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        try:
+            call(*args)
+        except Exception as fault:
+            self.trouble(where, fault)
+
+    def close(self) -> None:
+        self._selector.close()
+        if self._wake is not None:
+            signal.set_wakeup_fd(-1)
+            for end in self._wake:
+                end.close()
--- /dev/null
+++ b/ladderhub/loop/stream.py
@@ -0,0 +1,222 @@
+"""Byte streams over TCP with bounded buffers, listeners, and connects with a time-out."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from ladderhub.loop.core import READ, WRITE, Loop, Timer
+
+READ_MOST = 256 * 1024
+WRITE_HIGH = 256 * 1024  # above this the reader of requests is paused: back-pressure
+WRITE_MOST = 16 * 1024 * 1024  # above this the peer does not read: the connection is given up
+ACCEPT_MOST = 64
+ACCEPT_REST_NS = 100_000_000
+Address = tuple[str, int]
+
+
+class Handler(Protocol):
+    """What a connection tells its user."""
+
+    def on_data(self, stream: Stream, data: bytes) -> None: ...
+
+    def on_closed(self, stream: Stream, fault: BaseException | None) -> None: ...
+
+
+class Stream:
+    """One connection.  `write` never blocks; the handler hears `on_closed` exactly once."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, handler: Handler, connecting: bool = False) -> None:
+        self.loop, self.sock, self.handler = loop, sock, handler
+        self.connected = not connecting
+        self.closed = False
+        self.on_connected: Callable[[Stream], None] | None = None
+        self._out: list[bytes] = []
+        self._out_size = 0
+        self._paused = self._closing = False
+        self._timer: Timer | None = None
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watch()
+
+    def peer(self) -> str:
+        try:
+            host, port = self.sock.getpeername()[:2]
+            return f"{host}:{port}"
+        except OSError:
+            return "?"
+
+    # --- what the user does -----------------------------------------------------------------------------
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes; they leave as the peer takes them.  A peer that takes nothing is cut off in the
+        end."""
+        if self.closed or self._closing or not data:
+            return
+        if not self._out and self.connected:
+            try:
+                sent = self.sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            except OSError as fault:
+                self.loop.call_soon(self.abort, fault)
+                return
+            data = data[sent:]
+            if not data:
+                return
+        self._out.append(data)
+        self._out_size += len(data)
+        if self._out_size > WRITE_MOST:
+            self.loop.call_soon(self.abort, BufferError("the peer does not read"))
+        self._watch()
+
+    def pause(self, paused: bool) -> None:
+        """Stop or resume reading."""
+        if self._paused != paused:
+            self._paused = paused
+            self._watch()
+
+    def backed_up(self) -> bool:
+        return self._out_size > WRITE_HIGH
+
+    def close(self) -> None:
+        """Close once all that was written has left."""
+        self._closing = True
+        if not self._out:
+            self.abort(None)
+        else:
+            self._watch()
+
+    def abort(self, fault: BaseException | None = None) -> None:
+        """Close now; what was not sent is dropped."""
+        if self.closed:
+            return
+        self.closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self.loop.watch(self.sock.fileno(), 0, self._ready)
+        self.sock.close()
+        self._out.clear()
+        self._out_size = 0
+        self.handler.on_closed(self, fault)
+
+    # --- what the loop does -----------------------------------------------------------------------------
+
+    def _watch(self) -> None:
+        if self.closed:
+            return
+        reading = self.connected and not self._paused and not self._closing and not self.backed_up()
+        events = (READ if reading else 0) | (WRITE if self._out or not self.connected else 0)
+        self.loop.watch(self.sock.fileno(), events, self._ready)
+
+    def _ready(self, events: int) -> None:
+        try:
+            if not self.connected:
+                self._finish_connect()
+                return
+            if events & WRITE:
+                self._flush()
+            if events & READ and not self.closed:
+                data = self.sock.recv(READ_MOST)
+                if data:
+                    self.handler.on_data(self, data)
+                else:
+                    self.abort(None)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as fault:
+            self.abort(fault)
+        except Exception as fault:  # the fault of one connection's handler ends that connection alone
+            self.loop.trouble("connection", fault)
+            self.abort(fault)
+
+    def _flush(self) -> None:
+        while self._out:
+            sent = self.sock.send(self._out[0])
+            self._out_size -= sent
+            if sent < len(self._out[0]):
+                self._out[0] = self._out[0][sent:]
+                break
+            del self._out[0]
+        if self._closing and not self._out:
+            self.abort(None)
+        else:
+            self._watch()
+
+    def _finish_connect(self) -> None:
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, errno.errorcode.get(code, "connect"))
+        self.connected = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.on_connected is not None:
+            self.on_connected(self)
+        if not self.closed:
+            self._flush()
+
+
+def connect(
+    loop: Loop,
+    address: Address,
+    handler: Handler,
+    timeout_ns: int,
+    on_connected: Callable[[Stream], None] | None = None,
+) -> Stream:
+    """Begin a connection; what goes wrong, a time-out included, comes later as `on_closed`, never from
+    here."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    code = sock.connect_ex(address)
+    stream = Stream(loop, sock, handler, connecting=True)
+    stream.on_connected = on_connected
+    if code not in (0, errno.EINPROGRESS):
+        loop.call_soon(stream.abort, OSError(code, "connect"))
+    stream._timer = loop.call_later(timeout_ns, stream.abort, TimeoutError("connect"))
+    return stream
+
+
+class Listener:
+    """Accepts connections, a bounded number each round.  Out of descriptors it rests instead of spinning."""
+
+    def __init__(self, loop: Loop, address: Address, accept: Callable[[socket.socket], object]) -> None:
+        self.loop, self._accept = loop, accept
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(address)
+            self.sock.listen(1024)
+        except OSError:
+            self.sock.close()
+            raise
+        self.sock.setblocking(False)
+        self.address: Address = self.sock.getsockname()
+        self._open()
+
+    def _open(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.watch(self.sock.fileno(), READ, self._ready)
+
+    def _ready(self, _: int) -> None:
+        for _each in range(ACCEPT_MOST):
+            try:
+                sock, _address = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                self.loop.trouble("accept", fault)
+                self.loop.watch(self.sock.fileno(), 0, self._ready)
+                self.loop.call_later(ACCEPT_REST_NS, self._open)
+                return
+            try:
+                self._accept(sock)
+            except Exception as fault:
+                self.loop.trouble("accept", fault)
+                sock.close()
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.watch(self.sock.fileno(), 0, self._ready)
+            self.sock.close()
