Owner's decisions: when a job is asked for again, queried, stopped or settled

Need: the module answers one ask; a job is owed one answer over several asks, and an unsafe one may go again only on proof. Change: ladderhub/owner, pure: one table of job states, a common budget for asking again, queries and stops that are repeated until a node has spoken, answers through one door.

--- /dev/null
+++ b/ladderhub/owner/types.py
@@ -0,0 +1,348 @@
+"""Events and actions of the owner's decisions.  Times and spans are nanoseconds on one clock.
+
+A *job* is what a person submitted.  Each *ask* hands it to the decision module as one task; each *run* is one
+offer sent to a machine, numbered over the whole job, so that a machine's word always names what it speaks of.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ladderhub.interface import Effect
+
+
+class Answer(Enum):
+    """The one answer that a placing is owed."""
+
+    PLACED = "placed"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Word(Enum):
+    """What a machine says of a run: it runs, it has ended, it never ran and never will, or nothing."""
+
+    RUNS = "runs"
+    ENDED = "ended"
+    NEVER = "never"
+    STOPPING = "stopping"
+    SILENT = "silent"
+
+
+class End(Enum):
+    """Why a run ended."""
+
+    DONE = "done"
+    KILLED = "killed"
+    EVICTED = "evicted"
+    DISPLACED = "displaced"
+    SENT_AWAY = "sent_away"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRules:
+    """What the owner of a queue's jobs allows.
+
+    `limit_ns`: from being taken (or released from a hold) to the answer.  `ask_ns`: most for one ask.
+    `asks`: most asks a placing.  `reruns`: most placings after a first one was lost or sent away."""
+
+    effect: Effect
+    limit_ns: int
+    ask_ns: int
+    priority: int = 0
+    asks: int = 8
+    reruns: int = 100
+    stay_first_ns: int = 500_000_000
+    stay_most_ns: int = 4_000_000_000
+    settle_ns: int = 300_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSettings:
+    """`again_share`: asks again that each new job pays for; `again_burst`: most that can be saved up."""
+
+    queues: tuple[QueueRules, ...]
+    again_share: float = 0.5
+    again_burst: float = 200.0
+    margin_ns: int = 60_000_000
+    query_first_ns: int = 200_000_000
+    query_most_ns: int = 5_000_000_000
+    chase_ns: int = 600_000_000_000
+
+    def __post_init__(self) -> None:
+        for at, queue in enumerate(self.queues):
+            if queue.limit_ns <= 2 * self.margin_ns:
+                raise ValueError(f"queues[{at}].limit: must be above {2 * self.margin_ns // 1_000_000} ms")
+            if queue.ask_ns <= 0 or queue.asks < 1 or queue.reruns < 0:
+                raise ValueError(f"queues[{at}]: ask must be above 0, asks at least 1, reruns not negative")
+            if not 0 < queue.stay_first_ns <= queue.stay_most_ns:
+                raise ValueError(f"queues[{at}]: stay_first must be above 0 and at most stay_most")
+        if self.again_share < 0 or self.again_burst < 1:
+            raise ValueError("again_share must not be negative, again_burst at least 1")
+
+
+# --- events ---------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A job was committed: from now on it is owed an answer.  `rerunnable`: its person allows new
+    placings."""
+
+    job: int
+    queue: int
+    rerunnable: bool = True
+    held: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A machine was found running a job of an earlier life of this scheduler; its answer was given then."""
+
+    job: int
+    queue: int
+    run: int
+    machine: str
+    rerunnable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The module's offer left as this run."""
+
+    job: int
+    ask: int
+    run: int
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The machine accepted the run."""
+
+    job: int
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unsent:
+    """The run is proven never to have run: refused, unreachable, or never sent."""
+
+    job: int
+    run: int
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Doubtful:
+    """The run's answer did not come: it may run, or may yet be accepted."""
+
+    job: int
+    run: int
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """The module's final answer to an ask was a refusal or a failure."""
+
+    job: int
+    ask: int
+    failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """A machine's word on a run, to a query or a stop."""
+
+    job: int
+    run: int
+    word: Word
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A machine reports that a run ended."""
+
+    job: int
+    run: int
+    end: End
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MachineAnew:
+    """A machine came up anew: what it ran before is over.
+
+    Which runs that are, the machine is asked: its clock and this one may differ."""
+
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class MachineGone:
+    """A machine is listed as gone.  That proves nothing of what ran there."""
+
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The person wants the job ended."""
+
+    job: int
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    job: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    job: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rerun:
+    """The person wants a running job stopped and placed again."""
+
+    job: int
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    """A `Wake` came due."""
+
+    job: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """The scheduler ends: settle what can be settled; `now`: no more time is left."""
+
+    now: bool = False
+
+
+Event = (
+    Taken | Adopted | Sent | Accepted | Unsent | Doubtful | TurnedAway | Said | Ended | MachineAnew
+    | MachineGone | Cancelled | Hold | Release | Rerun | Due | Stopping
+)  # fmt: skip
+
+
+# --- actions --------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Hand the job to the module as a new task."""
+
+    job: int
+    ask: int
+    budget_ns: int
+    came_again: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Tell the module that this ask is no longer wanted."""
+
+    job: int
+    ask: int
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """Ask the machine what became of the run, and have it bar the run where it does not know it."""
+
+    job: int
+    run: int
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Have the machine end the run, and bar it where it does not know it."""
+
+    job: int
+    run: int
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """Hand the run to the module as a task that is open already."""
+
+    job: int
+    ask: int
+    run: int
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """The placing's one answer."""
+
+    job: int
+    answer: Answer
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The job is over."""
+
+    job: int
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Give a `Due` at or after this moment; only the latest of a job counts."""
+
+    job: int
+    at_ns: int
+
+
+Action = Ask | Withdraw | Query | Stop | Adopt | Settle | Finish | Wake
+
+
+@dataclass(slots=True)
+class Run:
+    """A run that may be alive on a machine."""
+
+    machine: str
+    accepted: bool = False
+    stop: bool = False  # it is unwanted
+    doubt: bool = False  # its answer did not come
+    asked_ns: int = -1  # when the machine was last asked or told to stop
+    span_ns: int = 0
+    since_ns: int = 0
+
+
+@dataclass(slots=True)
+class Job:
+    """One job as the owner's decisions see it."""
+
+    number: int
+    queue: int
+    rerunnable: bool
+    state: str
+    limit_ns: int
+    runs: dict[int, Run] = field(default_factory=dict)
+    ask: int = -1
+    asks: int = 0
+    placings: int = 0
+    stay_ns: int = 0
+    until_ns: int = 0
+    answered: bool = False
+    cancelled: bool = False
+    hold_wanted: bool = False
+    rerun: bool = False
+    came_again: bool = False
+    main_run: int = -1
+    why: str = ""
+    woken_ns: int = -1
