--- /dev/null
+++ b/ladderhub/directory/service.py
@@ -0,0 +1,174 @@
+"""The directory stand-in: keeps what nodes tell and pushes it to schedulers, a stated time late."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+
+import msgspec
+
+from ladderhub.directory.wire import (
+    Entry,
+    Lines,
+    Listed,
+    Message,
+    Register,
+    Room,
+    State,
+    Watch,
+    WireError,
+    encode,
+)
+from ladderhub.loop import Listener, Loop, Stream
+from ladderhub.loop.stream import Address
+
+PUSH_NS = 200_000_000
+CHANGES_MOST = 10_000
+
+
+class Directory:
+    """One listener for nodes and schedulers.
+
+    A node whose connection ends stays listed as it was for `lapse_ns` and is then listed as gone."""
+
+    def __init__(
+        self, loop: Loop, address: Address, delay_ns: int = 1_000_000_000, lapse_ns: int = 1_000_000_000
+    ) -> None:
+        self.loop, self.delay_ns, self.lapse_ns = loop, delay_ns, lapse_ns
+        self.entries: dict[str, Entry] = {}
+        self.version = 0
+        self._owners: dict[str, _Peer] = {}
+        self._watchers: dict[_Peer, int] = {}  # the version that each was sent
+        self._log: deque[tuple[int, int, str]] = deque(maxlen=CHANGES_MOST)  # moment, version, node
+        self._past: dict[int, Entry] = {}
+        self.listener = Listener(loop, address, self._accept)
+        self._timer = loop.call_later(PUSH_NS, self._push)
+
+    @property
+    def address(self) -> Address:
+        return self.listener.address
+
+    def _accept(self, sock: socket.socket) -> None:
+        _Peer(self, sock)
+
+    def close(self) -> None:
+        self._timer.cancel()
+        self.listener.close()
+        for peer in [*self._owners.values(), *self._watchers]:
+            peer.stream.abort()
+
+    def cut_watchers(self) -> None:
+        """Close every scheduler's connection: a fault that the lab asks for."""
+        for peer in list(self._watchers):
+            peer.stream.abort()
+
+    # --- what peers tell ----------------------------------------------------------------------------------
+
+    def take(self, peer: _Peer, message: Message) -> None:
+        match message:
+            case Register(entry):
+                peer.node = entry.name
+                self._owners[entry.name] = peer
+                self._set(entry)
+            case Room(cores, memory) if peer.node in self.entries:
+                self._set(
+                    msgspec.structs.replace(self.entries[peer.node], free_cores=cores, free_memory=memory)
+                )
+            case State(stage) if peer.node in self.entries and stage in ("serving", "draining", "gone"):
+                self._set(msgspec.structs.replace(self.entries[peer.node], stage=stage))
+            case Watch(_, since):
+                self._watchers[peer] = -1 if since > self.version else since
+                self._send(peer)
+            case _:
+                raise WireError(f"{type(message).__name__} is out of place here")
+
+    def lost(self, peer: _Peer) -> None:
+        self._watchers.pop(peer, None)
+        if peer.node and self._owners.get(peer.node) is peer:
+            del self._owners[peer.node]
+            self.loop.call_later(self.lapse_ns, self._lapsed, peer.node)
+
+    def _lapsed(self, node: str) -> None:
+        if node not in self._owners and node in self.entries:
+            self._set(msgspec.structs.replace(self.entries[node], stage="gone"))
+
+    def _set(self, entry: Entry) -> None:
+        if self.entries.get(entry.name) == entry:
+            return
+        self.entries[entry.name] = entry
+        self.version += 1
+        if len(self._log) == self._log.maxlen:
+            self._past.pop(self._log[0][1], None)
+        self._log.append((self.loop.now_ns(), self.version, entry.name))
+        self._past[self.version] = entry
+
+    # --- what schedulers are told ---------------------------------------------------------------------------
+
+    def _visible(self) -> int:
+        """The newest version that is old enough to be told."""
+        newest = self.loop.now_ns() - self.delay_ns
+        version = self._log[0][1] - 1 if self._log else 0
+        for moment, number, _ in self._log:
+            if moment > newest:
+                break
+            version = number
+        return version
+
+    def _push(self) -> None:
+        for peer in list(self._watchers):
+            self._send(peer)
+        self._timer = self.loop.call_later(PUSH_NS, self._push)
+
+    def _send(self, peer: _Peer) -> None:
+        if peer.stream.backed_up():
+            return
+        since, until = self._watchers[peer], self._visible()
+        if until <= since and since > 0:
+            return
+        changed: dict[str, Entry] = {}
+        oldest = self._log[0][1] if self._log else 1
+        for _, number, name in self._log:
+            if since < number <= until:
+                changed[name] = self._past[number]
+        full = since <= 0 or since + 1 < oldest
+        if full:
+            # The log reaches back to the first entry, or holds each node's state as it was told last.
+            listed = {name: entry for name, entry in self.entries.items()}
+            for _, number, name in reversed(self._log):
+                if number > until:
+                    before = self._before(name, number)
+                    if before is None:
+                        listed.pop(name, None)
+                    else:
+                        listed[name] = before
+            changed = {name: entry for name, entry in listed.items() if entry.stage != "gone"}
+            if not changed:
+                return
+        elif not changed:
+            return
+        self._watchers[peer] = until
+        peer.stream.write(encode(Listed("full" if full else "changes", until, list(changed.values()))))
+
+    def _before(self, name: str, number: int) -> Entry | None:
+        for _, version, other in reversed(self._log):
+            if version < number and other == name:
+                return self._past[version]
+        return None
+
+
+class _Peer:
+    """One connection, of a node or a scheduler."""
+
+    def __init__(self, directory: Directory, sock: socket.socket) -> None:
+        self._directory, self._lines, self.node = directory, Lines(), ""
+        self.stream = Stream(directory.loop, sock, self)
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        try:
+            for message in self._lines.feed(data):
+                self._directory.take(self, message)
+        except WireError as fault:
+            stream.abort(fault)
+
+    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+        self._directory.lost(self)
