--- /dev/null
+++ b/ladderhub/server/jobs.py
@@ -0,0 +1,142 @@
+"""Jobs as the daemon keeps them: what was submitted, and where each stands.  State only, no decisions."""
+
+from __future__ import annotations
+
+import os
+from collections import OrderedDict
+from pathlib import Path
+
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Row
+
+BLOCK = 1000
+
+
+class JobNumbers:
+    """Job numbers that never come twice, over restarts too.
+
+    A block is reserved on disk before any of it is given out, so a crash leaves a gap and never a repeat."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._path = folder / "job-numbers"
+        try:
+            self._next = int(self._path.read_text())
+        except FileNotFoundError:
+            self._next = 1
+        except ValueError:
+            raise ValueError(f"{self._path}: not a number; the next free job number is meant") from None
+        self._reserved = self._next
+
+    def take(self) -> int:
+        if self._next >= self._reserved:
+            self._reserve()
+        self._next += 1
+        return self._next - 1
+
+    def _reserve(self) -> None:
+        upto = self._reserved + BLOCK
+        fresh = self._path.with_suffix(".new")
+        with open(fresh, "w") as file:
+            file.write(str(upto))
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(fresh, self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+        self._reserved = upto
+
+
+class JobRecord:
+    """One job.  `number` counts within this life of the daemon; `id` is `number.server` for good."""
+
+    __slots__ = (
+        "account", "answer", "answer_ns", "comment", "cores", "end_ns", "exit_status", "id",
+        "made_ns", "memory", "messages", "name", "number", "owner", "queue", "rerunnable", "run",
+        "run_machine",
+        "script", "service", "start_ns", "state", "substate", "task", "values", "walltime_s",
+    )  # fmt: skip
+
+    def __init__(self, number: int, id: str, queue: int) -> None:
+        self.number, self.id, self.queue = number, id, queue
+        self.name = self.service = self.account = self.owner = ""
+        self.cores, self.memory = 1.0, 0.0
+        self.script = b""
+        self.values: dict[str, Attr] = {}  # attributes as submitted, by `name.resource`
+        self.rerunnable = True
+        self.state, self.substate, self.comment = "Q", 10, ""
+        self.answer = ""
+        self.exit_status: int | None = None
+        self.run = 0  # the last run sent
+        self.run_machine = ""  # where it runs, once placed
+        self.task = -1  # the module's number for the present ask
+        self.walltime_s = 0
+        self.made_ns = self.start_ns = self.end_ns = self.answer_ns = 0
+        self.messages: list[str] = []
+
+
+class JobTable:
+    """All jobs: live ones by number and identifier, finished ones for a set time."""
+
+    def __init__(self, keep_ns: int) -> None:
+        self._keep_ns = keep_ns
+        self.by_id: dict[str, JobRecord] = {}
+        self.live: dict[int, JobRecord] = {}
+        self.finished: OrderedDict[str, JobRecord] = OrderedDict()
+        self._next = 1
+
+    def add(self, id: str, queue: int, now: int) -> JobRecord:
+        record = JobRecord(self._next, id, queue)
+        self._next += 1
+        record.made_ns = now
+        self.by_id[id] = record
+        self.live[record.number] = record
+        return record
+
+    def finish(self, record: JobRecord, now: int) -> None:
+        record.state, record.substate, record.end_ns = "F", 92, now
+        record.script = b""
+        self.live.pop(record.number, None)
+        self.finished[record.id] = record
+
+    def sweep(self, now: int) -> None:
+        """Forget what finished too long ago."""
+        while self.finished:
+            record = next(iter(self.finished.values()))
+            if now - record.end_ns < self._keep_ns:
+                return
+            self.finished.popitem(last=False)
+            del self.by_id[record.id]
+
+
+def stamp(now_ns: int) -> str:
+    """Whole seconds since the epoch, as times go in attributes."""
+    return str(now_ns // 1_000_000_000)
+
+
+def row_of(record: JobRecord, queue: str, server: str) -> Row:
+    """The job's attributes as `qstat -f` shows them."""
+    attrs = [
+        Attr("Job_Name", record.name), Attr("Job_Owner", record.owner), Attr("job_state", record.state),
+        Attr("queue", queue), Attr("server", server), Attr("substate", str(record.substate)),
+    ]  # fmt: skip
+    if record.run_machine:
+        attrs.append(Attr("exec_host", f"{record.run_machine}/0"))
+    if record.comment:
+        attrs.append(Attr("comment", record.comment))
+    if record.answer:
+        attrs += [Attr("placement", record.answer), Attr("placement_time_ns", str(record.answer_ns))]
+    if record.exit_status is not None:
+        attrs.append(Attr("Exit_status", str(record.exit_status)))
+    attrs += [Attr("run_count", str(record.run)), Attr("ctime", stamp(record.made_ns))]
+    if record.start_ns:
+        attrs.append(Attr("stime", stamp(record.start_ns)))
+    if record.end_ns:
+        attrs.append(Attr("mtime", stamp(record.end_ns)))
+    skip = {"Job_Name", "Job_Owner"}
+    attrs += [attr for key, attr in record.values.items() if key not in skip]
+    attrs += [Attr("message", text) for text in record.messages]
+    return Row(n.OBJ_JOB, record.id, attrs)
--- /dev/null
+++ b/ladderhub/server/metrics.py
@@ -0,0 +1,82 @@
+"""What the daemon counts, as Prometheus text.  Counting is plain integers; the text is made when asked
+for."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
+from prometheus_client.metrics_core import Metric
+
+from ladderhub.interface import Outcome
+from ladderhub.owner.types import Answer
+
+if TYPE_CHECKING:
+    from ladderhub.server.daemon import Daemon
+
+_BOUNDS_MS = (5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
+_MS = 1_000_000
+
+
+class Metrics:
+    """Counters of one daemon."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon = daemon
+        self.taken = self.offers = self.rejected = self.troubles = 0
+        self._answers: Counter[str] = Counter()
+        self._outcomes: Counter[str] = Counter()
+        self._starts = [0] * (len(_BOUNDS_MS) + 1)
+        self._start_sum = 0.0
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+
+    def answered(self, answer: Answer) -> None:
+        self._answers[answer.value] += 1
+
+    def ended(self, outcome: Outcome) -> None:
+        self._outcomes[outcome.name.lower()] += 1
+
+    def start(self, elapsed_ns: int) -> None:
+        ms = elapsed_ns / _MS
+        self._start_sum += ms / 1000
+        at = next((at for at, bound in enumerate(_BOUNDS_MS) if ms <= bound), len(_BOUNDS_MS))
+        self._starts[at] += 1
+
+    def collect(self) -> Iterator[Metric]:
+        daemon = self._daemon
+        for name, text, value in (
+            ("taken", "Jobs committed", self.taken), ("offers", "Offers sent to nodes", self.offers),
+            ("rejected", "Requests answered with an error", self.rejected),
+            ("troubles", "Faults caught by the loop", self.troubles),
+        ):  # fmt: skip
+            yield CounterMetricFamily(f"ladderhub_{name}", text, value=value)
+        answers = CounterMetricFamily("ladderhub_answers", "Final answers", labels=["answer"])
+        for answer in Answer:
+            answers.add_metric([answer.value], self._answers[answer.value])
+        yield answers
+        outcomes = CounterMetricFamily("ladderhub_offers_ended", "Offers not placed", labels=["outcome"])
+        for outcome, count in sorted(self._outcomes.items()):
+            outcomes.add_metric([outcome], count)
+        yield outcomes
+        yield GaugeMetricFamily("ladderhub_jobs_live", "Jobs not finished", value=len(daemon.jobs.live))
+        yield GaugeMetricFamily("ladderhub_jobs_owed", "Jobs without an answer", value=daemon.owner.owes())
+        yield GaugeMetricFamily(
+            "ladderhub_strays", "Unwanted runs not yet stopped", value=daemon.owner.strays()
+        )
+        yield GaugeMetricFamily("ladderhub_nodes", "Nodes listed", value=len(daemon.nodes.entries))
+        yield GaugeMetricFamily("ladderhub_connections", "Clients connected", value=len(daemon.door.clients))
+        total, buckets = 0, []
+        for at, bound in enumerate(_BOUNDS_MS):
+            total += self._starts[at]
+            buckets.append((str(bound / 1000), total))
+        buckets.append(("+Inf", total + self._starts[-1]))
+        start = HistogramMetricFamily("ladderhub_offer_seconds", "Offer sent to placed")
+        start.add_metric([], buckets, self._start_sum)
+        yield start
+
+    def page(self) -> tuple[int, str, bytes]:
+        return 200, "text/plain; version=0.0.4", generate_latest(self._registry)
