Batch commands, the ladderhub command, and a demo on free loopback ports

Need: the main job in one command, and the commands that people type. Change: qsub qstat qdel qselect qsig qhold qrls qalter qmsg pbsnodes on the standard library; ladderhub serve, node, directory, check, demo; a laboratory fleet with schedulers as processes, flaky nodes and a recording tap.

--- /dev/null
+++ b/ladderhub/commands/qstat.py
@@ -0,0 +1,227 @@
+"""`qstat`: status of jobs, queues and the server (POSIX.1-2008 `qstat`; more as in OpenPBS)."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+
+from ladderhub.commands import client as c
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Request, Row
+
+USAGE = "qstat [-f [-F json|dsv]] [-x] [-a|-i|-r|-H] [-n] [-u users] [-Q|-B] [job|queue|server ...]"
+LETTERS = "afF:xHinru:QBwt1s"
+TIMES = ("ctime", "mtime", "stime", "qtime")
+_SHORT = (
+    "Job_Name",
+    "Job_Owner",
+    "job_state",
+    "queue",
+    "resources_used",
+    "Resource_List",
+    "exec_host",
+    "comment",
+)
+
+
+def main(argv: list[str]) -> int:
+    options, operands = c.options(argv, LETTERS, USAGE)
+    given = dict(options)
+    form = given.get("-F", "")
+    if form not in ("", "json", "dsv"):
+        raise c.CommandError(f"-F {form}: json or dsv is meant")
+    if form and "-f" not in given:
+        given["-f"] = ""
+    connection = c.Connection()
+    if "-Q" in given:
+        return _objects(connection, n.STATUS_QUEUE, operands, "-f" in given, form, "Queue", _queue_table)
+    if "-B" in given:
+        return _objects(connection, n.STATUS_SERVER, operands, "-f" in given, form, "Server", _server_table)
+    return _jobs(connection, given, operands, form)
+
+
+def _fetch(
+    connection: c.Connection, kind: int, names: list[str], extension: str, attrs: list[Attr]
+) -> tuple[list[Row], int]:
+    rows: list[Row] = []
+    status = 0
+    for name in names or [""]:
+        request = Request(kind, attrs=attrs, extension=extension)
+        request.job = request.name = name
+        reply = connection.ask(request)
+        if reply.code:
+            sys.stderr.write(f"qstat: {c.words(reply)}\n")
+            status = c.REFUSED
+        rows += reply.rows
+    return rows, status
+
+
+def _jobs(connection: c.Connection, given: dict[str, str], operands: list[str], form: str) -> int:
+    extension = "x" if "-x" in given or "-H" in given else ""
+    attrs = [] if "-f" in given else [Attr(name, "") for name in _SHORT]
+    rows, status = _fetch(connection, n.STATUS_JOB, operands, extension, attrs)
+    if "-u" in given:
+        users = {name.partition("@")[0] for name in given["-u"].split(",")}
+        rows = [row for row in rows if row.get("Job_Owner").partition("@")[0] in users]
+    states = {"-i": "QHW", "-r": "RE", "-H": "F"}
+    for option, letters in states.items():
+        if option in given:
+            rows = [row for row in rows if row.get("job_state") in letters]
+    if form == "json":
+        _json("Jobs", rows)
+    elif "-f" in given:
+        _full("Job Id", rows, form)
+    elif rows and any(option in given for option in ("-a", "-i", "-r", "-u", "-n", "-H")):
+        _wide(rows, "-n" in given)
+    elif rows:
+        _table(rows)
+    return status
+
+
+def _table(rows: list[Row]) -> None:
+    lines = [
+        "Job id            Name             User              Time Use S Queue",
+        "----------------  ---------------- ----------------  -------- - -----",
+    ]
+    for row in rows:
+        used = row.get("resources_used.cput") or "0"
+        lines.append(
+            f"{row.name:<17.17} {row.get('Job_Name'):<16.16} {row.get('Job_Owner'):<17.17} {used:>8} "
+            f"{row.get('job_state')} {row.get('queue')}"
+        )
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+def _wide(rows: list[Row], nodes: bool) -> None:
+    lines = [
+        "",
+        "                                                            Req'd  Req'd   Elap",
+        "Job ID          Username Queue    Jobname    SessID NDS TSK Memory Time  S Time",
+        "--------------- -------- -------- ---------- ------ --- --- ------ ----- - -----",
+    ]
+    for row in rows:
+        get = row.get
+        lines.append(
+            f"{row.name:<15.15} {get('Job_Owner').partition('@')[0]:<8.8} {get('queue'):<8.8} "
+            f"{get('Job_Name'):<10.10} {'--':>6} {'1':>3} {get('Resource_List.ncpus') or '1':>3} "
+            f"{get('Resource_List.mem') or '--':>6} {get('Resource_List.walltime') or '--':>5.5} "
+            f"{get('job_state')} {'--':>5}"
+        )
+        if nodes:
+            lines.append(f"   {get('exec_host') or '--'}")
+        if get("comment") and get("job_state") not in "RF":
+            lines.append(f"   {get('comment')}")
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+def _value(attr: Attr) -> str:
+    if attr.name in TIMES and attr.value.isdigit():
+        return time.strftime("%a %b %d %H:%M:%S %Y", time.localtime(int(attr.value)))
+    return attr.value
+
+
+def _full(title: str, rows: list[Row], form: str) -> None:
+    out = []
+    for row in rows:
+        if form == "dsv":
+            out.append("|".join([f"{title}: {row.name}", *(f"{a.key()}={_value(a)}" for a in row.attrs)]))
+            continue
+        out.append(f"{title}: {row.name}")
+        for attr in row.attrs:
+            out += _folded(f"    {attr.key()} = {_value(attr)}")
+        out.append("")
+    if out:
+        sys.stdout.write("\n".join(out) + "\n")
+
+
+def _folded(line: str) -> list[str]:
+    """Long values go on in lines that begin with a tab, as PBS prints them."""
+    if len(line) <= 78:
+        return [line]
+    lines = [line[:78]]
+    rest = line[78:]
+    while rest:
+        lines.append("\t" + rest[:70])
+        rest = rest[70:]
+    return lines
+
+
+def _json(title: str, rows: list[Row]) -> None:
+    import json
+
+    jobs: dict[str, dict[str, object]] = {}
+    for row in rows:
+        entry: dict[str, object] = {}
+        for attr in row.attrs:
+            if attr.resource:
+                group = entry.setdefault(attr.name, {})
+                assert isinstance(group, dict)
+                group[attr.resource] = attr.value
+            else:
+                entry[attr.name] = _value(attr)
+        jobs[row.name] = entry
+    host, port = c.server_of()
+    value = {"timestamp": int(time.time()), "pbs_server": f"{host}:{port}", title: jobs}
+    sys.stdout.write(json.dumps(value, indent=4) + "\n")
+
+
+def _objects(
+    connection: c.Connection, kind: int, operands: list[str], full: bool, form: str, title: str,
+    table: Callable[[list[Row]], None],
+) -> int:  # fmt: skip
+    rows, status = _fetch(connection, kind, operands, "", [])
+    if form == "json":
+        _json(title, rows)
+    elif full:
+        _full(title, rows, form)
+    else:
+        table(rows)
+    return status
+
+
+def _counts(row: Row) -> dict[str, str]:
+    return dict(part.split(":") for part in row.get("state_count").split())
+
+
+def _queue_table(rows: list[Row]) -> None:
+    lines = [
+        "Queue              Max   Tot Ena Str   Que   Run   Hld   Wat   Trn   Ext Type",
+        "---------------- ----- ----- --- --- ----- ----- ----- ----- ----- ----- ----",
+    ]
+    for row in rows:
+        counts = _counts(row)
+        flags = ["yes" if row.get(name) == "True" else "no" for name in ("enabled", "started")]
+        numbers = " ".join(
+            f"{counts.get(word, '0'):>5}"
+            for word in ("Queued", "Running", "Held", "Waiting", "Transit", "Exiting")
+        )
+        lines.append(
+            f"{row.name:<16.16} {0:>5} {row.get('total_jobs'):>5} {flags[0]:>3} {flags[1]:>3} {numbers} Exec"
+        )
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+def _server_table(rows: list[Row]) -> None:
+    lines = [
+        "Server             Max   Tot   Que   Run   Hld   Wat   Trn   Ext Status",
+        "---------------- ----- ----- ----- ----- ----- ----- ----- ----- -----------",
+    ]
+    for row in rows:
+        counts = _counts(row)
+        numbers = " ".join(
+            f"{counts.get(word, '0'):>5}"
+            for word in ("Queued", "Running", "Held", "Waiting", "Transit", "Exiting")
+        )
+        lines.append(
+            f"{row.name:<16.16} {0:>5} {row.get('total_jobs'):>5} {numbers} {row.get('server_state')}"
+        )
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+def run() -> None:
+    c.run("qstat", main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/ladderhub/lab/flaky.py
@@ -0,0 +1,81 @@
+"""Nodes with faults that a scenario or a test turns on."""
+
+from __future__ import annotations
+
+import socket
+
+from ladderhub.node.admission import Refusal
+from ladderhub.node.agent import Agent, Door, Held
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Request
+
+
+class FlakyAgent(Agent):
+    """An agent that loses, cuts or repeats replies, stalls, or refuses whom it should not.
+
+    `lose`, `cut` and `repeat` are shares of the replies to Commit, drawn from the node's own seeded chance;
+    `full_for` names tenants that are told there is no room."""
+
+    lose = cut = repeat = 0.0
+    full_for: frozenset[str] = frozenset()
+    stalled = False
+
+    def make_door(self, sock: socket.socket) -> Door:
+        return FlakyDoor(self, sock)
+
+    def refuse_first(self, held: Held) -> Refusal | None:
+        if held.ask.tenant in self.full_for:
+            return Refusal("CORES", "no room for " + held.ask.tenant)
+        return None
+
+    def draw(self) -> float:
+        return self._random.random()
+
+    def stall(self, span_ns: int) -> None:
+        """Connections stay open and nothing is read or written for so long."""
+        self.stalled = True
+        for door in self.doors:
+            door.stream.pause(True)
+        self.loop.call_later(span_ns, self.wake)
+
+    def wake(self) -> None:
+        self.stalled = False
+        for door in list(self.doors):
+            door.stream.pause(False)
+            assert isinstance(door, FlakyDoor)
+            kept, door.kept = door.kept, []
+            for request, data in kept:
+                door.send(request, data)
+
+    def reset_connections(self) -> None:
+        for door in list(self.doors):
+            door.stream.abort()
+
+
+class FlakyDoor(Door):
+    """One connection of a flaky agent."""
+
+    def __init__(self, agent: FlakyAgent, sock: socket.socket) -> None:
+        self.kept: list[tuple[Request, bytes]] = []
+        super().__init__(agent, sock)
+        self.flaky = agent
+        if agent.stalled:
+            self.stream.pause(True)
+
+    def send(self, request: Request, data: bytes) -> None:
+        if self.flaky.stalled:
+            self.kept.append((request, data))
+            return
+        if request.type == n.COMMIT:
+            chance = self.flaky.draw()
+            if chance < self.flaky.lose:
+                return
+            chance -= self.flaky.lose
+            if 0 <= chance < self.flaky.cut:
+                self.stream.write(data[: len(data) // 2])
+                self.stream.close()
+                return
+            chance -= self.flaky.cut
+            if 0 <= chance < self.flaky.repeat:
+                data += data
+        super().send(request, data)
