--- a/ladderhub/cli.py
+++ b/ladderhub/cli.py
@@ -190,5 +190,52 @@
     sys.exit(run_demo(keep, schedulers))
 
 
+@main.group()
+def lab() -> None:
+    """The laboratory: scripted days, recordings, load."""
+
+
+def _run_day(name: str, seed: int, folder: Path | None) -> None:
+    from ladderhub.lab.day import Day, scenario
+
+    try:
+        plan = scenario(name)
+    except ValueError as fault:
+        raise click.UsageError(str(fault)) from None
+    click.echo(f"{plan.name}: {plan.about}; {plan.schedulers} schedulers, {plan.nodes} nodes, seed {seed}")
+    day = Day(plan, seed, folder)
+    outcome = day.run(click.echo)
+    for line in outcome.verdict.lines():
+        click.echo(line)
+    for trouble in day.troubles[:5]:
+        click.echo(f"trouble in the laboratory: {trouble}", err=True)
+    unanswered = sum(job not in outcome.told for job in day.jobs)
+    click.echo(
+        f"{outcome.submitted} submitted, {outcome.acknowledged} acknowledged, {unanswered} not told by qstat"
+    )
+    sys.exit(0 if outcome.verdict.good() and not outcome.verdict.unread else 1)
+
+
+_SEED = click.option("--seed", default=1, show_default=True)
+_FOLDER = click.option("--folder", type=click.Path(path_type=Path), help="Keep recording and logs here.")
+
+
+@lab.command("bad-day")
+@_SEED
+@_FOLDER
+def bad_day(seed: int, folder: Path | None) -> None:
+    """Run the bad day and judge the five rules from the recorded bytes."""
+    _run_day("bad-day", seed, folder)
+
+
+@lab.command()
+@click.argument("kind")
+@_SEED
+@_FOLDER
+def replay(kind: str, seed: int, folder: Path | None) -> None:
+    """Run one KIND of trouble through real schedulers and judge the rules."""
+    _run_day(kind, seed, folder)
+
+
 if __name__ == "__main__":
     main()
--- a/ladderhub/lab/flaky.py
+++ b/ladderhub/lab/flaky.py
@@ -13,12 +13,15 @@
 class FlakyAgent(Agent):
     """An agent that loses, cuts or repeats replies, stalls, or refuses whom it should not.
 
-    `lose`, `cut` and `repeat` are shares of the replies to Commit, drawn from the node's own seeded chance;
+    `keyed` queues' jobs stand once over all `peers`.  `lose`, `cut` and `repeat` are shares of the replies
+    to Commit, drawn from the node's own seeded chance;
     `full_for` names tenants that are told there is no room."""
 
     lose = cut = repeat = 0.0
     full_for: frozenset[str] = frozenset()
     stalled = False
+    keyed: frozenset[str] = frozenset()
+    peers: dict[str, FlakyAgent] | None = None
 
     def make_door(self, sock: socket.socket) -> Door:
         return FlakyDoor(self, sock)
@@ -26,6 +29,11 @@
     def refuse_first(self, held: Held) -> Refusal | None:
         if held.ask.tenant in self.full_for:
             return Refusal("CORES", "no room for " + held.ask.tenant)
+        if held.ask.queue in self.keyed and self.peers is not None:
+            # Nodes of a site with keyed work let one copy of a key stand.
+            job = held.key[0]
+            if any(key[0] == job for peer in self.peers.values() for key in peer.jobs):
+                return Refusal("NOT_HERE", "a copy of the job stands elsewhere")
         return None
 
     def draw(self) -> float:
--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -141,6 +141,9 @@
         if not fresh:
             # The fleet was up long before the day began.
             agent.ready_ns = agent.admission.ready_ns = self.loop.now_ns() - 3600 * S + self._births
+        queues = self.settings["queues"].items()
+        agent.keyed = frozenset(queue for queue, rules in queues if rules["effect"] == "keyed")
+        agent.peers = self.nodes
         self.nodes[name] = agent
         return agent
 
--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -170,6 +170,8 @@
         if job.state == STOPPING:
             self._cleared(now, job)
             return
+        if self._use_found(now, job):
+            return
         if job.hold_wanted and not job.runs:
             self._held(job)
         elif job.runs and self._rules(job).effect is not Effect.SAFE:
@@ -314,13 +316,27 @@
             run.accepted = True
             return
         run.accepted = True
-        if job.state in (DOUBT, WAITING):
-            self._runs_now(job, number)
-            self._hand_over(job, number)
-        elif job.state != ASKING or job.main_run != number:
+        if job.state in (DOUBT, WAITING, ASKING):
+            self._use_found(now, job)
+        elif number != job.main_run:
             run.stop = True
             self._chase(now, job)
 
+    def _use_found(self, now: int, job: t.Job) -> bool:
+        """A run that was found alive becomes the job's placing once no other offer is on its way."""
+        found = [number for number, run in job.runs.items() if run.accepted and not run.stop]
+        waits = any(not run.accepted and not run.doubt for run in job.runs.values())
+        if not found or waits:
+            return False
+        if job.state == ASKING:
+            self._out.append(t.Withdraw(job.number, job.ask))
+        self._runs_now(job, found[0])
+        self._hand_over(job, found[0])
+        for number, run in job.runs.items():
+            run.stop = run.stop or number != found[0]
+        self._chase(now, job)
+        return True
+
     def _hand_over(self, job: t.Job, number: int) -> None:
         job.ask += 1
         self._out.append(t.Adopt(job.number, job.ask, number, job.runs[number].machine))
@@ -412,7 +428,9 @@
             else:
                 job.why = "an earlier run is proven away"
                 self._stay(now, job)
-        elif job.state in (WAITING, RUNNING, ASKING, DOUBT):
+        elif job.state in (WAITING, RUNNING, ASKING, DOUBT) and not (
+            job.state == ASKING and self._use_found(now, job)
+        ):
             self._chase(now, job)
 
     def _on_cancelled(self, now: int, job: t.Job) -> None:
--- a/ladderhub/server/door.py
+++ b/ladderhub/server/door.py
@@ -291,7 +291,7 @@
 
     def _matches(self, record: JobRecord, attr: Attr) -> bool:
         if attr.name == "job_state":
-            return _compare((record.state in attr.value), True, attr.op, attr.op == n.OP_NE)
+            return (record.state in attr.value) != (attr.op == n.OP_NE)
         own_value: str
         if attr.name in ("queue", "destination"):
             own_value, attr = self.daemon.settings.queue_names[record.queue], Attr(
@@ -308,7 +308,8 @@
         if attr.name == "Resource_List" and attr.resource in ("mem", "ncpus", "walltime"):
             if not own_value and attr.resource == "walltime":
                 return False
-            return _compare(*_measures(attr.resource, own_value, attr.value, record), attr.op)
+            mine, theirs = _measures(attr.resource, own_value, attr.value, record)
+            return _ordered(mine > theirs, mine < theirs, attr.op)
         return _compare(own_value, attr.value, attr.op)
 
     def status_queue(self, client: _Client, request: Request, answer: Answer) -> None:
@@ -417,17 +418,19 @@
 }  # fmt: skip
 
 
-def _compare(mine: object, theirs: object, op: int, negate: bool = False) -> bool:
-    if op in (n.OP_SET, n.OP_EQ) or negate:
-        return (mine == theirs) != negate
+def _compare(mine: str, theirs: str, op: int) -> bool:
+    if op in (n.OP_SET, n.OP_EQ):
+        return mine == theirs
     if op == n.OP_NE:
         return mine != theirs
-    assert isinstance(mine, str | int | float) and isinstance(theirs, str | int | float)
-    left, right = (
-        (mine, theirs) if isinstance(mine, str) == isinstance(theirs, str) else (str(mine), str(theirs))
-    )
-    table = {n.OP_GE: left >= right, n.OP_GT: left > right, n.OP_LE: left <= right, n.OP_LT: left < right}  # type: ignore[operator]
-    return table[op]
+    return _ordered(mine > theirs, mine < theirs, op)
+
+
+def _ordered(above: bool, below: bool, op: int) -> bool:
+    """What an operator says of two values of which one is above or below the other."""
+    return {
+        n.OP_GE: not below, n.OP_GT: above, n.OP_LE: not above, n.OP_LT: below, n.OP_NE: above or below,
+    }.get(op, not above and not below)  # fmt: skip
 
 
 def _measures(name: str, mine: str, theirs: str, record: JobRecord) -> tuple[float, float]:
