Hard cases over sockets, owner's decisions simulated by seed; a query no longer spins

Need: every hard case is to be caused, and the owner's rules must hold against nodes that lose words, stall and restart. Change: 24 tests over sockets (cancels that cross answers, lost, cut, late and repeated answers, dying clients, garbage on four ports), 60 seeded simulations that see every live run. Found by them: after a node came up anew its runs were asked after without a pause, for ever; the pause now never falls below its first span.

--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -58,11 +59,15 @@
 
 
 def free_port() -> int:
-    """A port of 127.0.0.1 that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """A port of 127.0.0.1 that nobody listens at, outside the range that connections take theirs from."""
+    while True:
+        port = random.SystemRandom().randrange(11_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 @dataclass(slots=True)
--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -287,8 +287,8 @@
 
     def _send_word(self, now: int, job: int, number: int, run: t.Run) -> None:
         spans = self.settings
-        first = run.asked_ns < 0
-        run.span_ns = spans.query_first_ns if first else min(spans.query_most_ns, 2 * run.span_ns)
+        longer = 0 if run.asked_ns < 0 else 2 * run.span_ns
+        run.span_ns = min(spans.query_most_ns, max(spans.query_first_ns, longer))
         run.asked_ns = now
         self._out.append((t.Stop if run.stop else t.Query)(job, number, run.machine))
 
--- a/ladderhub/owner/types.py
+++ b/ladderhub/owner/types.py
@@ -333,7 +333,7 @@
     state: str
     limit_ns: int
     runs: dict[int, Run] = field(default_factory=dict)
-    ask: int = -1
+    ask: int = 0
     asks: int = 0
     placings: int = 0
     stay_ns: int = 0
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -23,9 +23,7 @@
 SETTINGS: dict[str, Any] = {
     "balancers": 1,
     "ceilings": {"most-tries": 3, "cancelling": True, "new-key": 1},
-    "classes": [
-        {"name": "web", "effect": "read_like", "promise-ns": 800 * MS, "deadline-ns": 5000 * MS}
-    ],
+    "classes": [{"name": "web", "effect": "read_like", "promise-ns": 800 * MS, "deadline-ns": 5000 * MS}],
     "load-report": {"fields": ["x0", "x1", "util"], "how": "answers"},
     "specifics": {
         "admit-cores": 2.0,
--- /dev/null
+++ b/tests/test_hard_cases.py
@@ -0,0 +1,378 @@
+"""Hard cases of the running path, each caused over sockets."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from ladderhub.lab import tap
+from ladderhub.lab.auditor import audit
+from ladderhub.lab.client import BatchClient, attributes
+from ladderhub.lab.day import charter_of
+from ladderhub.loop import HttpDoor, Stream
+from ladderhub.loop.stream import connect
+from ladderhub.node.agent import Post
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Request, encode_request
+from ladderhub.pbs.dis import number, string
+
+from .world import MS, S, World
+
+Make = Callable[..., World]
+
+
+@pytest.fixture
+def make(tmp_path: Path) -> Iterator[Make]:
+    worlds: list[World] = []
+
+    def build(*args: object, **options: object) -> World:
+        world = World(tmp_path, *args, **options)  # type: ignore[arg-type]
+        worlds.append(world)
+        return world
+
+    yield build
+    for world in worlds:
+        world.close()
+
+
+def judged(world: World) -> None:
+    """The recording keeps all five rules."""
+    assert world.tap is not None
+    world.tap.close()
+    verdict = audit(tap.read(world.tap.path), charter_of(world.settings))
+    assert verdict.good(), verdict.lines()
+    assert verdict.checked["no effect twice"]
+
+
+# --- cancels ------------------------------------------------------------------------------------------------
+
+
+def test_cancel_before_any_offer_says_that_nothing_ran(make: Make) -> None:
+    world = make(0)
+    world.daemon(wait=False)
+    job = world.submit("billing")
+    assert "before it ran" in world.delete(job).text
+    row = world.row(job)
+    assert (row.get("job_state"), row.get("placement"), row.get("Exit_status")) == ("F", "refused", "271")
+
+
+def test_cancel_while_the_start_goes_on_leaves_nothing(make: Make) -> None:
+    # Guards against a cancel that ends the job here while its start goes on there.
+    world = make(2, record=True, warm_ns=3 * S)
+    world.daemon()
+    job = world.submit("billing")
+    world.until(lambda: world.live(job))
+    assert "before it ran" in world.delete(job).text
+    assert world.wait(job, "F").get("placement") == "refused"
+    assert not world.live(job)
+    judged(world)
+
+
+def test_cancel_when_the_answer_was_lost_tells_that_it_was_placed(make: Make) -> None:
+    world = make(1, record=True)
+    world.daemon()
+    world.agents["node-1"].lose = 1.0
+    job = world.submit("billing")
+    world.until(lambda: world.agents["node-1"].jobs and world.live(job))
+    world.until(lambda: any(held.state == "R" for held in world.agents["node-1"].jobs.values()))
+    assert world.delete(job).text == "cancelled"
+    row = world.wait(job, "F")
+    assert (row.get("placement"), row.get("Exit_status")) == ("placed", "271")
+    assert not world.live(job)
+    judged(world)
+
+
+def test_cancels_that_cross_the_answer_never_leave_two_attempts(make: Make) -> None:
+    # Offsets sweep the whole life of an offer, so that some cancels cross its acceptance.
+    world = make(3, record=True, warm_ns=30 * MS)
+    world.daemon()
+    chance = random.Random(5)
+    jobs, replies = [], []
+    client = BatchClient(world.loop, world.public, "tester")
+    for at in range(60):
+        job = world.submit("billing", service=f"billing-{at % 5}")
+        jobs.append(job)
+        span = round(chance.uniform(0, 90) * MS)
+        world.loop.call_later(span, client.delete, job, replies.append)
+    world.until(lambda: len(replies) == len(jobs))
+    for job in jobs:
+        row = world.wait(job, "F")
+        assert row.get("placement") in ("placed", "refused") and row.get("Exit_status") == "271"
+        assert not world.live(job)
+    answers = {world.row(job).get("placement") for job in jobs}
+    assert answers == {"placed", "refused"}, "the sweep must meet both sides of the crossing"
+    judged(world)
+
+
+def test_cancel_of_a_silent_node_is_told_as_such_and_reaches_it_later(make: Make) -> None:
+    world = make(1, limit="3s")
+    world.daemon()
+    job = world.submit("billing")
+    world.wait(job, "R")
+    world.agents["node-1"].stall(60 * S)
+    assert "no word yet from node-1" in world.delete(job).text
+    world.agents["node-1"].wake()
+    assert world.wait(job, "F").get("Exit_status") == "271"
+    assert not world.live(job)
+
+
+# --- nodes that misbehave -----------------------------------------------------------------------------------
+
+
+def test_a_node_that_turns_one_tenant_away_wrongly_is_left_for_another(make: Make) -> None:
+    world = make(3)
+    world.daemon()
+    for name in ("node-1", "node-2"):
+        world.agents[name].full_for = frozenset({"north"})
+    job = world.submit("billing", account="north")
+    assert world.wait(job, "R").get("exec_host") == "node-3/0"
+    world.agents["node-3"].full_for = frozenset({"north"})
+    refused = world.wait_answer(world.submit("billing", account="north"), "refused")
+    assert "no room for north" in refused.get("comment")
+    assert world.wait(world.submit("billing", account="south"), "R")
+
+
+@pytest.mark.parametrize("queue", ["billing", "web", "mail"])
+def test_an_accepted_job_whose_answer_is_lost_runs_once(make: Make, queue: str) -> None:
+    world = make(2, record=True, limit="8s")
+    world.daemon()
+    for agent in world.agents.values():
+        agent.lose = 1.0
+    job = world.submit(queue)
+    world.until(lambda: world.live(job))
+    for agent in world.agents.values():
+        agent.lose = 0.0
+    world.wait_answer(job, "placed")
+    world.until(lambda: len(world.live(job)) == 1)
+    host = world.row(job).get("exec_host")
+    assert world.live(job) == [host.partition("/")[0]]
+    judged(world)
+
+
+@pytest.mark.parametrize("queue", ["billing", "web", "mail"])
+def test_a_reply_that_breaks_off_leaves_one_run(make: Make, queue: str) -> None:
+    world = make(2, record=True, limit="8s")
+    world.daemon()
+    for agent in world.agents.values():
+        agent.cut = 1.0
+    job = world.submit(queue)
+    world.until(lambda: world.live(job))
+    for agent in world.agents.values():
+        agent.cut = 0.0
+    world.wait_answer(job, "placed")
+    world.until(lambda: len(world.live(job)) == 1)
+    judged(world)
+
+
+def test_a_node_that_stalls_with_open_connections_does_not_hold_an_unsafe_job_twice(make: Make) -> None:
+    world = make(2, record=True, warm_ns=400 * MS, limit="10s")
+    world.daemon()
+    job = world.submit("billing")
+    world.until(lambda: world.live(job))
+    held = world.agents[world.live(job)[0]]
+    held.stall(60 * S)
+    world.run_for(3 * S)  # past the module's deadline: the job may run, so it waits and says why
+    row = world.row(job)
+    assert row.get("job_state") == "Q" and held.name in row.get("comment")
+    assert world.live(job) == [held.name]
+    held.wake()
+    world.wait_answer(job, "placed")
+    assert world.live(job) == [held.name]
+    judged(world)
+
+
+def test_an_unsafe_job_at_a_node_that_stays_silent_fails_in_time(make: Make) -> None:
+    world = make(1, warm_ns=400 * MS, limit="3s")
+    world.daemon()
+    job = world.submit("billing")
+    world.until(lambda: world.live(job))
+    world.agents["node-1"].stall(60 * S)
+    row = world.wait_answer(job, "failed")
+    assert "may have run at node-1" in row.get("comment")
+    # The run that nobody wants any more is stopped once its node is reached.
+    world.agents["node-1"].wake()
+    world.until(lambda: not world.live(job))
+    assert world.row(job).get("placement") == "failed"
+
+
+def test_answers_that_come_twice_change_nothing(make: Make) -> None:
+    world = make(2)
+    daemon = world.daemon()
+    for agent in world.agents.values():
+        agent.repeat = 1.0
+    jobs = [world.submit("billing", life_s=0.2) for _ in range(5)]
+    for job in jobs:
+        assert world.wait(job, "F").get("placement") == "placed"
+    assert daemon.owner.owes() == 0 and not world.troubles
+
+
+def test_news_of_an_attempt_long_settled_changes_nothing(make: Make) -> None:
+    world = make(2)
+    daemon = world.daemon()
+    job = world.submit("billing")
+    row = world.wait(job, "R")
+    post = Post(world.loop, "{}:{}".format(*world.public))
+    stale = [Attr("run_version", "99"), Attr("exit_reason", n.END_DONE)]
+    post.send(Request(n.JOB_OBIT, "node@node-1", job, stale, status=3))
+    post.send(Request(n.JOB_OBIT, "node@node-1", "77.nowhere", stale, status=3))
+    world.until(lambda: not post.waiting())
+    post.close()
+    assert world.row(job).get("job_state") == "R" and len(daemon.jobs.live) == 1
+    assert world.live(job) == [row.get("exec_host").partition("/")[0]]
+
+
+def test_a_crashed_node_loses_its_jobs_and_each_is_placed_again_once(make: Make) -> None:
+    world = make(3, record=True)
+    world.daemon()
+    jobs = [world.submit(queue, service=f"{queue}-{at}") for at, queue in enumerate(["web", "billing"] * 4)]
+    for job in jobs:
+        world.wait(job, "R")
+    lost = [job for job in jobs if world.live(job) == ["node-1"]]
+    world.crash("node-1")
+    world.until(lambda: world.directory.entries["node-1"].stage == "gone")
+    world.run_for(500 * MS)
+    unsafe = [job for job in lost if world.row(job).get("queue") == "billing"]
+    assert not any(world.live(job) for job in unsafe)  # nothing proves yet that they do not run
+    agent = world.add_node("node-1")
+    agent.ready_ns = agent.admission.ready_ns = world.loop.now_ns()
+    for job in jobs:
+        world.until(lambda job=job: len(world.live(job)) == 1 and world.row(job).get("job_state") == "R")
+    judged(world)
+
+
+# --- clients that misbehave ---------------------------------------------------------------------------------
+
+
+def raw(world: World, *requests: Request, read: bool = True) -> Stream:
+    """A client that writes and may go away without reading."""
+    got: list[bytes] = []
+
+    class Sink:
+        def on_data(self, stream: Stream, data: bytes) -> None:
+            got.append(data)
+
+        def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+            return
+
+    stream = connect(world.loop, world.public, Sink(), S)
+    world.until(lambda: stream.connected)
+    stream.write(b"".join(map(encode_request, requests)))
+    if read:
+        world.until(lambda: got)
+    return stream
+
+
+def queue_job() -> Request:
+    return Request(n.QUEUE_JOB, "tester", attrs=attributes("w", "s", 1, 1, 30), destination="billing")
+
+
+def test_a_client_that_dies_before_its_commit_leaves_no_job(make: Make) -> None:
+    world = make(1)
+    daemon = world.daemon()
+    first = world.submit("billing")
+    at = int(first.partition(".")[0]) + 1
+    stream = raw(world, queue_job(), Request(n.JOB_SCRIPT, "tester", f"{at}.alpha", data=b"true\n"))
+    stream.abort()
+    world.run_for(100 * MS)
+    assert set(daemon.jobs.by_id) == {first}
+
+
+def test_a_client_that_dies_after_its_commit_leaves_one_job(make: Make) -> None:
+    world = make(1)
+    daemon = world.daemon()
+    first = world.submit("billing")
+    job = f"{int(first.partition('.')[0]) + 1}.alpha"
+    stream = raw(world, queue_job(), Request(n.JOB_SCRIPT, "tester", job, data=b"true\n"), read=False)
+    stream.write(encode_request(Request(n.COMMIT, "tester", job)))
+    world.until(lambda: not stream._out)
+    stream.abort()
+    world.until(lambda: job in daemon.jobs.by_id)
+    world.wait(job, "R")
+    assert set(daemon.jobs.by_id) == {first, job}
+
+
+def test_a_commit_that_is_repeated_leaves_one_job(make: Make) -> None:
+    world = make(1)
+    daemon = world.daemon()
+    first = world.submit("billing")
+    job = f"{int(first.partition('.')[0]) + 1}.alpha"
+    commit = Request(n.COMMIT, "tester", job)
+    raw(world, queue_job(), commit, commit)
+    world.until(lambda: job in daemon.jobs.by_id)
+    again = world.ask(lambda client, told: client.send(commit, told))
+    assert (again.code, again.job) == (0, job)
+    world.wait(job, "R")
+    assert set(daemon.jobs.by_id) == {first, job} and len(world.live(job)) == 1
+
+
+# --- bytes that are no protocol -----------------------------------------------------------------------------
+
+
+def garbage(chance: random.Random) -> bytes:
+    """Noise, or a good request with some bytes changed, cut or doubled."""
+    if chance.random() < 0.3:
+        return chance.randbytes(chance.randrange(1, 200))
+    data = bytearray(encode_request(queue_job()) + encode_request(Request(n.COMMIT, "x", "1.alpha")))
+    for _ in range(chance.randrange(1, 6)):
+        data[chance.randrange(len(data))] = chance.randrange(256)
+    return bytes(data[: chance.randrange(1, len(data))]) * chance.choice((1, 1, 3))
+
+
+def test_garbage_by_the_thousand_on_every_port_kills_nothing(make: Make) -> None:
+    # Guards against a parser that throws, waits for ever, or holds what is announced.
+    world = make(1)
+    daemon = world.daemon()
+    http = HttpDoor(world.loop, ("127.0.0.1", 0), {"/metrics": daemon.metrics.page})
+    chance = random.Random(11)
+    ports = (
+        world.public, world.agents["node-1"].listener.address, world.directory.address, http.listener.address
+    )  # fmt: skip
+    for at in range(4000):
+        with socket.create_connection(ports[at % 4]) as sock:
+            sock.sendall(garbage(chance))
+        if at % 20 == 0:
+            world.run_for(1 * MS)
+    world.run_for(200 * MS)
+    assert not world.troubles, world.troubles[0]
+    assert world.wait(world.submit("billing"), "R")
+    world.until(lambda: not daemon.door.clients)
+    http.close()
+
+
+@pytest.mark.parametrize("port", ["scheduler", "node"])
+def test_a_gigabyte_that_is_announced_is_refused_at_its_header(make: Make, port: str) -> None:
+    world = make(1)
+    world.daemon()
+    target = world.public if port == "scheduler" else world.agents["node-1"].listener.address
+    head = number(2) + number(2) + number(n.JOB_SCRIPT) + string("x") + number(0) + number(0)
+    with socket.create_connection(target) as sock:
+        sock.settimeout(10)
+        sock.sendall(head + number(1 << 30))
+        world.run_for(200 * MS)
+        answer = sock.recv(4096)
+        assert b"Protocol error" in answer and b"at most" in answer
+        assert sock.recv(4096) == b""
+
+
+# --- the scheduler's own end --------------------------------------------------------------------------------
+
+
+def test_stopping_settles_every_job_that_was_taken(make: Make) -> None:
+    world = make(1, warm_ns=200 * MS)
+    daemon = world.daemon()
+    runs = world.submit("billing")
+    world.wait(runs, "R")
+    held = world.submit("batch", extra=[Attr("Hold_Types", "u")])
+    starting = world.submit("web")
+    ended: list[bool] = []
+    daemon.on_end = lambda: ended.append(True)
+    world.until(lambda: daemon.jobs.by_id[starting].state != "R")
+    daemon.shut()
+    world.until(lambda: ended)
+    answers = {job: daemon.jobs.by_id[job].answer for job in (runs, held, starting)}
+    assert answers == {runs: "placed", held: "refused", starting: "placed"}
+    assert world.live(runs) and world.live(starting)  # what was placed runs on
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,348 @@
+"""The owner's decisions: single cases, and seeded simulations of whole jobs against nodes that fail."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from ladderhub.interface import Effect
+from ladderhub.owner import Owner
+from ladderhub.owner import types as t
+
+MS, S = 1_000_000, 1_000_000_000
+LIMIT = 20 * S
+SAFE, UNSAFE = 0, 1
+
+
+def settings(**options: Any) -> t.OwnerSettings:
+    queues = tuple(
+        t.QueueRules(effect, LIMIT, 3 * S, priority, asks=50, stay_first_ns=200 * MS, stay_most_ns=S)
+        for effect, priority in ((Effect.SAFE, 0), (Effect.UNSAFE, 2))
+    )
+    return t.OwnerSettings(queues, **options)
+
+
+def only(actions: list[t.Action], kind: type) -> list[Any]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def asked(queue: int, **options: Any) -> Owner:
+    """An owner with one job that the module was asked for."""
+    owner = Owner(settings(**options), 1)
+    assert only(owner.handle(0, t.Taken(1, queue)), t.Ask)
+    return owner
+
+
+# --- single cases -----------------------------------------------------------------------------------------
+
+
+def test_an_unsafe_job_with_a_run_in_doubt_is_not_asked_for_again() -> None:
+    owner = asked(UNSAFE)
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(S, t.Doubtful(1, 1, "a: lost"))
+    actions = owner.handle(S, t.TurnedAway(1, 1, failed=True))
+    assert not only(actions, t.Ask) and owner.state(1)[0] == "doubt"
+    assert only(owner.handle(2 * S, t.Due(1)), t.Query) == [t.Query(1, 1, "a")]
+    later = owner.handle(3 * S, t.Said(1, 1, t.Word.SILENT))
+    assert not only(later, t.Ask)
+    owner.handle(4 * S, t.Said(1, 1, t.Word.NEVER))
+    assert owner.state(1)[0] == "waiting"
+    assert only(owner.handle(6 * S, t.Due(1)), t.Ask)
+
+
+def test_a_job_in_doubt_at_its_limit_fails_and_one_that_never_ran_is_refused() -> None:
+    owner = asked(UNSAFE)
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(S, t.Doubtful(1, 1))
+    owner.handle(S, t.TurnedAway(1, 1, failed=True))
+    settled = only(owner.handle(LIMIT, t.Due(1)), t.Settle)
+    assert settled[0].answer is t.Answer.FAILED and "may have run at a" in settled[0].reason
+    clean = asked(UNSAFE)
+    clean.handle(0, t.Sent(1, 1, 1, "a"))
+    clean.handle(S, t.Unsent(1, 1, "a: no room"))
+    clean.handle(S, t.TurnedAway(1, 1))
+    settled = only(clean.handle(LIMIT, t.Due(1)), t.Settle)
+    assert settled[0].answer is t.Answer.REFUSED and "a: no room" in settled[0].reason
+
+
+def test_a_run_that_nobody_wants_is_stopped_until_its_machine_says_so() -> None:
+    # Guards against a copy that lives on for ever behind a cut, after its job has its answer.
+    owner = asked(UNSAFE)
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(S, t.Doubtful(1, 1))
+    owner.handle(S, t.TurnedAway(1, 1, failed=True))
+    owner.handle(LIMIT, t.Due(1))
+    assert owner.strays() == 1
+    now = LIMIT
+    for _ in range(5):
+        now += 10 * S
+        assert only(owner.handle(now, t.Due(1)), t.Stop) == [t.Stop(1, 1, "a")]
+    owner.handle(now, t.Said(1, 1, t.Word.NEVER))
+    assert owner.strays() == 0
+
+
+def test_a_lost_run_of_a_restarted_machine_is_placed_again_only_on_its_word() -> None:
+    owner = asked(UNSAFE)
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(S, t.Accepted(1, 1))
+    gone = owner.handle(2 * S, t.MachineGone("a"))
+    assert not only(gone, t.Ask) and "not known" in owner.state(1)[1]
+    anew = owner.handle(3 * S, t.MachineAnew("a"))
+    assert only(anew, t.Query) and not only(anew, t.Ask)
+    assert owner.state(1)[0] == "running"
+    owner.handle(4 * S, t.Said(1, 1, t.Word.NEVER))
+    assert only(owner.handle(5 * S, t.Due(1)), t.Ask)
+
+
+def test_many_that_ask_again_share_one_budget_and_the_highest_priority_has_a_reserve() -> None:
+    # Guards against a retry storm: without the budget each of 100 jobs would ask again at once.
+    owner = Owner(settings(again_share=0.0, again_burst=20), 1)
+    waits: dict[int, int] = {}
+    for job in range(1, 101):
+        owner.handle(0, t.Taken(job, SAFE if job <= 90 else UNSAFE))
+    for job in range(1, 101):
+        (wake,) = only(owner.handle(0, t.TurnedAway(job, 1)), t.Wake)
+        waits[job] = wake.at_ns
+    soon = [job for job, at in waits.items() if at < 300 * MS]
+    assert len([job for job in soon if job <= 90]) == 15
+    assert len([job for job in soon if job > 90]) == 5
+
+
+def test_a_held_job_is_not_asked_for_and_its_limit_begins_at_its_release() -> None:
+    owner = Owner(settings(), 1)
+    assert not only(owner.handle(0, t.Taken(1, SAFE, held=True)), t.Ask)
+    assert not owner.handle(100 * S, t.Due(1))
+    assert only(owner.handle(100 * S, t.Release(1)), t.Ask)
+
+
+def test_stopping_refuses_what_waits_and_leaves_what_runs() -> None:
+    owner = Owner(settings(), 1)
+    for job in (1, 2, 3):
+        owner.handle(0, t.Taken(job, SAFE, held=job == 3))
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(0, t.Accepted(1, 1))
+    first = only(owner.handle(S, t.Stopping()), t.Settle)
+    assert [(each.job, each.answer) for each in first] == [(3, t.Answer.REFUSED)]
+    last = only(owner.handle(2 * S, t.Stopping(now=True)), t.Settle)
+    assert [each.job for each in last] == [2] and owner.owes() == 0
+    assert owner.state(1)[0] == "running"
+
+
+def test_settings_that_make_no_sense_are_told_by_field() -> None:
+    with pytest.raises(ValueError, match=r"queues\[0\].limit"):
+        t.OwnerSettings((t.QueueRules(Effect.SAFE, 1, 1),))
+    with pytest.raises(ValueError, match="again_burst"):
+        settings(again_burst=0)
+
+
+# --- simulation -------------------------------------------------------------------------------------------
+
+
+class Sim:
+    """Jobs, an owner, a module that offers as its classes allow, and nodes that lose words, stall and
+    restart.
+
+    It sees everything: which runs are alive, at any moment."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.owner = Owner(settings(), seed)
+        self.now = 0
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = self.steps = 0
+        self.queues: dict[int, int] = {}
+        self.alive: dict[tuple[int, int], str] = {}  # run -> node on which it is committed
+        self.barred: set[tuple[int, int]] = set()
+        self.ended: set[tuple[int, int]] = set()
+        self.silent_until = {name: 0 for name in "abcd"}
+        self.answers: dict[int, list[t.Answer]] = {}
+        self.losses: dict[int, int] = {}  # how many runs of a job went with their node
+        self.finished: dict[int, int] = {}
+        self.asks: dict[int, int] = {}
+        self.runs: dict[int, int] = {}
+        self.taken: dict[int, int] = {}
+        self.wakes: dict[int, int] = {}
+
+    def later(self, span: int, call: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._queue, (self.now + span, self._count, call))
+
+    def tell(self, event: t.Event) -> None:
+        for action in self.owner.handle(self.now, event):
+            self.do(action)
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while self._queue and self._queue[0][0] <= end:
+            self.steps += 1
+            assert self.steps < 100_000, "the same moment goes on for ever"
+            self.now, _, call = heapq.heappop(self._queue)
+            call()
+        self.now = end
+
+    # --- what the owner wants ---------------------------------------------------------------------------
+
+    def do(self, action: t.Action) -> None:
+        match action:
+            case t.Ask(job, ask, budget, _):
+                self.asks[job] = ask
+                assert budget <= 3 * S
+                self.later(MS, lambda: self.offer(job, ask, self.now + budget, 0))
+            case t.Withdraw(job, ask):
+                if self.asks.get(job) == ask:
+                    self.asks[job] = -1
+            case t.Adopt(job, ask, _, _):
+                self.asks[job] = ask
+            case t.Query(job, run, machine) | t.Stop(job, run, machine):
+                stop = isinstance(action, t.Stop)
+                self.later(self.chance.randrange(1, 50) * MS, lambda: self.word(job, run, machine, stop))
+            case t.Settle(job, answer, _):
+                told = self.answers.setdefault(job, [])
+                told.append(answer)
+                # A placing that was lost is followed by one that is owed an answer of its own.
+                assert len(told) <= 1 + self.losses.get(job, 0), f"job {job} answered {told}"
+                assert self.losses.get(job) or self.now <= self.taken[job] + LIMIT, f"job {job} answered late"
+                if answer is t.Answer.REFUSED and self.queues[job] == UNSAFE:
+                    assert not self.copies(job), f"job {job} refused while it runs"
+            case t.Finish(job, _, _):
+                assert self.answers.get(job), f"job {job} over without an answer"
+                assert job not in self.finished
+                self.finished[job] = self.now
+            case t.Wake(job, at):
+                self.wakes[job] = at
+                self.later(max(0, at - self.now), lambda: self.due(job, at))
+
+    def due(self, job: int, at: int) -> None:
+        if self.wakes.get(job) == at:
+            self.tell(t.Due(job))
+
+    def copies(self, job: int) -> list[tuple[int, int]]:
+        return [key for key in self.alive if key[0] == job]
+
+    # --- the module and the nodes -----------------------------------------------------------------------
+
+    def offer(self, job: int, ask: int, until: int, tries: int) -> None:
+        if self.asks.get(job) != ask:
+            return
+        if tries == 3 or self.now >= until - 40 * MS:
+            self.tell(t.TurnedAway(job, ask))
+            return
+        run = self.runs[job] = self.runs.get(job, 0) + 1
+        node = self.chance.choice("abcd")
+        if self.queues[job] == UNSAFE:
+            assert not self.copies(job), f"unsafe job {job} offered while it runs"
+        self.tell(t.Sent(job, ask, run, node))
+        fate = self.chance.random()
+        span = self.chance.randrange(1, 400) * MS
+
+        def over(event: t.Event, doubtful: bool) -> None:
+            self.tell(event)
+            if doubtful and self.queues[job] == UNSAFE:
+                if self.asks.get(job) == ask:
+                    self.tell(t.TurnedAway(job, ask, failed=True))
+            elif not isinstance(event, t.Accepted):
+                self.offer(job, ask, until, tries + 1)
+
+        if fate < 0.3:
+            self.later(span, lambda: over(t.Unsent(job, run, f"{node}: no room"), False))
+        elif fate < 0.7:
+            self.later(span, lambda: self.commit(job, run, node))
+            self.later(span + MS, lambda: over(self.outcome(job, run), False))
+        elif fate < 0.9:  # committed, and the answer is lost
+            self.later(span, lambda: self.commit(job, run, node))
+            self.later(span + 900 * MS, lambda: over(t.Doubtful(job, run, f"{node}: lost"), True))
+        else:  # the commit itself is lost, or crawls in much later
+            crawl = span + self.chance.randrange(1, 3000) * MS
+            self.later(crawl, lambda: self.commit(job, run, node))
+            self.later(span, lambda: over(t.Doubtful(job, run, f"{node}: lost"), True))
+
+    def outcome(self, job: int, run: int) -> t.Event:
+        return t.Accepted(job, run) if (job, run) in self.alive else t.Unsent(job, run, "called off")
+
+    def commit(self, job: int, run: int, node: str) -> None:
+        key = (job, run)
+        if key in self.barred or key in self.ended:
+            return
+        if self.queues[job] == UNSAFE:
+            assert not self.copies(job), f"unsafe job {job} runs twice"
+        self.alive[key] = node
+        life = self.chance.randrange(1, 12) * S
+        self.later(life, lambda: self.end(key, t.End.DONE))
+
+    def end(self, key: tuple[int, int], end: t.End) -> None:
+        if key in self.alive:
+            node = self.alive.pop(key)
+            self.ended.add(key)
+            self.obituary(key, node, end)
+
+    def obituary(self, key: tuple[int, int], node: str, end: t.End) -> None:
+        """Sent again until it arrives."""
+        if self.now < self.silent_until[node]:
+            self.later(300 * MS, lambda: self.obituary(key, node, end))
+        else:
+            self.tell(t.Ended(*key, end))
+
+    def word(self, job: int, run: int, node: str, stop: bool) -> None:
+        key = (job, run)
+        if self.now < self.silent_until[node] or self.chance.random() < 0.2:
+            self.tell(t.Said(job, run, t.Word.SILENT))
+        elif key in self.alive:
+            if stop:
+                self.later(5 * MS, lambda: self.end(key, t.End.KILLED))
+            self.tell(t.Said(job, run, t.Word.STOPPING if stop else t.Word.RUNS))
+        elif key in self.ended:
+            self.tell(t.Said(job, run, t.Word.ENDED))
+        else:
+            self.barred.add(key)
+            self.tell(t.Said(job, run, t.Word.NEVER))
+
+    # --- what happens to it -----------------------------------------------------------------------------
+
+    def submit(self, job: int, queue: int) -> None:
+        self.queues[job], self.taken[job] = queue, self.now
+        self.tell(t.Taken(job, queue))
+
+    def silence(self, node: str, span: int) -> None:
+        self.silent_until[node] = self.now + span
+
+    def restart(self, node: str) -> None:
+        for key in [key for key, at in self.alive.items() if at == node]:
+            del self.alive[key]
+            self.losses[key[0]] = self.losses.get(key[0], 0) + 1
+        self.later(500 * MS, lambda: self.tell(t.MachineAnew(node)))
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_simulated_jobs_end_once_in_time_and_unsafe_ones_never_run_twice(seed: int) -> None:
+    sim = Sim(seed)
+    for job in range(1, 61):
+        queue = SAFE if job % 2 else UNSAFE
+        sim.later(sim.chance.randrange(0, 20 * S), lambda job=job, queue=queue: sim.submit(job, queue))  # type: ignore[misc]
+        if sim.chance.random() < 0.3:
+            at = sim.chance.randrange(0, 30 * S)
+            sim.later(at, lambda job=job: sim.tell(t.Cancelled(job)))  # type: ignore[misc]
+    for _ in range(6):
+        node, at = sim.chance.choice("abcd"), sim.chance.randrange(0, 40 * S)
+        span = sim.chance.randrange(S, 15 * S)
+        sim.later(at, lambda node=node, span=span: sim.silence(node, span))  # type: ignore[misc]
+    sim.run(60 * S)
+    sim.run(200 * S)  # no more faults: everything comes to rest
+    assert set(sim.finished) == set(sim.queues)
+    assert not sim.alive and sim.owner.strays() == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_simulated_restarts_lose_no_job(seed: int) -> None:
+    sim = Sim(1000 + seed)
+    for job in range(1, 41):
+        queue = SAFE if job % 2 else UNSAFE
+        sim.later(sim.chance.randrange(0, 10 * S), lambda job=job, queue=queue: sim.submit(job, queue))  # type: ignore[misc]
+    for at in range(3, 15, 3):
+        sim.later(at * S, lambda: sim.restart(sim.chance.choice("abcd")))
+    sim.run(250 * S)
+    assert set(sim.finished) == set(sim.queues) and sim.losses
+    assert not sim.alive and sim.owner.strays() == 0
