Load tool with histograms, a thousand real qsub, tests of dialect, commands, loop and auditor

Need: the figures that the users ask for, and an auditor that is shown to fail. Change: ladderhub lab load (open loop, hdrhistogram), lab submits (real qsub processes, counted from the recording and from qstat); one doctored recording or more for each rule; commands as processes, a killed scheduler that adopts what runs. Found: Jsonnet orders fields by name, so the first queue is no default; adopted jobs kept their node's state beside their own.

--- a/ladderhub/cli.py
+++ b/ladderhub/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import signal
 import sys
 from pathlib import Path
@@ -237,5 +238,55 @@
     _run_day(kind, seed, folder)
 
 
+@lab.command()
+@click.option("--nodes", default=90, show_default=True)
+@click.option("--rate", default=180.0, show_default=True, help="Jobs a second.")
+@click.option("--seconds", default=20.0, show_default=True)
+@click.option("--jobs", default=10_000, show_default=True, help="Held jobs for memory and qstat; 0 for none.")
+def load(nodes: int, rate: float, seconds: float, jobs: int) -> None:
+    """Measure one daemon: rate, delay it adds, memory a job, qstat, qsub's own start."""
+    from ladderhub.lab.load import Bench, start_ratio, weigh
+
+    bench = Bench(nodes)
+    try:
+        got = bench.load(rate, seconds)
+    finally:
+        bench.close()
+    click.echo(f"{os.cpu_count()} cores here; {nodes} emulated nodes, {rate:g} jobs/s for {seconds:g} s")
+    click.echo(f"submitted {got.submitted}: {got.placed} placed, {got.refused} refused, {got.failed} failed")
+    click.echo(f"daemon used {got.cores:.2f} of one core")
+    for name, values in (
+        ("submit to acknowledged", got.commit_ms), ("submit to offer at the node", got.added_ms),
+        ("submit to running", got.start_ms),
+    ):  # fmt: skip
+        click.echo(f"{name:<28} ms at p50/p99/p99.9: {' / '.join(map(str, values))}")
+    own, bare = start_ratio()
+    click.echo(
+        f"qsub starts in {own / bare:.2f} times a bare interpreter ({own * 1000:.0f}, {bare * 1000:.0f} ms)"
+    )
+    if jobs:
+        weight = weigh(jobs)
+        click.echo(f"{weight.jobs} held jobs: {weight.bytes_a_job} bytes each")
+        click.echo(f"qstat {weight.qstat_s:.2f} s, qstat -f {weight.qstat_full_s:.2f} s")
+        click.echo(f"a small request waits at most {weight.held_up_ms:.0f} ms while all jobs are asked for")
+
+
+@lab.command()
+@click.option("--count", default=1000, show_default=True)
+@_SEED
+def submits(count: int, seed: int) -> None:
+    """Submit by real qsub processes against flaky nodes; count answers from the recording and from qstat."""
+    from ladderhub.lab.load import thousand
+
+    got = thousand(count, seed, click.echo)
+    click.echo(f"acknowledged {got.acknowledged}, commands that failed {got.failed_commands}")
+    click.echo(f"by the recording: {got.by_recording}")
+    click.echo(f"by qstat:         {got.by_qstat}")
+    for line in got.verdict.lines():
+        click.echo(line)
+    click.echo("the two agree" if got.agree else "the two do NOT agree")
+    sys.exit(0 if got.agree and got.verdict.good() else 1)
+
+
 if __name__ == "__main__":
     main()
--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -51,6 +51,7 @@
         "drain_grace": "500ms",
         "list_shows_room": True, "cold": COLD, "connect": "500ms",
     },
+    "default_queue": "web",
     "tenants": {"north": {"share": 0.5}, "south": {"share": 0.5}},
     "keep_finished": "10m",
     "stop_within": "5s",
--- /dev/null
+++ b/ladderhub/lab/load.py
@@ -0,0 +1,346 @@
+"""Load: what one daemon sustains, what it adds to a start, and what its jobs and commands cost.
+
+One scheduler process against emulated nodes on this process's loop.  Figures come from emulated work on
+loopback: they tell of the daemon, not of machines.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from ladderhub.lab import tap
+from ladderhub.lab.auditor import Verdict, audit
+from ladderhub.lab.client import BatchClient, Submission, attributes
+from ladderhub.lab.day import charter_of
+from ladderhub.lab.fleet import Fleet
+from ladderhub.loop import Loop
+from ladderhub.node.runners import EmulatedSettings
+from ladderhub.pbs.batch import Attr, Reply
+
+MS, S = 1_000_000, 1_000_000_000
+QUICK = EmulatedSettings(warm_ns=20 * MS, cold_times=4.0, life_ns=(1 * S, 2 * S))
+_TICK = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid: int) -> float:
+    """User and system time of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICK
+
+
+def memory_kib(pid: int) -> int:
+    """Resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    raise ValueError(f"process {pid} tells no VmRSS")
+
+
+class Load(msgspec.Struct):
+    """One run of load.  `added_ms`: from the client's Commit to its acknowledgement, and from there to the
+    job's being told as placed by the node's own start; quantiles 50, 99 and 99.9."""
+
+    rate: float
+    seconds: float
+    submitted: int
+    placed: int
+    refused: int
+    failed: int
+    cores: float
+    commit_ms: list[float]
+    start_ms: list[float]
+    added_ms: list[float]
+
+
+class Bench:
+    """A daemon under load."""
+
+    def __init__(
+        self, nodes: int, seed: int = 1, change: Callable[[dict[str, Any]], None] | None = None
+    ) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="ladderhub-load-")
+        self.loop = Loop()
+        self.random = random.Random(seed)
+        self.fleet = Fleet(
+            self.loop, Path(self._folder.name), nodes=nodes, schedulers=1, emulated=QUICK, seed=seed, racks=9,
+            change=change,
+        )  # fmt: skip
+        self.fleet.start()
+        self.scheduler = self.fleet.schedulers["sched0"]
+
+    def close(self) -> None:
+        self.fleet.close()
+        self._folder.cleanup()
+
+    def pid(self) -> int:
+        assert self.scheduler.process is not None
+        return self.scheduler.process.pid
+
+    def submit(self, life_s: float, done: Callable[[str, str], None], held: bool = False) -> None:
+        number = self.random.randrange(60)
+        queue = ("web", "batch", "billing", "mail")[number % 4]
+        cpus = self.random.choice((0.25, 0.5, 1.0))
+        attrs = attributes(f"job{number}", f"{queue}-{number}", cpus, cpus, life_s, "north")
+        if held:
+            attrs.append(Attr("Hold_Types", "u"))
+        Submission(self.loop, self.scheduler.public, queue, attrs, b"#!/bin/sh\nexec true\n", done)
+
+    def load(self, rate: float, seconds: float) -> Load:
+        """Submit at a rate, open loop, and watch every job to its start."""
+        starts = {agent.name: agent for agent in self.fleet.nodes.values()}
+        commit, start, added = (HdrHistogram(1, 60_000_000, 3) for _ in range(3))
+        sent: dict[str, int] = {}
+        counts = {"submitted": 0}
+        began: dict[str, tuple[int, int]] = {}  # job -> when its node took the offer in, when it ran
+        for agent in starts.values():
+            _watch(agent, began)
+        rows: dict[str, str] = {}
+        end = self.loop.now_ns() + round(seconds * S)
+
+        def one(now: int) -> None:
+            # Open loop: the next moment follows from this planned one, however late this one came.
+            if now < end:
+                following = now + round(S / rate * self.random.expovariate(1.0))
+                self.loop.call_at(following, one, following)
+                counts["submitted"] += 1
+
+                def done(job: str, _: str) -> None:
+                    if job:
+                        sent[job] = now
+                        commit.record_value((self.loop.now_ns() - now) // 1000)
+
+                self.submit(self.random.uniform(1, 2), done)
+
+        before, at = cpu_s(self.pid()), time.monotonic()
+        one(self.loop.now_ns())
+        self.fleet.run_for(round(seconds * S))
+        cores = (cpu_s(self.pid()) - before) / (time.monotonic() - at)
+        client = BatchClient(self.loop, self.scheduler.public)
+
+        def told(reply: Reply | None) -> None:
+            for row in reply.rows if reply else ():
+                if row.get("placement"):
+                    rows[row.name] = row.get("placement")
+
+        def all_told() -> bool:
+            if len(rows) < len(sent):
+                client.status(told, names=("placement",))
+                self.fleet.run_for(300 * MS)
+            return len(rows) >= len(sent)
+
+        self.fleet.run_until(all_told, 30 * S)
+        client.close()
+        for job, moment in sent.items():
+            if job in began:
+                offered, ran = began[job]
+                start.record_value(max(1, (ran - moment) // 1000))
+                added.record_value(max(1, (offered - moment) // 1000))
+        words = list(rows.values())
+        return Load(
+            rate, seconds, counts["submitted"], words.count("placed"), words.count("refused"),
+            words.count("failed"), round(cores, 3), quantiles(commit), quantiles(start), quantiles(added),
+        )  # fmt: skip
+
+
+def _watch(agent: Any, began: dict[str, tuple[int, int]]) -> None:
+    """Note on the node's side when an offer arrived and when the job ran."""
+    offered, started = agent.offered, agent._started
+    arrived: dict[str, int] = {}
+
+    def note_offer(request: Any, answer: Any) -> None:
+        arrived.setdefault(request.job, agent.loop.now_ns())
+        offered(request, answer)
+
+    def note_start(key: Any) -> None:
+        began.setdefault(key[0], (arrived.get(key[0], 0), agent.loop.now_ns()))
+        started(key)
+
+    agent.offered, agent._started = note_offer, note_start
+
+
+def quantiles(histogram: HdrHistogram) -> list[float]:
+    """Milliseconds at 50, 99 and 99.9 per cent of a histogram of microseconds."""
+    return [round(histogram.get_value_at_percentile(q) / 1000, 2) for q in (50.0, 99.0, 99.9)]
+
+
+class Weight(msgspec.Struct):
+    """What many waiting jobs weigh."""
+
+    jobs: int
+    bytes_a_job: int
+    qstat_s: float
+    qstat_full_s: float
+    held_up_ms: float
+
+
+def weigh(jobs: int) -> Weight:
+    """`jobs` held jobs in one daemon: memory for each, and how long `qstat` takes."""
+    bench = Bench(3)
+    try:
+        bench.fleet.run_for(500 * MS)
+        before = memory_kib(bench.pid())
+        taken: list[str] = []
+        count = 0
+        while count < jobs:
+            for _ in range(min(64, jobs - count)):
+                bench.submit(1, lambda job, _: taken.append(job), held=True)
+                count += 1
+            held = partial(_as_many, taken, count)
+            bench.fleet.run_until(held, 30 * S)
+        after = memory_kib(bench.pid())
+        spans = []
+        for argv in (["qstat"], ["qstat", "-f"]):
+            at = time.monotonic()
+            status, out = bench.fleet.command("sched0", argv, most_ns=120 * S)
+            spans.append(time.monotonic() - at)
+            if status or out.count("\n") < jobs:
+                raise RuntimeError(f"{argv}: status {status}, {out.count(chr(10))} lines")
+        worst = _held_up(bench)
+        return Weight(jobs, (after - before) * 1024 // jobs, round(spans[0], 3), round(spans[1], 3), worst)
+    finally:
+        bench.close()
+
+
+def _as_many(things: list[str], count: int) -> bool:
+    return len(things) == count
+
+
+def _held_up(bench: Bench) -> float:
+    """Longest wait of a small request (ms) while another client asks for everything."""
+    big, small = (BatchClient(bench.loop, bench.scheduler.public) for _ in range(2))
+    got: list[int] = []
+    over: list[bool] = []
+    big.status(lambda _: over.append(True))
+
+    def ask() -> None:
+        at = bench.loop.now_ns()
+
+        def told(_: Reply | None) -> None:
+            got.append(bench.loop.now_ns() - at)
+            if not over:
+                ask()
+
+        small.status(told, job="1.sched0", names=("job_state",))
+
+    ask()
+    bench.fleet.run_until(lambda: bool(over), 60 * S)
+    for client in (big, small):
+        client.close()
+    return round(max(got, default=0) / MS, 1)
+
+
+def start_ratio(runs: int = 15) -> tuple[float, float]:
+    """Median seconds of `qsub --version`-like starts and of a bare interpreter's."""
+
+    def median(argv: list[str]) -> float:
+        spans = []
+        for _ in range(runs):
+            at = time.monotonic()
+            subprocess.run(argv, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, check=False)
+            spans.append(time.monotonic() - at)
+        return sorted(spans)[runs // 2]
+
+    return median([sys.executable, "-m", "ladderhub.commands.qsub", "-Z"]), median(
+        [sys.executable, "-c", "pass"]
+    )
+
+
+class Submits(msgspec.Struct):
+    """A run of real `qsub` processes against flaky nodes, counted from the recording and from `qstat`."""
+
+    acknowledged: int
+    failed_commands: int
+    by_recording: dict[str, int]
+    by_qstat: dict[str, int]
+    agree: bool
+    verdict: Verdict
+
+
+def thousand(count: int, seed: int, say: Callable[[str], None], side: int = 8) -> Submits:
+    """`count` submissions by the real `qsub`, `side` at a time, while nodes lose, cut, repeat and refuse."""
+    chance = random.Random(seed)
+    loop = Loop()
+    with tempfile.TemporaryDirectory(prefix="ladderhub-submits-") as name:
+        folder = Path(name)
+        fleet = Fleet(
+            loop, folder, nodes=12, schedulers=2, seed=seed, record=folder / "recording.tap",
+            emulated=EmulatedSettings(warm_ns=20 * MS, cold_times=4.0, life_ns=(S // 2, 2 * S)),
+        )  # fmt: skip
+        try:
+            fleet.start()
+            for at, agent in enumerate(fleet.nodes.values()):
+                agent.lose, agent.cut, agent.repeat = 0.05, 0.05, 0.1
+                agent.full_for = frozenset({"south"}) if at % 4 == 0 else frozenset()
+            jobs: list[str] = []
+            failed: list[str] = []
+            running = 0
+            begun = 0
+            pollers = {n: BatchClient(loop, s.public, "poller") for n, s in fleet.schedulers.items()}
+            told: dict[str, str] = {}
+
+            def poll(scheduler: str) -> None:
+                def heard(reply: Reply | None) -> None:
+                    for row in reply.rows if reply else ():
+                        if row.get("placement"):
+                            told[row.name] = row.get("placement")
+                    loop.call_later(400 * MS, poll, scheduler)
+
+                pollers[scheduler].status(heard, names=("placement",))
+
+            for scheduler in fleet.schedulers:
+                poll(scheduler)
+
+            def begin() -> None:
+                nonlocal running, begun
+                begun += 1
+                running += 1
+                path = folder / f"out-{begun}"
+                scheduler = chance.choice(list(fleet.schedulers))
+                number = chance.randrange(12)
+                queue = ("web", "batch", "billing", "mail")[number % 4]
+                argv = [
+                    "qsub", "-q", queue, "-N", f"{queue}-{number}", "-A", chance.choice(("north", "south")),
+                    "-l", "ncpus=1,mem=1gb", str(folder / "job.sh"),
+                ]  # fmt: skip
+
+                def ended(status: int) -> None:
+                    nonlocal running
+                    running -= 1
+                    text = path.read_text().strip()
+                    (failed if status else jobs).append(text)
+                    path.unlink()
+
+                with open(path, "wb") as out:
+                    environment = fleet.environment(scheduler)
+                    argv[0] = str(Path(sys.executable).with_name("qsub"))
+                    loop.spawn(argv, ended, stdin=subprocess.DEVNULL, stdout=out, stderr=out, env=environment)
+
+            (folder / "job.sh").write_text("#!/bin/sh\n#PBS -j oe\nexec true\n")
+            while begun < count or running:
+                while running < side and begun < count:
+                    begin()
+                loop.turn(10 * MS)
+            say(f"{len(jobs)} of {count} acknowledged; settling")
+            fleet.run_until(lambda: all(job in told for job in jobs), 60 * S)
+            fleet.run_for(1 * S)
+        finally:
+            fleet.close()
+        verdict = audit(tap.read(folder / "recording.tap"), charter_of(fleet.settings))
+    by_qstat: dict[str, int] = {}
+    for job in jobs:
+        word = told.get(job, "not told")
+        by_qstat[word] = by_qstat.get(word, 0) + 1
+    agree = by_qstat == verdict.answers and verdict.taken == len(jobs) and not failed
+    return Submits(len(jobs), len(failed), verdict.answers, by_qstat, agree, verdict)
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -46,6 +46,16 @@
     own.End.SENT_AWAY: api.Reason.SENT_AWAY,
 }  # fmt: skip
 _STAGES = {"serving": api.Stage.SERVING, "draining": api.Stage.DRAINING, "gone": api.Stage.GONE}
+_OF_THE_OFFER = (
+    "job_state",
+    "server",
+    "server_address",
+    "run_version",
+    "ctime",
+    "queue",
+    "service",
+    "substate",
+)
 _WORDS = {api.Reason.CORES: "no cores", api.Reason.MEMORY: "no memory", api.Reason.LINE_FULL: "line full"}
 
 
@@ -583,9 +593,10 @@
                 continue
             queue = self.settings.queue_names.index(row.get("queue"))
             record = self.jobs.add(row.name, queue, _int(row.get("ctime")) * S)
-            self.describe(record, row.attrs)
+            self.describe(record, [attr for attr in row.attrs if attr.name not in _OF_THE_OFFER])
+            record.service, record.answer_ns = row.get("service") or record.name, self.loop.now_ns()
             record.run, record.run_machine, record.answer = run, name, own.Answer.PLACED.value
-            record.rerunnable = record.rerunnable and False  # its script went with the earlier life
+            record.rerunnable = False  # its script went with the earlier life
             record.start_ns = self.loop.now_ns()
             self.log.info("adopted", job=record.id, node=name, run=run)
             self._owner(own.Adopted(record.number, queue, run, name, record.rerunnable))
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -169,6 +169,9 @@
         self.queue_names = list(file.queues)
         self.kind_names = list(file.kinds)
         self.tenant_names = list(file.tenants)
+        # Jsonnet puts fields in alphabetical order, so «the first» would not be what was written first.
+        if not file.default_queue and len(self.queue_names) > 1:
+            raise self._wrong("default_queue", "", "one of " + ", ".join(self.queue_names))
         self.default_queue = file.default_queue or self.queue_names[0]
         if self.default_queue not in file.queues:
             raise self._wrong("default_queue", file.default_queue, "one of " + ", ".join(self.queue_names))
--- /dev/null
+++ b/tests/test_auditor.py
@@ -0,0 +1,222 @@
+"""The auditor must be able to fail: one doctored recording for each rule."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from ladderhub.directory.wire import Lines, Listed, encode
+from ladderhub.lab import tap
+from ladderhub.lab.auditor import RULES, Charter, Verdict, audit
+from ladderhub.lab.day import charter_of
+from ladderhub.lab.tap import Record
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, ReplyParser, Request, RequestParser, encode_reply, encode_request
+
+from .world import MS, S, World
+
+Recording = tuple[list[Record], Charter]
+
+
+@pytest.fixture(scope="module")
+def recording(tmp_path_factory: pytest.TempPathFactory) -> Recording:
+    """A short good day: jobs of three queues, one of them ended, one cancelled, all told by status."""
+    world = World(tmp_path_factory.mktemp("good"), 3, record=True)
+    try:
+        world.daemon()
+        jobs = [world.submit(queue, service=f"{queue}-1") for queue in ("web", "billing", "batch") * 3]
+        for job in jobs:
+            world.wait(job, "R")
+        world.delete(jobs[0])
+        world.run_for(800 * MS)
+        world.submit("billing", life_s=0.1)
+        world.run_for(6 * S)  # past the queues' limit, so that silence would be told
+        for job in jobs:
+            world.row(job)
+        charter = charter_of(world.settings)
+    finally:
+        world.close()
+    assert world.tap is not None
+    return list(tap.read(world.tap.path)), charter
+
+
+def judge(records: Iterable[Record], charter: Charter) -> Verdict:
+    return audit(sorted(records, key=lambda record: record.at_ns), charter)
+
+
+def broken(verdict: Verdict) -> set[str]:
+    return {rule for rule in RULES if verdict.breaches[rule]}
+
+
+def test_the_recording_itself_is_good(recording: Recording) -> None:
+    verdict = judge(*recording)
+    assert verdict.good() and not verdict.unread, verdict.lines()
+    assert verdict.taken == 10 and verdict.answers == {"placed": 10}
+    assert all(verdict.checked[rule] for rule in RULES[:3]) and verdict.checked[RULES[4]]
+
+
+def requests(records: list[Record], kind: int) -> list[tuple[Record, Request]]:
+    """Requests to nodes of one kind, each alone in its record as nodes are written to step by step."""
+    found = []
+    for record in records:
+        if record.channel.startswith("node:") and record.way == ">":
+            parser = RequestParser()
+            parser.feed(record.data)
+            while (request := parser.next()) is not None:
+                if request.type == kind:
+                    found.append((record, request))
+    return found
+
+
+def offer_of(records: list[Record], queue: str) -> tuple[Record, Request]:
+    """The second offer of a queue: the first of one is cancelled, the last of another ends."""
+    return [pair for pair in requests(records, n.QUEUE_JOB) if pair[1].get("queue") == queue][1]
+
+
+def again(records: list[Record], request: Request, node: str, at: int) -> list[Record]:
+    """The same offer once more, to another node, taken and accepted there."""
+    user, job = request.user, request.job
+    ways = [
+        (">", encode_request(request)), ("<", encode_reply_ok(n.R_QUEUE, job)),
+        (">", encode_request(Request(n.COMMIT, user, job))), ("<", encode_reply_ok(n.R_COMMIT, job)),
+    ]  # fmt: skip
+    made = [
+        Record(at + step * MS, 900_000, f"node:{node}", way, data) for step, (way, data) in enumerate(ways)
+    ]
+    return [*records, *made]
+
+
+def encode_reply_ok(choice: int, job: str) -> bytes:
+    from ladderhub.pbs.batch import Reply
+
+    return encode_reply(Reply(0, choice, job=job))
+
+
+def test_rule_1_a_job_whose_answer_is_cut_out_of_the_recording(recording: Recording) -> None:
+    records, charter = recording
+    sent, request = offer_of(records, "billing")
+    job = request.job
+    kept = [r for r in records if r.connection != sent.connection]
+    doctored = [
+        replace(r, data=without(r.data, job)) if r.channel.startswith("sched:") and r.way == "<" else r
+        for r in kept
+    ]  # fmt: skip
+    verdict = judge(doctored, charter)
+    assert broken(verdict) == {RULES[0]} and job in verdict.breaches[RULES[0]][0]
+
+
+def without(data: bytes, job: str) -> bytes:
+    """Replies without the placement of one job."""
+    parser, out = ReplyParser(), b""
+    parser.feed(data)
+    while (reply := parser.next()) is not None:
+        for row in reply.rows:
+            if row.name == job:
+                row.attrs = [attr for attr in row.attrs if not attr.name.startswith("placement")]
+        out += encode_reply(reply)
+    return out
+
+
+def test_rule_1_an_offer_after_the_job_was_refused(recording: Recording) -> None:
+    records, charter = recording
+    doctored = []
+    job = offer_of(records, "batch")[1].job
+    for record in records:
+        data = record.data
+        if record.channel.startswith("sched:") and record.way == "<" and job.encode() in data:
+            parser, data = ReplyParser(), b""
+            parser.feed(record.data)
+            while (reply := parser.next()) is not None:
+                for row in reply.rows:
+                    if row.name == job:
+                        row.attrs = [
+                            Attr("placement", "refused") if attr.name == "placement" else attr
+                            for attr in row.attrs
+                        ]
+                data += encode_reply(reply)
+        doctored.append(replace(record, data=data))
+    request = offer_of(records, "batch")[1]
+    late = again(doctored, request, "node-1", records[-1].at_ns + S)
+    assert RULES[0] in broken(judge(late, charter))
+
+
+@pytest.mark.parametrize("queue", ["billing", "web", "batch"])
+def test_rule_2_a_second_copy_while_the_first_runs(recording: Recording, queue: str) -> None:
+    records, charter = recording
+    sent, request = offer_of(records, queue)
+    other = next(f"node-{at}" for at in (1, 2, 3) if sent.channel != f"node:node-{at}")
+    request.attrs = [Attr("run_version", "2") if a.name == "run_version" else a for a in request.attrs]
+    verdict = judge(again(records, request, other, sent.at_ns + 200 * MS), charter)
+    assert RULES[1] in broken(verdict)
+
+
+def test_rule_3_an_offer_long_after_the_node_was_told_off(recording: Recording) -> None:
+    records, charter = recording
+    sent, _ = requests(records, n.QUEUE_JOB)[-1]
+    node = sent.channel.partition(":")[2]
+    doctored: list[Record] = []
+    for record in records:
+        if record.channel.startswith("list:") and record.way == "<":
+            data = b""
+            for message in Lines().feed(record.data):
+                assert isinstance(message, Listed)
+                entries = [
+                    type(entry)(
+                        **{f: getattr(entry, f) for f in entry.__struct_fields__} | {"stage": "draining"}
+                    )
+                    if entry.name == node
+                    else entry
+                    for entry in message.entries
+                ]
+                data += encode(Listed(message.kind, message.version, entries))
+            record = replace(record, data=data)
+        doctored.append(record)
+    # The drain is told at once; the offer comes when it came.
+    first = next(r for r in doctored if r.channel.startswith("list:") and r.way == "<")
+    assert sent.at_ns - first.at_ns > charter.drain_grace_ns
+    assert broken(judge(doctored, charter)) == {RULES[2]}
+
+
+def test_rule_4_more_offers_than_a_cold_node_bears(recording: Recording) -> None:
+    records, charter = recording
+    _, request = offer_of(records, "batch")
+    first = next(r for r in records if r.channel.startswith("list:") and r.way == "<")
+    parsed = Lines().feed(first.data)
+    assert isinstance(parsed[0], Listed)
+    entry = parsed[0].entries[0]
+    ready = records[-1].at_ns
+    fresh = type(entry)(**{f: getattr(entry, f) for f in entry.__struct_fields__} | {"ready_ns": ready})
+    told = replace(first, at_ns=ready + MS, data=encode(Listed("changes", 99, [fresh])))
+    many = [
+        Record(
+            ready + 10 * MS + at * MS, 800_000 + at, f"node:{entry.name}", ">",
+            encode_request(Request(n.QUEUE_JOB, request.user, f"{5000 + at}.alpha", request.attrs)),
+        )
+        for at in range(charter.cold_safe + 1)
+    ]  # fmt: skip
+    assert broken(judge([*records, told, *many[:-1]], charter)) == set()
+    assert broken(judge([*records, told, *many], charter)) == {RULES[3]}
+
+
+def test_rule_5_more_of_a_service_in_one_rack_than_its_queue_allows(recording: Recording) -> None:
+    records, charter = recording
+    sent, request = offer_of(records, "web")
+    most = charter.queues["web"].spread_most
+    extra = [
+        Record(
+            sent.at_ns + at * MS, 700_000 + at, sent.channel, ">",
+            encode_request(Request(n.QUEUE_JOB, request.user, f"{6000 + at}.alpha", request.attrs)),
+        )
+        for at in range(most)
+    ]  # fmt: skip
+    assert broken(judge([*records, *extra], charter)) == {RULES[4]}
+
+
+def test_a_recording_that_is_cut_off_is_told(recording: Recording, tmp_path: Path) -> None:
+    path = tmp_path / "cut.tap"
+    path.write_bytes(b"\0" * 5)
+    with pytest.raises(ValueError, match="ends inside a record"):
+        list(tap.read(path))
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,227 @@
+"""What people type, as processes of their own against real daemons; and daemons that are killed."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ladderhub.lab.fleet import MS, S, Fleet
+from ladderhub.loop import Loop
+from ladderhub.node.runners import EmulatedSettings
+
+LONG = EmulatedSettings(warm_ns=20 * MS, cold_times=2.0, life_ns=(60 * S, 60 * S))
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(Loop(), tmp_path, nodes=3, schedulers=1, emulated=LONG, list_delay_ns=0)
+    try:
+        made.start()
+        yield made
+    finally:
+        made.close()
+
+
+@pytest.fixture
+def real(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(Loop(), tmp_path, nodes=2, schedulers=1, runner="real", list_delay_ns=0)
+    try:
+        made.start()
+        yield made
+    finally:
+        made.close()
+
+
+def run(fleet: Fleet, *argv: str, script: str = "") -> str:
+    status, out = fleet.command("sched0", list(argv), script)
+    assert status == 0, out
+    return out.strip()
+
+
+def state(fleet: Fleet, job: str) -> dict[str, str]:
+    rows = json.loads(run(fleet, "qstat", "-x", "-f", "-F", "json", job))["Jobs"]
+    found: dict[str, str] = rows[job]
+    return found
+
+
+def wait(fleet: Fleet, job: str, letter: str) -> dict[str, str]:
+    for _ in range(100):
+        row = state(fleet, job)
+        if row["job_state"] == letter:
+            return row
+        fleet.run_for(50 * MS)
+    raise AssertionError(f"{job} is not {letter}: {row}")
+
+
+def test_the_commands_from_submit_to_end(fleet: Fleet) -> None:
+    job = run(
+        fleet, "qsub", "-N", "mine", "-q", "billing", "-A", "north", script="#PBS -N other\n#PBS -l mem=2gb\n"
+    )
+    assert re.fullmatch(r"\d+\.sched0", job)
+    row = wait(fleet, job, "R")
+    assert (row["Job_Name"], row["queue"], row["placement"]) == ("mine", "billing", "placed")
+    assert "mine" in run(fleet, "qstat") and job in run(fleet, "qstat", "-f")
+    assert run(fleet, "qselect", "-q", "billing", "-s", "R", "-l", "mem.ge.2gb") == job
+    assert run(fleet, "qselect", "-l", "mem.gt.2gb") == ""
+    assert "billing" in run(fleet, "qstat", "-Q") and "Active" in run(fleet, "qstat", "-B")
+    run(fleet, "qmsg", "hello", job)
+    held = run(fleet, "qsub", "-h", "-q", "batch", script="true\n")
+    assert state(fleet, held)["job_state"] == "H"
+    run(fleet, "qalter", "-l", "ncpus=2", "-N", "new", held)
+    run(fleet, "qrls", held)
+    assert wait(fleet, held, "R")["Job_Name"] == "new"
+    run(fleet, "qsig", "-s", "TERM", held)
+    assert wait(fleet, held, "F")["Exit_status"] == "271"
+    run(fleet, "qdel", job)
+    assert wait(fleet, job, "F")["comment"] == "cancelled"
+    assert run(fleet, "qstat") == ""
+    run(fleet, "pbsnodes", "-o", "node-01")
+    assert "node-01" in run(fleet, "pbsnodes", "-l")
+    assert "state = offline" in run(fleet, "pbsnodes", "node-01")
+    run(fleet, "pbsnodes", "-r", "node-01")
+    assert fleet.run_until(lambda: run(fleet, "pbsnodes", "-l") == "", 10 * S)
+
+
+def test_wrong_input_gives_one_message_and_a_status(fleet: Fleet) -> None:
+    cases = [
+        (["qsub", "-q", "nowhere"], "true\n", 2, "Unknown queue nowhere; known are batch"),
+        (["qsub", "-l", "mem=much"], "true\n", 1, "mem=much: not a size"),
+        (["qsub"], "#PBS -l ncpus=none\n", 1, "ncpus=none: not a number of cores"),
+        (["qsub"], "#PBS -k -x\n#PBS --what\n", 1, "option --what not recognized"),
+        (["qsub", "-l", "ncpus=9999"], "true\n", 2, "no kind of node here holds 9999 cores"),
+        (["qsub", "-A", "nobody"], "true\n", 2, "unknown account nobody; known are north, south"),
+        (["qsub"], "", 1, "the script is empty"), (["qdel", "x"], "", 1,
+        "illegally formed job identifier: x"),
+        (["qdel", "424242"], "", 2, "Unknown Job Id 424242"), (["qstat", "9.sched0"], "", 2,
+        "Unknown Job Id"),
+        (["qrls", "-h", "z", "1"], "", 1, "letters of u, o, s or n are meant"),
+        (["pbsnodes", "-o", "node-99"], "", 2, "Unknown node node-99"),
+    ]  # fmt: skip
+    for argv, script, status, words in cases:
+        got, out = fleet.command("sched0", argv, script)
+        assert got == status and words in out and "Traceback" not in out, (argv, got, out)
+
+
+def test_a_job_blocked_on_reports_how_it_ended(real: Fleet) -> None:
+    status, out = real.command(
+        "sched0", ["qsub", "-W", "block=true", "-j", "oe"], "echo out; echo err >&2; exit 7\n"
+    )
+    assert status == 7
+    number = out.split(".")[0]
+    assert (real.folder / f"STDIN.o{number}").read_text() == "out\nerr\n"
+    script = "#!/bin/sh\n#PBS -l walltime=1\nsleep 60\n"
+    status, out = real.command("sched0", ["qsub", "-W", "block=true"], script)
+    assert status == 128 + 15
+    big = "#!/bin/sh\n" + "# x\n" * 250_000 + 'echo "$PBS_JOBNAME $PBS_QUEUE $WORD"'  # 1 MB, no last newline
+    status, out = real.command("sched0", ["qsub", "-W", "block=true", "-N", "big", "-v", "WORD=a b,X=1"], big)
+    assert status == 0
+    assert (real.folder / f"big.o{out.split('.')[0]}").read_text() == "big web a b\n"
+
+
+def test_a_cancelled_job_leaves_no_process_behind(real: Fleet) -> None:
+    # Also one that started a session of its own, which a signal to the job's own session does not reach.
+    script = "setsid sh -c 'echo $$ > left; sleep 300' &\necho $$ > main\nsleep 300\n"
+    job = run(real, "qsub", script=script)
+    left, main = real.folder / "left", real.folder / "main"
+    assert real.run_until(lambda: left.exists() and left.read_text().strip() != "", 10 * S)
+    run(real, "qdel", job)
+    wait(real, job, "F")
+    pids = [int(path.read_text()) for path in (left, main)]
+
+    def alive(pid: int) -> bool:
+        try:
+            return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+        except OSError:
+            return False
+
+    assert real.run_until(lambda: not any(map(alive, pids)), 10 * S)
+
+
+def test_a_killed_scheduler_adopts_what_runs_and_doubles_nothing(fleet: Fleet) -> None:
+    jobs = [
+        run(fleet, "qsub", "-q", queue, script="sleep 60\n")
+        for queue in ("billing", "web", "billing", "mail")
+    ]
+    for job in jobs:
+        wait(fleet, job, "R")
+    fleet.kill_scheduler("sched0", 100 * MS)
+    process = fleet.schedulers["sched0"].process
+    assert process is not None and fleet.run_until(lambda: process.poll() is not None, 5 * S)
+    assert fleet.run_until(lambda: fleet.schedulers["sched0"].process is not process, 5 * S)
+    assert fleet.run_until(lambda: fleet.is_up("sched0"), 15 * S)
+    for job in jobs:
+        assert wait(fleet, job, "R")["placement"] == "placed"
+    fresh = run(fleet, "qsub", "-q", "billing", script="sleep 60\n")
+    assert fresh not in jobs
+    copies = [key[0] for agent in fleet.nodes.values() for key in agent.jobs]
+    assert sorted(copies) == sorted(set(copies)) and set(jobs) <= set(copies)
+    for job in jobs:
+        run(fleet, "qdel", job)
+        wait(fleet, job, "F")
+    assert fleet.run_until(lambda: not any(k[0] in jobs for a in fleet.nodes.values() for k in a.jobs), 5 * S)
+
+
+def test_commands_start_without_heavy_imports() -> None:
+    # `qsub` runs by the thousand: nothing beyond the standard library's light half belongs on its path.
+    code = "import sys, ladderhub.commands.qsub; print(*sys.modules)"
+    out = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.split()
+    heavy = {
+        "asyncio",
+        "click",
+        "dataclasses",
+        "inspect",
+        "json",
+        "msgspec",
+        "structlog",
+        "typing",
+        "subprocess",
+    }
+    assert not heavy & set(out)
+
+
+def test_the_demo_and_the_check_of_settings(tmp_path: Path) -> None:
+    path = tmp_path / "bad.jsonnet"
+    good = {
+        "server": "a", "listen": "127.0.0.1:0", "directory": "127.0.0.1:1", "spool": str(tmp_path),
+        "kinds": {"k": {"cores": 4, "memory": "8gb"}},
+        "queues": {"q": {"effect": "safe", "aim": "1s", "deadline": "5s", "limit": "20s"}},
+    }  # fmt: skip
+
+    def check(value: object) -> tuple[int, str]:
+        path.write_text(json.dumps(value) if not isinstance(value, str) else value)
+        argv = [sys.executable, "-m", "ladderhub", "check", str(path)]
+        done = subprocess.run(argv, capture_output=True, text=True, env=os.environ)
+        return done.returncode, done.stdout + done.stderr
+
+    assert check(good)[0] == 0
+    queue = good["queues"]["q"]  # type: ignore[index]
+    cases: list[tuple[object, str]] = [
+        (good | {"queues": {"q": queue, "p": queue}}, "default_queue: found ''; one of p, q is meant"),
+        (good | {"listen": "here"}, "listen: found 'here'; HOST:PORT is meant"),
+        (good | {"queues": {"q": queue | {"aim": "500"}}}, "queues.q.aim: found '500'; a time with its unit"),
+        (
+            good | {"queues": {"q": queue | {"effect": "odd"}}},
+            "queues.q.effect: found 'odd'; one of safe, keyed",
+        ),
+        (good | {"queues": {"q": queue | {"kind": "z"}}}, "queues.q.kind: found 'z'; one of k is meant"),
+        (good | {"queues": {}}, "queues: found {}; at least one queue"),
+        (good | {"kinds": {"k": {"cores": "four", "memory": "8gb"}}}, "Expected `float`, got `str`"),
+        (good | {"colour": 1}, "unknown field `colour`"),
+        ("{ server: 'a', ", "bad.jsonnet"),
+        (good | {"queues": {"q": queue | {"limit": "10ms"}}}, "queues[0].limit"),
+    ]
+    for value, words in cases:
+        status, out = check(value)
+        assert status == 2 and words in out and "Traceback" not in out, (words, out)
+    argv = [sys.executable, "-m", "ladderhub", "demo"]
+    done = subprocess.run(argv, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0 and "all as it should be" in done.stdout, done.stdout + done.stderr
--- /dev/null
+++ b/tests/test_dialect.py
@@ -0,0 +1,163 @@
+"""The batch dialect without sockets: DIS, messages in pieces, submission steps, job scripts, resources."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import (
+    Attr,
+    Reply,
+    ReplyParser,
+    Request,
+    RequestParser,
+    Row,
+    encode_reply,
+    encode_request,
+)
+from ladderhub.pbs.connection import COMMITTED, IDLE, TRANSITIONS, Draft, ServerConnection
+from ladderhub.pbs.dis import DisError, NeedMore, Reader, number, string
+from ladderhub.pbs.jobscript import ScriptError, directives
+from ladderhub.pbs.resources import ResourceError, parse_list, parse_size, parse_time, wanted
+
+TEXT = st.text(max_size=40)
+ATTRS = st.lists(st.builds(Attr, TEXT, TEXT, TEXT, st.integers(0, n.OP_LT)), max_size=5)
+
+
+def test_numbers_and_strings_stand_as_published() -> None:
+    assert [number(value) for value in (7, 42, -17, 1234567890)] == [
+        b"+7",
+        b"2+42",
+        b"2-17",
+        b"210+1234567890",
+    ]
+    assert string("abc") == b"+3abc"
+
+
+@given(st.integers(-(10**18), 10**18), st.binary(max_size=60))
+def test_dis_round_trip_and_every_cut_asks_for_more(value: int, data: bytes) -> None:
+    whole = number(value) + string(data)
+    reader = Reader(whole, 1000)
+    assert (reader.signed(), reader.raw()) == (value, data)
+    for cut in range(len(whole)):
+        reader = Reader(whole[:cut], 1000)
+        with pytest.raises(NeedMore) as more:
+            reader.signed()
+            reader.raw()
+        assert cut < more.value.total <= len(whole)
+
+
+@pytest.mark.parametrize("data", [b"x", b"0+1", b"1+5", b"2+0", b"2+01", b"+x", b"99+1", b"-5"])
+def test_what_is_no_number_is_told_at_once(data: bytes) -> None:
+    with pytest.raises(DisError):
+        Reader(data + b"+" * 30, 10).unsigned()
+
+
+@settings(max_examples=60)
+@given(TEXT, ATTRS, st.binary(max_size=300), st.integers(1, 40))
+def test_requests_come_whole_out_of_any_pieces(text: str, attrs: list[Attr], data: bytes, step: int) -> None:
+    sent = [
+        Request(n.QUEUE_JOB, "u", text, attrs, destination=text, extension=text),
+        Request(n.JOB_SCRIPT, "u", text, data=data), Request(n.COMMIT, "u", text),
+        Request(n.MANAGER, "u", attrs=attrs, name=text, command=n.CMD_SET, object_type=n.OBJ_NODE),
+        Request(n.STATUS_JOB, "u", text, attrs), Request(n.JOB_OBIT, "u", text, attrs, status=-3),
+        Request(n.MESSAGE_JOB, "u", text, file_kind=1, text=text), Request(n.SIGNAL_JOB, "u", text,
+        text=text),
+        Request(n.SELECT_JOBS, "u", attrs=attrs), Request(n.SHUTDOWN, "u", manner=1), Request(n.CONNECT, "u"),
+    ]  # fmt: skip
+    wire = b"".join(map(encode_request, sent))
+    parser, got = RequestParser(), []
+    for at in range(0, len(wire), step):
+        parser.feed(wire[at : at + step])
+        while (request := parser.next()) is not None:
+            got.append(request)
+    assert b"".join(map(encode_request, got)) == wire and not parser.pending()
+
+
+@settings(max_examples=60)
+@given(st.lists(st.tuples(TEXT, ATTRS), max_size=6), st.integers(1, 50))
+def test_replies_come_whole_out_of_any_pieces(rows: list[tuple[str, list[Attr]]], step: int) -> None:
+    sent = [
+        Reply(0, n.R_STATUS, rows=[Row(n.OBJ_JOB, name, attrs) for name, attrs in rows]),
+        Reply(n.UNKNOWN_JOB, n.R_TEXT, text="no such job"), Reply(0, n.R_SELECT, jobs=[name for name,
+        _ in rows]),
+        Reply(0, n.R_QUEUE, job="1.a"), Reply(),
+    ]  # fmt: skip
+    wire = b"".join(map(encode_reply, sent))
+    parser, got = ReplyParser(), []
+    for at in range(0, len(wire), step):
+        parser.feed(wire[at : at + step])
+        while (reply := parser.next()) is not None:
+            got.append(reply)
+    assert b"".join(map(encode_reply, got)) == wire
+
+
+def test_a_submission_takes_its_steps_in_order_and_one_answer_each() -> None:
+    for (state, kind), after in TRANSITIONS.items():
+        connection = ServerConnection()
+        connection.state = state
+        if state not in (IDLE, COMMITTED):
+            connection.draft = Draft("1.a", Request(n.QUEUE_JOB))
+        request = Request(kind, job="1.a")
+        assert connection.may(request)
+        connection.granted(request)
+        assert connection.state == after
+    connection = ServerConnection()
+    assert not connection.may(Request(n.JOB_SCRIPT, job="1.a"))
+    first, second = connection.receive(encode_request(Request(n.CONNECT)) * 2)
+    assert connection.answer(second, Reply()) == []  # the first is not answered yet
+    assert connection.answer(first, Reply()) == [first, second]
+    with pytest.raises(RuntimeError):
+        connection.answer(first, Reply())
+
+
+# --- job scripts
+# ----------------------------------------------------------------------------------------------
+
+
+def test_directives_stand_before_the_first_command() -> None:
+    script = b"#!/bin/sh\r\n# words\r\n#PBS -N one -l 'ncpus=2'\r\n\r\n"
+    script += b"#PBSx -N no\r\n#PBS -q web\r\necho\r\n#PBS -N late"
+    assert directives(script) == [(3, ["-N", "one", "-l", "ncpus=2"]), (6, ["-q", "web"])]
+    assert directives(b"#PBS -N last") == [(1, ["-N", "last"])]
+    assert directives(b"#X -N a\n", "#X") == [(1, ["-N", "a"])] and directives(b"#PBS -N a\n", "") == []
+
+
+def test_long_directives_are_read_and_too_long_ones_told() -> None:
+    value = "A=" + "x" * 10_240
+    assert directives(f"#PBS -v {value}\n".encode()) == [(1, ["-v", value])]
+    with pytest.raises(ScriptError, match="line 1"):
+        directives(b"#PBS -v " + b"x" * 70_000)
+    with pytest.raises(ScriptError, match="line 2: No closing quotation"):
+        directives(b"#!/bin/sh\n#PBS -N 'open\n")
+
+
+@pytest.mark.parametrize(
+    ("text", "size"),
+    [("512", 512), ("1b", 1), ("2kb", 2048), ("3mw", 3 * 8 << 20), ("1GB", 1 << 30), ("4g", 4 << 30)],
+)
+def test_sizes_as_published(text: str, size: int) -> None:
+    assert parse_size(text) == size
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("mem=2 gigs", "not a size"), ("ncpus=0", "above 0"), ("ncpus=two", "above 0"), ("walltime=1:99",
+        "not a time"),
+        ("select=2:ncpus=1", "one chunk"), ("nodes=1:gpu", "not known"), ("cpus=2", "unknown resource"),
+        ("ncpus", "no value"), ("mem='1gb", "not closed"),
+    ],
+)  # fmt: skip
+def test_resources_that_can_not_be_read_are_told_by_name(text: str, words: str) -> None:
+    with pytest.raises(ResourceError, match=words):
+        wanted(dict(parse_list(text)))
+
+
+def test_what_is_asked_comes_out_of_each_form() -> None:
+    assert wanted(dict(parse_list("ncpus=2,mem=4gb,walltime=1:00:00"))) == (2.0, 4 << 30, 3600)
+    assert wanted(dict(parse_list("select=1:ncpus=3:mem=1gb"))) == (3.0, 1 << 30, 0)
+    assert wanted(dict(parse_list("nodes=1:ppn=4"))) == (4.0, 0, 0)
+    assert parse_time("90") == 90
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -5,6 +5,7 @@
 import random
 import socket
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -91,7 +92,8 @@
     world = make(3, record=True, warm_ns=30 * MS)
     world.daemon()
     chance = random.Random(5)
-    jobs, replies = [], []
+    jobs: list[str] = []
+    replies: list[object] = []
     client = BatchClient(world.loop, world.public, "tester")
     for at in range(60):
         job = world.submit("billing", service=f"billing-{at % 5}")
@@ -240,7 +242,8 @@
     agent = world.add_node("node-1")
     agent.ready_ns = agent.admission.ready_ns = world.loop.now_ns()
     for job in jobs:
-        world.until(lambda job=job: len(world.live(job)) == 1 and world.row(job).get("job_state") == "R")
+        world.wait(job, "R")
+        world.until(partial(lambda each: len(world.live(each)) == 1, job))
     judged(world)
 
 
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,122 @@
+"""The event loop with a stepped clock, and over loopback sockets where it must be sockets."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+
+from ladderhub.loop import Listener, Loop, ManualClock, Stream
+from ladderhub.loop.stream import WRITE_MOST, connect
+
+S = 1_000_000_000
+
+
+def turns(loop: Loop, count: int = 40) -> None:
+    for _ in range(count):
+        loop.turn(2_000_000)
+
+
+class Sink:
+    def __init__(self, fails: bool = False) -> None:
+        self.got = bytearray()
+        self.closed: list[BaseException | None] = []
+        self.fails = fails
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        if self.fails:
+            raise RuntimeError("handler")
+        self.got += data
+
+    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+        self.closed.append(fault)
+
+
+def test_timers_fire_in_order_by_the_clock_and_revoked_ones_do_not() -> None:
+    clock = ManualClock()
+    loop = Loop(clock)
+    fired: list[int] = []
+    timers = [loop.call_at(at * S, fired.append, at) for at in (3, 1, 2, 4)]
+    timers[2].cancel()
+    loop.turn(0)
+    assert fired == []
+    clock.advance(3 * S)
+    loop.turn(0)
+    assert fired == [1, 3] and loop.pending_timers() == 1
+
+
+def test_a_hundred_thousand_revoked_timers_leave_nothing() -> None:
+    loop = Loop(ManualClock())
+    for timer in [loop.call_at(at, print) for at in range(1, 100_001)]:
+        timer.cancel()
+    assert loop.pending_timers() == 0 and len(loop._timers) < 5000
+
+
+def test_a_handler_that_throws_closes_its_own_connection_alone() -> None:
+    troubles: list[BaseException] = []
+    loop = Loop(trouble=lambda where, fault: troubles.append(fault))
+    sinks = [Sink(fails=True), Sink()]
+    streams: list[Stream] = []
+    listener = Listener(
+        loop, ("127.0.0.1", 0), lambda s: streams.append(Stream(loop, s, sinks[len(streams)]))
+    )
+    first = socket.create_connection(listener.address)
+    turns(loop, 3)
+    second = socket.create_connection(listener.address)
+    turns(loop, 3)
+    first.sendall(b"x")
+    second.sendall(b"y")
+    turns(loop)
+    assert len(troubles) == 1 and streams[0].closed and not streams[1].closed and sinks[1].got == b"y"
+    for each in (first, second):
+        each.close()
+    listener.close()
+
+
+def test_a_peer_that_does_not_read_holds_up_nobody_and_is_given_up() -> None:
+    loop = Loop()
+    sinks = [Sink(), Sink()]
+    streams: list[Stream] = []
+    listener = Listener(
+        loop, ("127.0.0.1", 0), lambda s: streams.append(Stream(loop, s, sinks[len(streams)]))
+    )
+    slow, good = socket.create_connection(listener.address), None
+    turns(loop, 3)
+    good = socket.create_connection(listener.address)
+    turns(loop, 3)
+    for _ in range(WRITE_MOST // (1 << 20) + 8):
+        streams[0].write(b"x" * (1 << 20))
+    streams[1].write(b"quick")
+    turns(loop, 5)
+    good.settimeout(5)
+    assert good.recv(100) == b"quick"
+    assert streams[0].closed and isinstance(sinks[0].closed[0], BufferError)
+    for each in (slow, good):
+        each.close()
+    listener.close()
+
+
+def test_a_connect_to_nobody_and_one_without_an_answer_end() -> None:
+    loop = Loop()
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))  # bound and not listening: refused
+        sink = Sink()
+        connect(loop, held.getsockname(), sink, S)
+        turns(loop)
+    assert isinstance(sink.closed[0], OSError)
+
+
+def test_signals_and_children_come_between_callbacks() -> None:
+    loop = Loop()
+    seen: list[object] = []
+    old = signal.getsignal(signal.SIGUSR1)
+    loop.on_signal(signal.SIGUSR1, lambda: seen.append("signal"))
+    os.kill(os.getpid(), signal.SIGUSR1)
+    loop.spawn(["/bin/sh", "-c", "exit 3"], seen.append)
+    for _ in range(200):
+        if len(seen) == 2:
+            break
+        loop.turn(20_000_000)
+    assert set(seen) == {"signal", 3}
+    loop.close()
+    signal.signal(signal.SIGUSR1, old)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -5,6 +5,7 @@
 import heapq
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import pytest
@@ -321,14 +322,14 @@
     sim = Sim(seed)
     for job in range(1, 61):
         queue = SAFE if job % 2 else UNSAFE
-        sim.later(sim.chance.randrange(0, 20 * S), lambda job=job, queue=queue: sim.submit(job, queue))  # type: ignore[misc]
+        sim.later(sim.chance.randrange(0, 20 * S), partial(sim.submit, job, queue))
         if sim.chance.random() < 0.3:
             at = sim.chance.randrange(0, 30 * S)
-            sim.later(at, lambda job=job: sim.tell(t.Cancelled(job)))  # type: ignore[misc]
+            sim.later(at, partial(sim.tell, t.Cancelled(job)))
     for _ in range(6):
         node, at = sim.chance.choice("abcd"), sim.chance.randrange(0, 40 * S)
         span = sim.chance.randrange(S, 15 * S)
-        sim.later(at, lambda node=node, span=span: sim.silence(node, span))  # type: ignore[misc]
+        sim.later(at, partial(sim.silence, node, span))
     sim.run(60 * S)
     sim.run(200 * S)  # no more faults: everything comes to rest
     assert set(sim.finished) == set(sim.queues)
@@ -340,7 +341,7 @@
     sim = Sim(1000 + seed)
     for job in range(1, 41):
         queue = SAFE if job % 2 else UNSAFE
-        sim.later(sim.chance.randrange(0, 10 * S), lambda job=job, queue=queue: sim.submit(job, queue))  # type: ignore[misc]
+        sim.later(sim.chance.randrange(0, 10 * S), partial(sim.submit, job, queue))
     for at in range(3, 15, 3):
         sim.later(at * S, lambda: sim.restart(sim.chance.choice("abcd")))
     sim.run(250 * S)
