--- /dev/null
+++ b/ladderhub/lab/nodehost.py
@@ -0,0 +1,80 @@
+"""Some emulated nodes in a process of their own, so that many of them do not wait for each other's turn.
+
+`python -m ladderhub.lab.nodehost PLAN OUT` starts the nodes of the JSON file PLAN and, on SIGTERM, writes to
+OUT for each job when its offer came and when it ran (ns).
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ladderhub.loop import Loop
+from ladderhub.node.admission import Key, NodeSettings
+from ladderhub.node.agent import Agent
+from ladderhub.node.runners import EmulatedRunner, EmulatedSettings
+from ladderhub.pbs.batch import Request
+
+S = 1_000_000_000
+
+
+class NodePlan(msgspec.Struct):
+    name: str
+    kind: str
+    cores: float
+    memory: float
+    rack: str
+    seed: int
+
+
+class HostPlan(msgspec.Struct):
+    """The nodes of one process.  Times in nanoseconds."""
+
+    directory: tuple[str, int]
+    nodes: list[NodePlan]
+    admit_cores: float
+    admit_memory: float
+    warm_ns: int
+    cold_times: float
+
+
+class WatchedAgent(Agent):
+    """An agent that notes when an offer came and when its job ran."""
+
+    came: dict[str, int]
+    ran: dict[str, int]
+
+    def offered(self, request: Request, answer: Any) -> None:
+        self.came.setdefault(request.job, self.loop.now_ns())
+        super().offered(request, answer)
+
+    def _started(self, key: Key) -> None:
+        self.ran.setdefault(key[0], self.loop.now_ns())
+        super()._started(key)
+
+
+def main() -> None:
+    plan: HostPlan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=HostPlan)
+    loop = Loop()
+    came: dict[str, int] = {}
+    ran: dict[str, int] = {}
+    emulated = EmulatedSettings(plan.warm_ns, plan.cold_times)
+    for node in plan.nodes:
+        settings = NodeSettings(node.cores, node.memory, node.kind, plan.admit_cores, plan.admit_memory)
+        agent = WatchedAgent(
+            loop, node.name, settings, EmulatedRunner(loop, emulated, node.seed), directory=plan.directory,
+            rack=node.rack, look_ns=(4_000_000, 15_000_000), cold_times=plan.cold_times, seed=node.seed,
+        )  # fmt: skip
+        agent.ready_ns = agent.admission.ready_ns = loop.now_ns() - 3600 * S
+        agent.came, agent.ran = came, ran
+    loop.on_signal(signal.SIGTERM, loop.stop)
+    loop.run()
+    Path(sys.argv[2]).write_bytes(msgspec.json.encode({job: (came[job], ran[job]) for job in ran}))
+
+
+if __name__ == "__main__":
+    main()
