--- a/ladderhub/cli.py
+++ b/ladderhub/cli.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import click
+import msgspec
 import structlog
 
 from ladderhub import __version__
@@ -19,9 +20,18 @@
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
 
+def _encode(row: object, **_: object) -> bytes:
+    return msgspec.json.encode(row, enc_hook=repr)
+
+
 def set_up_log(form: str, level: str) -> Any:
     """Structured lines on standard error, as JSON or for people."""
-    last: Any = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer()
+    last: Any = structlog.dev.ConsoleRenderer()
+    factory: Any = structlog.PrintLoggerFactory(sys.stderr)
+    if form == "json":
+        # Bytes straight from the encoder: at hundreds of jobs a second log lines are a cost that shows.
+        last = structlog.processors.JSONRenderer(serializer=_encode)
+        factory = structlog.BytesLoggerFactory(sys.stderr.buffer)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -30,7 +40,7 @@
             last,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=True,
     )
     return structlog.get_logger()
--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -453,6 +453,9 @@
         elif kind == n.JOB_SCRIPT:
             self._script += request.data
             good = self._open is not None and len(self._script) <= n.SCRIPT_MOST
+            if not good and self._open is not None:
+                agent.withdraw(self._open)  # a Commit behind it must not start half a script
+                self._open = None
             answer(Reply() if good else refusal(n.BAD_SCRIPT))
         elif kind == n.COMMIT:
             key, self._open = self._open, None
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -27,7 +27,7 @@
 from ladderhub.server.metrics import Metrics
 from ladderhub.server.nodelinks import NodeLinks, OfferCall
 from ladderhub.server.nodelist import NodeList
-from ladderhub.server.offer import COMMITTING, Result
+from ladderhub.server.offer import COMMITTED, Result
 from ladderhub.server.settings import Loaded
 
 MS, S = 1_000_000, 1_000_000_000
@@ -421,7 +421,7 @@
         if record is None:
             return
         call = out.call if out is not None else None
-        if isinstance(action, own.Stop) and call is not None and call.steps.state != COMMITTING:
+        if isinstance(action, own.Stop) and call is not None and call.steps.state not in COMMITTED:
             call.call_off()  # nothing was committed, so this proves that nothing runs
             return
         user = f"scheduler@{self.name}"
--- a/ladderhub/server/offer.py
+++ b/ladderhub/server/offer.py
@@ -19,6 +19,7 @@
     "NOT_HERE": Reason.NOT_HERE,
 }  # fmt: skip
 # state -> the kind of reply that belongs to it
+COMMITTED = (SENDING, COMMITTING)  # Commit has left
 ANSWERS = {QUEUEING: n.R_QUEUE, SENDING: n.R_NULL, COMMITTING: n.R_COMMIT}
 
 
@@ -48,6 +49,8 @@
         offer as a broken connection would."""
         if self.state == OVER:
             return None
+        if reply.code and self.state == SENDING:
+            return self.broke("the node refused the script")  # its Commit is on the way: the node is asked
         if reply.code:
             refused = self._refused(reply)
             self.state = OVER
@@ -55,18 +58,21 @@
         choice = ANSWERS[self.state]
         if reply.choice != choice or (choice != n.R_NULL and reply.job != self._request.job):
             return self.broke("the node answered out of turn")
-        if self.state == QUEUEING and self._script:
-            self.state = SENDING
+        if self.state == QUEUEING:
+            # Script and Commit leave together; from here on something may run.
+            self.state = SENDING if self._script else COMMITTING
             return b"".join(self._pieces())
-        if self.state in (QUEUEING, SENDING):
+        if self.state == SENDING:
             self.state = COMMITTING
-            return encode_request(Request(n.COMMIT, self._request.user, self._request.job))
+            return None
         self.state = OVER
         return Result(True, Outcome.DONE)
 
     def _pieces(self) -> Iterator[bytes]:
         job, user = self._request.job, self._request.user
-        yield encode_request(Request(n.JOB_SCRIPT, user, job, data=self._script))
+        if self._script:
+            yield encode_request(Request(n.JOB_SCRIPT, user, job, data=self._script))
+        yield encode_request(Request(n.COMMIT, user, job))
 
     def _refused(self, reply: Reply) -> Result:
         word, _, rest = reply.text.partition(" ")
@@ -78,7 +84,7 @@
         """The connection ended, time ran out, or the offer is called off."""
         if self.state == OVER:
             return None
-        committed = self.state == COMMITTING
+        committed = self.state in COMMITTED
         self.state = OVER
         if called_off:
             return Result(False, Outcome.CANCELLED if committed else Outcome.NEVER_SENT, text=text)
