Test: a script that a node refuses is not started in part

Need: script and Commit leave together, so a Commit follows a refused script. Change: one test over a socket to the node. Result: passes; the node drops the job and its room.

--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -459,3 +459,21 @@
     answers = {job: daemon.jobs.by_id[job].answer for job in (runs, held, starting)}
     assert answers == {runs: "placed", held: "refused", starting: "placed"}
     assert world.live(runs) and world.live(starting)  # what was placed runs on
+
+
+def test_a_script_that_the_node_refuses_is_not_started_in_part(make: Make) -> None:
+    # Guards against the Commit that is already on its way behind a refused script.
+    world = make(1)
+    agent = world.agents["node-1"]
+    replies: list[Reply | None] = []
+    client = BatchClient(world.loop, agent.listener.address, "scheduler@alpha")
+    attrs = [*attributes("w", "s", 1, 1, 30), Attr("run_version", "1")]
+    half = Request(n.JOB_SCRIPT, job="1.alpha", data=b"x" * (n.SCRIPT_MOST // 2 + 1))
+    for request in (Request(n.QUEUE_JOB, job="1.alpha", attrs=attrs), half, half):
+        client.send(request, replies.append)
+    client.send(Request(n.COMMIT, job="1.alpha"), replies.append)
+    world.until(lambda: len(replies) == 4)
+    codes = [reply.code if reply is not None else -1 for reply in replies]
+    assert codes == [0, 0, n.BAD_SCRIPT, n.UNKNOWN_JOB] and not agent.jobs
+    assert agent.admission.used == [0.0, 0.0]
+    client.close()
