--- a/ladderhub/server/offer.py
+++ b/ladderhub/server/offer.py
@@ -18,8 +18,8 @@
     "CORES": Reason.CORES, "MEMORY": Reason.MEMORY, "LINE_FULL": Reason.LINE_FULL,
     "NOT_HERE": Reason.NOT_HERE,
 }  # fmt: skip
-# state -> the kind of reply that belongs to it
 COMMITTED = (SENDING, COMMITTING)  # Commit has left
+# state -> the kind of reply that belongs to it
 ANSWERS = {QUEUEING: n.R_QUEUE, SENDING: n.R_NULL, COMMITTING: n.R_COMMIT}
 
 
