--- a/ladderhub/lab/flaky.py
+++ b/ladderhub/lab/flaky.py
@@ -56,10 +56,6 @@
             for request, data in kept:
                 door.send(request, data)
 
-    def reset_connections(self) -> None:
-        for door in list(self.doors):
-            door.stream.abort()
-
 
 class FlakyDoor(Door):
     """One connection of a flaky agent."""
--- a/ladderhub/node/admission.py
+++ b/ladderhub/node/admission.py
@@ -177,9 +177,6 @@
 
     # --- what is told ---------------------------------------------------------------------------------------
 
-    def holds(self, key: Key) -> bool:
-        return key in self._taken
-
     def pace(self, now: int) -> float:
         """Share of the usual speed of starts: a fresh node is slow, and gains in a straight line."""
         age, span = now - self.ready_ns, self.settings.cold_span_ns
--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -91,7 +91,6 @@
         self.listener = Listener(loop, address, self._accept)
         self.advertise = advertise or "{}:{}".format(*self.listener.address)
         self.closed = False
-        self._room_timer: Timer | None = None
         self._directory: _DirectoryLink | None = None
         if directory is not None:
             self._directory = _DirectoryLink(self, directory)
--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -438,7 +438,6 @@
     def _on_cancelled(self, now: int, job: t.Job) -> None:
         if job.state == STOPPING:
             return
-        job.cancelled = True
         if job.state == ASKING:
             self._out.append(t.Withdraw(job.number, job.ask))
         self._go(job, STOPPING)
--- a/ladderhub/owner/types.py
+++ b/ladderhub/owner/types.py
@@ -339,7 +339,6 @@
     stay_ns: int = 0
     until_ns: int = 0
     answered: bool = False
-    cancelled: bool = False
     hold_wanted: bool = False
     rerun: bool = False
     came_again: bool = False
--- a/ladderhub/pbs/names.py
+++ b/ladderhub/pbs/names.py
@@ -74,4 +74,3 @@
 # --- job states (POSIX 3.2.2.1: E exiting, H held, Q queued, R running, T transiting, W waiting; F: OpenPBS)
 STATES = "EHQRTWF"
 SCRIPT_MOST = 4 * 1024 * 1024
-JOB_LINE = 64 * 1024
--- a/ladderhub/pbs/resources.py
+++ b/ladderhub/pbs/resources.py
@@ -54,10 +54,6 @@
     return seconds
 
 
-def format_time(seconds: int) -> str:
-    return f"{seconds // 3600:02d}:{seconds // 60 % 60:02d}:{seconds % 60:02d}"
-
-
 def parse_cpus(text: str, name: str = "ncpus") -> float:
     """Cores above 0: whole, or a fraction for small services."""
     try:
