Every request gets its answer, whatever comes behind it

Cause: the node's door withdrew an offer whose Queue Job was not looked at yet, and that request was never answered; since replies leave in order, the connection was dumb for good. The same was found in four more places: an offer withdrawn by other means, a look that judged the second coming of a withdrawn offer, an error reply to garbage (or a Disconnect) that overtook or dropped the replies still owed, and a scheduler's Commit that could take half a refused script.

Change: a withdrawn offer is answered; the steps of an offer wait for its Queue Job's answer; Disconnect and the error reply stand in the same line of exchanges as all else; a refused script drops its submission.

--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -12,7 +12,7 @@
 import random
 import signal as signals
 import socket
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from functools import partial
 
@@ -23,7 +23,7 @@
 from ladderhub.node.runners import Runner, Work
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, ReplyParser, Request, Row, encode_request, refusal
-from ladderhub.pbs.connection import Exchange, ServerConnection
+from ladderhub.pbs.connection import SUBMITTING, Exchange, ServerConnection
 from ladderhub.pbs.dis import DisError
 from ladderhub.pbs.resources import GIB, ResourceError, wanted
 
@@ -183,17 +183,20 @@
         ask = self.admission.next_look()
         if ask is not None:
             span = self._random.randint(*self.look_ns)
-            self.loop.call_later(round(span * self.slow), self._look_over, ask.key)
+            self.loop.call_later(round(span * self.slow), self._look_over, ask.key, self.jobs.get(ask.key))
 
-    def _look_over(self, key: Key) -> None:
+    def _look_over(self, key: Key, held: Held | None) -> None:
         if self.closed:
             return
         refused = self.admission.looked(self.loop.now_ns())
-        answer = self._looked.pop(key, None)
-        held = self.jobs.get(key)
-        if held is None or answer is None:  # withdrawn while it was looked at
-            self.admission.withdraw(key)
-        elif refused is not None:
+        if held is None or self.jobs.get(key) is not held:
+            # Withdrawn while it was looked at; what stands under its key by now waits for a look of its own.
+            if refused is None:
+                self.admission.ended(key)
+            self._look()
+            return
+        answer = self._looked.pop(key)
+        if refused is not None:
             del self.jobs[key]
             answer(_refused(refused))
         else:
@@ -209,8 +212,11 @@
         if held.pending is not None:
             held.pending.cancel()
         del self.jobs[key]
-        self._looked.pop(key, None)
         self.admission.withdraw(key)
+        answer = self._looked.pop(key, None)
+        if answer is not None:
+            # Replies leave in order: a request that is never answered would silence its connection for good.
+            answer(refusal(n.NODE_REJECTED, "NOT_HERE the offer was withdrawn"))
 
     # --- starts, ends ---------------------------------------------------------------------------------------
 
@@ -422,33 +428,64 @@
 
 
 class Door:
-    """The serving end of one connection to the agent; answers leave in the order of the requests."""
+    """The serving end of one connection to the agent; answers leave in the order of the requests.
+
+    The steps of an offer wait until its Queue Job is answered: what they mean follows from that answer."""
 
     def __init__(self, agent: Agent, sock: socket.socket) -> None:
         self.agent, self._connection = agent, ServerConnection()
         self._open: Key | None = None
         self._script = bytearray()
+        self._looking = self._serving = False  # a Queue Job is not answered yet; inside `_serve_next`
+        self._behind: deque[Exchange] = deque()
         self.stream = Stream(agent.loop, sock, self)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         for exchange in self._connection.receive(data):
-            self.serve(exchange.request, partial(self._answer, exchange))
+            self._behind.append(exchange)
+        self._serve_next()
         if self._connection.trouble is not None:
-            stream.write(self._connection.farewell())
-            stream.close()
+            self._leave(self._connection.ready())
+        elif sum(len(exchange.request.data) for exchange in self._behind) > 2 * n.SCRIPT_MOST:
+            stream.abort(BufferError("too much was sent without waiting for an answer"))
+
+    def _serve_next(self) -> None:
+        if self._serving:
+            return
+        self._serving = True
+        try:
+            while self._behind and not self.stream.closed:
+                if self._looking and self._behind[0].request.type in SUBMITTING:
+                    return
+                exchange = self._behind.popleft()
+                if exchange.request.type == n.DISCONNECT:
+                    self._leave(self._connection.disconnect(exchange))
+                else:
+                    self.serve(exchange.request, partial(self._answer, exchange))
+        finally:
+            self._serving = False
 
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
         self.agent.doors.discard(self)
         if self._open is not None:
             self.agent.withdraw(self._open)
 
+    def _queued(self, answer: Callable[[Reply], None], reply: Reply) -> None:
+        """Queue Job has its answer: the steps behind it have their turn."""
+        self._looking = False
+        if reply.code:
+            self._open = None
+        answer(reply)
+        self._serve_next()
+
     def serve(self, request: Request, answer: Callable[[Reply], None]) -> None:
         agent, kind = self.agent, request.type
         if kind == n.QUEUE_JOB:
             if self._open is not None:
                 agent.withdraw(self._open)
             self._open, self._script = (request.job, _run_of(request)), bytearray()
-            agent.offered(request, answer)
+            self._looking = True
+            agent.offered(request, partial(self._queued, answer))
         elif kind == n.JOB_SCRIPT:
             self._script += request.data
             good = self._open is not None and len(self._script) <= n.SCRIPT_MOST
@@ -478,16 +515,21 @@
             answer(agent.manage(request))
         elif kind == n.CONNECT:
             answer(Reply())
-        elif kind == n.DISCONNECT:
-            self.stream.close()
         else:
             answer(refusal(n.UNKNOWN_REQUEST, f"{n.REQUESTS[kind]} is not served by nodes"))
 
     def _answer(self, exchange: Exchange, reply: Reply) -> None:
-        for ready in self._connection.answer(exchange, reply):
-            if not self.stream.closed:
-                assert isinstance(ready.reply, bytes)  # nodes have no long replies
-                self.send(ready.request, ready.reply)
+        self._leave(self._connection.answer(exchange, reply))
+
+    def _leave(self, ready: list[Exchange]) -> None:
+        for exchange in ready:
+            if self.stream.closed:
+                return
+            assert isinstance(exchange.reply, bytes)  # nodes have no long replies
+            if exchange.reply:
+                self.send(exchange.request, exchange.reply)
+            if exchange.last:
+                self.stream.close()
 
     def send(self, request: Request, data: bytes) -> None:
         """Write one reply; stand-ins with faults lose, cut or repeat it here."""
--- a/ladderhub/pbs/connection.py
+++ b/ladderhub/pbs/connection.py
@@ -49,19 +49,22 @@
 
 
 class Exchange:
-    """One request and, later, its reply."""
+    """One request and, later, its reply.  After the reply of a `last` one the connection is closed."""
 
-    __slots__ = ("reply", "request")
+    __slots__ = ("last", "reply", "request")
 
     def __init__(self, request: Request) -> None:
         self.request = request
-        self.reply: bytes | Iterator[bytes] = b""
+        self.reply: bytes | Iterator[bytes] | None = None
+        self.last = False
 
 
 class ServerConnection:
-    """The serving end: `receive` gives requests, `answer` the bytes that may leave now, in order of asking.
+    """The serving end: `receive` gives requests, `answer` the exchanges whose replies may leave now, in order
+    of asking.
 
-    `trouble` is set by bytes that are no protocol: send `farewell()` and close."""
+    Every request gets its answer, whatever comes behind it: Disconnect, and the error reply to bytes that are
+    no protocol (`trouble` says why), are exchanges in the same line, `last` ones."""
 
     def __init__(self) -> None:
         self._parser = RequestParser()
@@ -81,6 +84,13 @@
         except DisError as fault:
             self.trouble = str(fault)
         self._open.extend(fresh)
+        if self.trouble is not None:
+            farewell = Exchange(Request(n.DISCONNECT))
+            farewell.reply = encode_reply(
+                Reply(n.PROTOCOL_ERROR, n.R_TEXT, text=f"Protocol error: {self.trouble}")
+            )
+            farewell.last = True
+            self._open.append(farewell)
         return fresh
 
     def waiting(self) -> int:
@@ -105,18 +115,27 @@
         elif request.type == n.DISCONNECT:
             self.state, self.draft = CLOSED, None
 
+    def drop_draft(self) -> None:
+        """The submission can't be completed: what of it is still on the way has no place any more."""
+        self.state, self.draft = IDLE, None
+
     def answer(self, exchange: Exchange, reply: Reply | Iterator[bytes]) -> list[Exchange]:
         """Answer one request, by a reply or by the pieces of one that is long; gives the exchanges whose
         replies may leave now, in order.  One answer each."""
-        if exchange.reply:
+        if exchange.reply is not None:
             raise RuntimeError(f"{n.REQUESTS[exchange.request.type]} is answered already")
         exchange.reply = encode_reply(reply) if isinstance(reply, Reply) else reply
+        return self.ready()
+
+    def disconnect(self, exchange: Exchange) -> list[Exchange]:
+        """Disconnect has no reply; the connection ends once what was asked before it is answered."""
+        self.granted(exchange.request)
+        exchange.reply, exchange.last = b"", True
+        return self.ready()
+
+    def ready(self) -> list[Exchange]:
+        """The exchanges whose replies may leave now; after trouble, ask for them once."""
         ready = []
-        while self._open and self._open[0].reply:
+        while self._open and self._open[0].reply is not None:
             ready.append(self._open.popleft())
         return ready
-
-    def farewell(self) -> bytes:
-        """The error reply to bytes that are no request."""
-        text = f"Protocol error: {self.trouble}"
-        return encode_reply(Reply(n.PROTOCOL_ERROR, n.R_TEXT, text=text))
--- a/ladderhub/server/door.py
+++ b/ladderhub/server/door.py
@@ -117,6 +117,8 @@
         draft = client.connection.draft
         assert draft is not None
         if len(draft.script) + len(request.data) > n.SCRIPT_MOST:
+            # A Commit that is on its way behind it must not take half a script.
+            client.connection.drop_draft()
             answer(refusal(n.BAD_SCRIPT, f"the script is longer than {n.SCRIPT_MOST} bytes"))
             return
         draft.script += request.data
@@ -479,9 +481,7 @@
             self._serve(exchange)
         if self.connection.trouble is not None:
             self._door.daemon.metrics.rejected += 1
-            self._out.append(self.connection.farewell())
-            self._last = True
-            self._pump()
+            self._leave(self.connection.ready())
         elif self.connection.waiting() > PENDING_MOST:
             stream.abort(BufferError("too many requests without an answer"))
 
@@ -491,8 +491,7 @@
     def _serve(self, exchange: Exchange) -> None:
         request, connection = exchange.request, self.connection
         if request.type == n.DISCONNECT:
-            connection.granted(request)
-            self.stream.close()
+            self._leave(connection.disconnect(exchange))
             return
         serve = _SERVE.get(request.type)
         if serve is None or not connection.may(request):
@@ -507,9 +506,16 @@
             self.connection.granted(exchange.request)
         else:
             self._door.daemon.metrics.rejected += 1
+        self._leave(self.connection.answer(exchange, reply))
+
+    def _leave(self, ready: list[Exchange]) -> None:
+        """These replies may leave now."""
         if self.stream.closed:
             return
-        self._out.extend(ready.reply for ready in self.connection.answer(exchange, reply))
+        for exchange in ready:
+            if exchange.reply:
+                self._out.append(exchange.reply)
+            self._last = self._last or exchange.last
         self._pump()
 
     def _pump(self) -> None:
