The daemon falls apart by concern: rooms that are handed what they need, and no circle

Need: daemon.py (677 lines), door.py and metrics.py imported each other in a circle, and every later subsystem would have been hung inside them. Processes of the demo and the laboratory took `ladderhub` from the current folder.

Change: one queue for the events of all decision modules (board), shared state (site), a room each for carrying out placing and owning, words of nodes, members, intake; the door holds connections and a table of requests that rooms join; metrics take gauges; a Part starts, stops, owes and closes. Laboratory processes start with the current folder off their path.

--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -18,6 +18,7 @@
 
 from ladderhub.directory.service import Directory
 from ladderhub.lab.flaky import FlakyAgent
+from ladderhub.lab.process import module
 from ladderhub.lab.tap import Tap
 from ladderhub.loop import Loop
 from ladderhub.node.admission import NodeSettings
@@ -198,7 +199,7 @@
         scheduler = self.schedulers[name]
         with open(scheduler.file.with_name("log"), "ab") as log:
             scheduler.process = self.loop.spawn(
-                [sys.executable, "-m", "ladderhub", "serve", str(scheduler.file)],
+                module("ladderhub", "serve", str(scheduler.file)),
                 scheduler.ended.append, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
             )  # fmt: skip
 
--- a/ladderhub/lab/load.py
+++ b/ladderhub/lab/load.py
@@ -28,6 +28,7 @@
 from ladderhub.lab.fleet import Fleet
 from ladderhub.lab.generator import QUEUES, Sent, submission
 from ladderhub.lab.nodehost import HostPlan, NodePlan
+from ladderhub.lab.process import module
 from ladderhub.loop import Loop
 from ladderhub.node.runners import EmulatedSettings
 from ladderhub.pbs.batch import Reply
@@ -96,7 +97,7 @@
             )  # fmt: skip
             plan.write_bytes(msgspec.json.encode(mine))
             ended: list[int] = []
-            argv = [sys.executable, "-m", "ladderhub.lab.nodehost", str(plan), str(out)]
+            argv = module("ladderhub.lab.nodehost", str(plan), str(out))
             self._hosts.append((self.loop.spawn(argv, ended.append), out, ended))
         if not self.fleet.run_until(lambda: len(self.fleet.directory.entries) == nodes, 20 * S):
             raise RuntimeError("nodes did not register")
@@ -138,7 +139,7 @@
         out = self.folder / "sent.json"
         host, port = self.scheduler.public
         ended: list[int] = []
-        argv = [sys.executable, "-m", "ladderhub.lab.generator", host, str(port), str(rate), str(seconds)]
+        argv = module("ladderhub.lab.generator", host, str(port), str(rate), str(seconds))
         self.loop.spawn([*argv, str(self.random.randrange(1 << 30)), str(out)], ended.append)
         before, at = cpu_s(self.pid()), time.monotonic()
         self.fleet.run_for(round(seconds * S))
@@ -265,9 +266,7 @@
             spans.append(time.monotonic() - at)
         return sorted(spans)[runs // 2]
 
-    return median([sys.executable, "-m", "ladderhub.commands.qsub", "-Z"]), median(
-        [sys.executable, "-c", "pass"]
-    )
+    return median(module("ladderhub.commands.qsub", "-Z")), median([sys.executable, "-P", "-c", "pass"])
 
 
 class Submits(msgspec.Struct):
--- /dev/null
+++ b/ladderhub/lab/process.py
@@ -0,0 +1,13 @@
+"""How the laboratory starts Python processes of the project."""
+
+from __future__ import annotations
+
+import sys
+
+
+def module(name: str, *arguments: str) -> list[str]:
+    """The command that runs a module of what is installed.
+
+    `-P` keeps the current folder off the import path: a folder `ladderhub` that happens to lie there must not
+    be run instead."""
+    return [sys.executable, "-P", "-m", name, *arguments]
--- a/ladderhub/server/__init__.py
+++ b/ladderhub/server/__init__.py
@@ -2,4 +2,15 @@
 
 Tells `decide` and `owner` what happened and carries out what they say; decides nothing of its own.  Imports
 `loop`, `pbs`, `owner`, `directory.wire`, `decide` and `interface`; must not import `node`, `lab`, `commands`.
+
+One room for one concern, each importing only those above it:
+
+    jobs, board, metrics, settings     state, the queue of events, counters, checked settings
+    offer, nodelinks, runs, nodelist   one offer's steps, connections to nodes, what is out, the directory
+    site                               what all rooms share, and `Part`: what lives as long as the daemon
+    placing, words, owning             carry out the two decision modules; what nodes say of runs
+    intake, members                    jobs from people; the node list and adoption
+    door                               client connections, and the table of requests that rooms join
+    submitting, jobrequests, status, operating    what each request does
+    daemon                             puts the rooms together; start and clean stop
 """
--- /dev/null
+++ b/ladderhub/server/board.py
@@ -0,0 +1,61 @@
+"""One queue for the events of all decision modules of a daemon.
+
+What one module's action causes in another is handled after the actions that came before it, whichever room it
+comes from.  Nothing here knows what is decided.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+
+class Decider(Protocol):
+    """A pure module: events and time in, actions out."""
+
+    def handle(self, now_ns: int, event: Any, /) -> Sequence[Any]: ...
+
+
+class Carrier(Protocol):
+    """Carries out what one decider says, action by action, in order."""
+
+    def carry(self, now_ns: int, action: Any, /) -> None: ...
+
+    def after(self, event: Any, /) -> None:
+        """All that this event called for has been handed on."""
+
+
+class Board:
+    """Deciders and their carriers.  `add` gives the call by which a decider hears of an event."""
+
+    def __init__(self, now_ns: Callable[[], int], on_fault: Callable[[Any, Exception], None]) -> None:
+        self._now_ns, self._on_fault = now_ns, on_fault
+        self._events: deque[tuple[Decider, Carrier, Any]] = deque()
+        self._busy = False
+
+    def add(self, decider: Decider, carrier: Carrier) -> Callable[[Any], None]:
+        def tell(event: Any) -> None:
+            self._events.append((decider, carrier, event))
+            self._drain()
+
+        return tell
+
+    def _drain(self) -> None:
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                decider, carrier, event = self._events.popleft()
+                try:
+                    now = self._now_ns()
+                    for action in decider.handle(now, event):
+                        carrier.carry(now, action)
+                    carrier.after(event)
+                except Exception as fault:
+                    # One event's fault must not keep the others from being heard; a job that it leaves
+                    # without an answer gets one at its limit.
+                    self._on_fault(event, fault)
+        finally:
+            self._busy = False
--- /dev/null
+++ b/ladderhub/server/jobrequests.py
@@ -0,0 +1,177 @@
+"""Requests on one job: Delete, Hold, Release, Modify, Signal, Message, Locate."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ladderhub.loop import Timer
+from ladderhub.owner import types as own
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Reply, Request, refusal
+from ladderhub.pbs.connection import ServerConnection
+from ladderhub.pbs.resources import ResourceError
+from ladderhub.server.door import Answer, Serve
+from ladderhub.server.intake import Intake
+from ladderhub.server.jobs import JobRecord
+from ladderhub.server.site import Site
+from ladderhub.server.words import Words
+
+DELETE_WAIT_NS = 3_000_000_000
+FORWARD_NS = 2_000_000_000
+_READ_ONLY = (
+    "job_state",
+    "exec_host",
+    "placement",
+    "Exit_status",
+    "run_count",
+    "ctime",
+    "substate",
+    "server",
+)
+_HELD = ("u", "o", "s")
+
+
+class JobRequests:
+    """Serves what people ask of one job, and what nodes tell of one run."""
+
+    def __init__(self, site: Site, intake: Intake, words: Words) -> None:
+        self._site, self._intake, self._words = site, intake, words
+        self._deletes: dict[int, list[Callable[[], None]]] = {}
+        site.on_finished.append(self._finished)
+
+    def serves(self) -> dict[int, Serve]:
+        return {
+            n.DELETE_JOB: self.delete, n.HOLD_JOB: self.hold, n.RELEASE_JOB: self.release,
+            n.MODIFY_JOB: self.modify, n.SIGNAL_JOB: self.forward, n.MESSAGE_JOB: self.forward,
+            n.LOCATE_JOB: self.locate, n.JOB_OBIT: self.obituary,
+        }  # fmt: skip
+
+    def _finished(self, record: JobRecord) -> None:
+        """A job is over: those who wait to hear so are told."""
+        for call in self._deletes.pop(record.number, []):
+            call()
+
+    def _machine_of(self, record: JobRecord) -> str:
+        """The node where the job runs, "" where it does not."""
+        return next(iter(self._site.runs.placed_at(record.number)), "")
+
+    def live(self, request: Request) -> JobRecord | Reply:
+        record = self._site.jobs.find(request.job)
+        if record is None:
+            return refusal(n.UNKNOWN_JOB, f"Unknown Job Id {request.job}")
+        if record.state == "F":
+            return refusal(n.BAD_STATE, f"Job has finished {record.id}: {record.comment}")
+        return record
+
+    def delete(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        """Answered once it is known what became of the job, or after a while with what is known by then."""
+        record = self.live(request)
+        if isinstance(record, Reply):
+            answer(record)
+            return
+        found: JobRecord = record
+        answered: list[bool] = []
+
+        def over() -> None:
+            if answered:
+                return
+            answered.append(True)
+            timer.cancel()
+            answer(Reply(0, n.R_TEXT, text=found.comment))
+
+        def late() -> None:
+            if not answered:
+                answered.append(True)
+                text = f"{found.id}: no word yet from {found.run_machine or 'its node'}; it will be deleted"
+                answer(Reply(0, n.R_TEXT, text=text))
+
+        timer: Timer = self._site.loop.call_later(DELETE_WAIT_NS, late)
+        self._deletes.setdefault(record.number, []).append(over)
+        self._site.tell_owner(own.Cancelled(record.number))
+
+    def hold(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        record = self.live(request)
+        if isinstance(record, Reply):
+            answer(record)
+        elif record.state == "R":
+            answer(refusal(n.BAD_STATE, f"{record.id} runs; only a job that waits can be held"))
+        else:
+            self._set(record, Attr("Hold_Types", request.get("Hold_Types") or "u"))
+            self._site.tell_owner(own.Hold(record.number))
+            answer(Reply())
+
+    def release(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        record = self.live(request)
+        if isinstance(record, Reply):
+            answer(record)
+            return
+        kinds = request.get("Hold_Types") or "u"
+        held = record.values["Hold_Types"].value if "Hold_Types" in record.values else ""
+        left = "".join(letter for letter in held if letter not in kinds and letter in _HELD)
+        self._set(record, Attr("Hold_Types", left or "n"))
+        if not left:
+            self._site.tell_owner(own.Release(record.number))
+        answer(Reply())
+
+    def _set(self, record: JobRecord, attr: Attr) -> None:
+        record.values[attr.key()] = Attr(attr.name, attr.value, attr.resource)
+
+    def modify(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        if request.user.startswith("node@"):
+            self._words.update(request)
+            answer(Reply())
+            return
+        record = self.live(request)
+        if isinstance(record, Reply):
+            answer(record)
+            return
+        wrong = next((attr.name for attr in request.attrs if attr.name in _READ_ONLY), "")
+        if wrong:
+            answer(refusal(n.READ_ONLY, f"Read only attribute {wrong}"))
+            return
+        fixed = any(attr.name in ("Resource_List", "Account_Name", "Job_Name") for attr in request.attrs)
+        if fixed and (record.state not in "HQ" or record.substate not in (10, 20)):
+            answer(refusal(n.MODIFY_RUNNING, f"{record.id} is being placed or runs"))
+            return
+        before = dict(record.values)
+        for attr in request.attrs:
+            self._set(record, attr)
+        try:
+            self._intake.describe(record, list(record.values.values()))
+            never = self._intake.check(record)
+        except ResourceError as fault:
+            never = str(fault)
+        if never:
+            self._intake.describe(record, list(before.values()))
+            answer(refusal(n.BAD_RESOURCE_VALUE, never))
+            return
+        answer(Reply())
+
+    def forward(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        """Signal Job and Message Job: the node that runs the job does it."""
+        record = self.live(request)
+        if isinstance(record, Reply):
+            answer(record)
+            return
+        if request.type == n.MESSAGE_JOB:
+            record.messages.append(request.text)
+        node = self._machine_of(record)
+        if not node:
+            if request.type == n.MESSAGE_JOB:
+                answer(Reply())
+            else:
+                answer(refusal(n.BAD_STATE, f"{record.id} does not run"))
+            return
+        request.job = record.id
+        self._site.links.ask(
+            node, request, FORWARD_NS,
+            lambda reply: answer(reply or refusal(n.NODE_DOWN, f"{node} does not answer")),
+        )  # fmt: skip
+
+    def locate(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        record = self._site.jobs.find(request.job)
+        answer(Reply(0, n.R_LOCATE, job=self._site.name) if record else refusal(n.UNKNOWN_JOB))
+
+    def obituary(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        self._words.obituary(request)
+        answer(Reply())
--- a/ladderhub/server/jobs.py
+++ b/ladderhub/server/jobs.py
@@ -85,8 +85,8 @@
 class JobTable:
     """All jobs: live ones by number and identifier, finished ones for a set time."""
 
-    def __init__(self, keep_ns: int) -> None:
-        self._keep_ns = keep_ns
+    def __init__(self, keep_ns: int, server: str) -> None:
+        self._keep_ns, self._server = keep_ns, server
         self.by_id: dict[str, JobRecord] = {}
         self.by_number: dict[int, JobRecord] = {}
         self.live: dict[int, JobRecord] = {}
@@ -101,6 +101,10 @@
         self.live[record.number] = self.by_number[record.number] = record
         return record
 
+    def find(self, name: str) -> JobRecord | None:
+        """A job by `number` or `number.server`."""
+        return self.by_id.get(name if "." in name else f"{name}.{self._server}")
+
     def finish(self, record: JobRecord, now: int) -> None:
         record.state, record.substate, record.end_ns = "F", 92, now
         record.script = b""
--- /dev/null
+++ b/ladderhub/server/members.py
@@ -0,0 +1,153 @@
+"""The nodes: lists as the directory tells them, nodes taken off by hand, and what nodes already run."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ladderhub import interface as api
+from ladderhub.directory.wire import Entry
+from ladderhub.owner import types as own
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Reply, Request
+from ladderhub.server.intake import Intake
+from ladderhub.server.nodelist import NodeList
+from ladderhub.server.site import Site
+from ladderhub.server.words import QUERY_NS, Words, int_of
+
+S = 1_000_000_000
+ADOPT_RETRY_NS = 1 * S
+_STAGES = {"serving": api.Stage.SERVING, "draining": api.Stage.DRAINING, "gone": api.Stage.GONE}
+_OF_THE_OFFER = (
+    "job_state",
+    "server",
+    "server_address",
+    "run_version",
+    "ctime",
+    "queue",
+    "service",
+    "substate",
+)
+
+
+class Members:
+    """The part of the daemon that follows the directory.  `list` has the entries as last told."""
+
+    def __init__(self, site: Site, words: Words, intake: Intake) -> None:
+        self._site, self._words, self._intake = site, words, intake
+        self.list = NodeList(site.loop, site.settings.directory, site.name, site.folder, self._on_list)
+        site.metrics.gauge("nodes", "Nodes listed", lambda: len(self.list.entries))
+        self.offline: set[str] = set()
+        self._ready: dict[str, int] = {}  # node -> start time as last listed
+        self._asked: dict[str, int] = {}  # node -> start time at which it was asked what it runs
+        self._cells: dict[str, int] = {}
+        zone = site.settings.file.zone
+        self._zones: dict[str, int] = {zone: 0} if zone else {}
+
+    # --- as a part ------------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        self.list.start()
+
+    def stop(self, now: bool) -> None:
+        return
+
+    def owes(self) -> int:
+        return 0
+
+    def close(self) -> None:
+        self.list.close()
+
+    # --- lists ----------------------------------------------------------------------------------------------
+
+    def _on_list(self, kind: api.ListKind, version: int, entries: list[Entry]) -> None:
+        known: list[api.MachineEntry] = []
+        anew: list[str] = []
+        for entry in entries:
+            if entry.kind not in self._site.settings.kind_names:
+                self._site.log.error("unknown kind of node", node=entry.name, kind=entry.kind)
+                continue
+            host, _, port = entry.address.rpartition(":")
+            self._site.links.place(entry.name, (host, int(port)))
+            if 0 < self._ready.get(entry.name, 0) < entry.ready_ns:
+                anew.append(entry.name)
+            self._ready[entry.name] = entry.ready_ns
+            known.append(self._machine(entry))
+        self._site.tell_module(api.MachineList(kind, version, tuple(known)))
+        for name in anew:
+            self._site.tell_owner(own.MachineAnew(name))
+        gone = {entry.name for entry in entries if entry.stage == "gone"}
+        if kind is api.ListKind.FULL:
+            gone |= set(self._ready) - {entry.name for entry in entries}
+        for name in sorted(gone):
+            self._site.tell_owner(own.MachineGone(name))
+        for entry in entries:
+            if entry.stage != "gone" and entry.kind in self._site.settings.kind_names:
+                self._ask_node(entry.name)
+
+    def _machine(self, entry: Entry) -> api.MachineEntry:
+        stage = _STAGES[entry.stage]
+        if entry.name in self.offline and stage is api.Stage.SERVING:
+            stage = api.Stage.DRAINING
+        return api.MachineEntry(
+            machine=entry.name,
+            stage=stage,
+            kind=self._site.settings.kind_names.index(entry.kind),
+            zone=self._zones.setdefault(entry.zone, len(self._zones)),
+            cell=self._cells.setdefault(f"{entry.zone}/{entry.rack}", len(self._cells)),
+            ready_ns=entry.ready_ns,
+            free_cores=entry.free_cores,
+            free_memory=entry.free_memory,
+        )
+
+    def set_offline(self, name: str, offline: bool, done: Callable[[Reply], None]) -> None:
+        """`pbsnodes -o` and `-r`: this scheduler heeds it at once, the node tells the directory."""
+        (self.offline.add if offline else self.offline.discard)(name)
+        entry = self.list.entries[name]
+        changed = (self._machine(entry),)
+        self._site.tell_module(api.MachineList(api.ListKind.CHANGES, self.list.version, changed))
+        state = [Attr("state", "offline" if offline else "free")]
+        request = Request(
+            n.MANAGER,
+            f"scheduler@{self._site.name}",
+            attrs=state,
+            command=n.CMD_SET,
+            object_type=n.OBJ_NODE,
+            name=name,
+        )
+        mine = self._site.name
+        text = f"{name} did not answer; it gets nothing more from {mine}, other schedulers are not told"
+        self._site.links.ask(
+            name, request, QUERY_NS,
+            lambda reply: done(reply if reply is not None else Reply(n.NODE_DOWN, n.R_TEXT, text=text)),
+        )  # fmt: skip
+
+    def _ask_node(self, name: str) -> None:
+        """Once in each life of a node: what does it run of ours that we do not know?"""
+        if self._asked.get(name) == self._ready[name]:
+            return
+        self._asked[name] = self._ready[name]
+        request = Request(n.STATUS_JOB, f"scheduler@{self._site.name}")
+        self._site.links.ask(name, request, QUERY_NS, lambda reply: self._adopt(name, reply))
+
+    def _adopt(self, name: str, reply: Reply | None) -> None:
+        if reply is None:
+            self._asked.pop(name, None)
+            if name in self.list.entries:
+                self._site.loop.call_later(ADOPT_RETRY_NS, self._ask_node, name)
+            return
+        for row in reply.rows:
+            run = int_of(row.get("run_version"))
+            if row.get("server") != self._site.name or row.name in self._site.jobs.by_id:
+                continue
+            queues = self._site.settings.queue_names
+            if self._words.ended_before(row.name, run) or row.get("queue") not in queues:
+                continue
+            queue = queues.index(row.get("queue"))
+            record = self._site.jobs.add(row.name, queue, int_of(row.get("ctime")) * S)
+            self._intake.describe(record, [attr for attr in row.attrs if attr.name not in _OF_THE_OFFER])
+            record.service, record.answer_ns = row.get("service") or record.name, self._site.loop.now_ns()
+            record.run, record.run_machine, record.answer = run, name, own.Answer.PLACED.value
+            record.rerunnable = False  # its script went with the earlier life
+            record.start_ns = self._site.loop.now_ns()
+            self._site.log.info("adopted", job=record.id, node=name, run=run)
+            self._site.tell_owner(own.Adopted(record.number, queue, run, name, record.rerunnable))
--- a/ladderhub/server/metrics.py
+++ b/ladderhub/server/metrics.py
@@ -4,8 +4,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterator
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
@@ -14,26 +13,27 @@
 from ladderhub.interface import Outcome
 from ladderhub.owner.types import Answer
 
-if TYPE_CHECKING:
-    from ladderhub.server.daemon import Daemon
-
 _BOUNDS_MS = (5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
 _MS = 1_000_000
 
 
 class Metrics:
-    """Counters of one daemon."""
+    """Counters of one daemon, and gauges that its rooms add."""
 
-    def __init__(self, daemon: Daemon) -> None:
-        self._daemon = daemon
+    def __init__(self) -> None:
         self.taken = self.offers = self.rejected = self.troubles = 0
         self._answers: Counter[str] = Counter()
         self._outcomes: Counter[str] = Counter()
         self._starts = [0] * (len(_BOUNDS_MS) + 1)
         self._start_sum = 0.0
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
+    def gauge(self, name: str, text: str, value: Callable[[], float]) -> None:
+        """A figure that is looked up each time the page is made."""
+        self._gauges.append((f"ladderhub_{name}", text, value))
+
     def answered(self, answer: Answer) -> None:
         self._answers[answer.value] += 1
 
@@ -47,7 +47,6 @@
         self._starts[at] += 1
 
     def collect(self) -> Iterator[Metric]:
-        daemon = self._daemon
         for name, text, value in (
             ("taken", "Jobs committed", self.taken), ("offers", "Offers sent to nodes", self.offers),
             ("rejected", "Requests answered with an error", self.rejected),
@@ -62,13 +61,8 @@
         for outcome, count in sorted(self._outcomes.items()):
             outcomes.add_metric([outcome], count)
         yield outcomes
-        yield GaugeMetricFamily("ladderhub_jobs_live", "Jobs not finished", value=len(daemon.jobs.live))
-        yield GaugeMetricFamily("ladderhub_jobs_owed", "Jobs without an answer", value=daemon.owner.owes())
-        yield GaugeMetricFamily(
-            "ladderhub_strays", "Unwanted runs not yet stopped", value=daemon.owner.strays()
-        )
-        yield GaugeMetricFamily("ladderhub_nodes", "Nodes listed", value=len(daemon.nodes.entries))
-        yield GaugeMetricFamily("ladderhub_connections", "Clients connected", value=len(daemon.door.clients))
+        for name, text, look in self._gauges:
+            yield GaugeMetricFamily(name, text, value=look())
         total, buckets = 0, []
         for at, bound in enumerate(_BOUNDS_MS):
             total += self._starts[at]
--- /dev/null
+++ b/ladderhub/server/operating.py
@@ -0,0 +1,39 @@
+"""Requests of operators: Manager on nodes, Shutdown."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Reply, Request, refusal
+from ladderhub.pbs.connection import ServerConnection
+from ladderhub.server.door import Answer, Serve
+from ladderhub.server.members import Members
+from ladderhub.server.site import Site
+
+
+class Operating:
+    """Serves operators; `shut` begins the daemon's clean stop."""
+
+    def __init__(self, site: Site, members: Members, shut: Callable[[], None]) -> None:
+        self._site, self._members, self._shut = site, members, shut
+
+    def serves(self) -> dict[int, Serve]:
+        return {n.MANAGER: self.manager, n.SHUTDOWN: self.shutdown}
+
+    def manager(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        if request.command != n.CMD_SET or request.object_type != n.OBJ_NODE:
+            answer(refusal(n.INVALID_REQUEST, "only «set node NAME state = offline|free» is known"))
+            return
+        if request.name not in self._members.list.entries:
+            answer(refusal(n.UNKNOWN_NODE, f"Unknown node {request.name}"))
+            return
+        state = request.get("state")
+        if state not in ("offline", "free"):
+            answer(refusal(n.BAD_ATTRIBUTE_VALUE, f"state={state}: offline or free is meant"))
+            return
+        self._members.set_offline(request.name, state == "offline", answer)
+
+    def shutdown(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        answer(Reply())
+        self._site.loop.call_soon(self._shut)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -13,6 +13,7 @@
 import pytest
 
 from ladderhub.lab.fleet import MS, S, Fleet
+from ladderhub.lab.process import module
 from ladderhub.loop import Loop
 from ladderhub.node.runners import EmulatedSettings
 
@@ -222,6 +223,9 @@
     for value, words in cases:
         status, out = check(value)
         assert status == 2 and words in out and "Traceback" not in out, (words, out)
-    argv = [sys.executable, "-m", "ladderhub", "demo"]
-    done = subprocess.run(argv, capture_output=True, text=True, timeout=60)
+    # Started in a folder that has a `ladderhub` of its own: what is installed runs, in every process of it.
+    (tmp_path / "ladderhub").mkdir()
+    (tmp_path / "ladderhub" / "__init__.py").write_text("raise SystemExit('the folder here was run')\n")
+    argv = module("ladderhub", "demo")
+    done = subprocess.run(argv, capture_output=True, text=True, timeout=60, cwd=tmp_path)
     assert done.returncode == 0 and "all as it should be" in done.stdout, done.stdout + done.stderr
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -402,10 +402,7 @@
     world = make(2)
     daemon = world.daemon()
     world.until(lambda: (world.folder / "alpha" / "node-list.json").exists())
-    assert daemon.listener is not None
-    daemon.listener.close()
-    daemon.nodes.close()
-    daemon.links.close()
+    daemon.close()
     world.directory.close()
     world.daemon(wait=False)
     assert world.wait(world.submit("billing"), "R")
--- /dev/null
+++ b/tests/test_structure.py
@@ -0,0 +1,71 @@
+"""Imports run one way: what the packages' docstrings say of them, held against the source."""
+
+from __future__ import annotations
+
+import ast
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+import ladderhub
+
+ROOT = Path(ladderhub.__file__).parent
+
+
+def imports() -> dict[str, set[str]]:
+    """Module -> modules of ladderhub that it names anywhere, also for types only."""
+    names = {}
+    for path in ROOT.rglob("*.py"):
+        parts = path.relative_to(ROOT.parent).with_suffix("").parts
+        names[".".join(parts[:-1] if parts[-1] == "__init__" else parts)] = path
+    found: dict[str, set[str]] = {}
+    for name, path in names.items():
+        found[name] = set()
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module and node.level == 0:
+                both = [node.module, *(f"{node.module}.{alias.name}" for alias in node.names)]
+            elif isinstance(node, ast.Import):
+                both = [alias.name for alias in node.names]
+            else:
+                continue
+            found[name] |= {each for each in both if each in names and each != name}
+        # `from ladderhub.x import y` where y is a module needs x only as its folder.
+        found[name] -= {each for each in found[name] if any(o.startswith(each + ".") for o in found[name])}
+    return found
+
+
+def test_no_modules_import_each_other_in_a_circle() -> None:
+    # Guards against the circle of daemon, door and metrics, where every new subsystem would have been hung.
+    try:
+        list(TopologicalSorter(imports()).static_order())
+    except CycleError as fault:
+        raise AssertionError(" -> ".join(fault.args[1])) from None
+
+
+def test_decisions_know_nothing_of_sockets_and_rooms_nothing_of_their_users() -> None:
+    allowed = {
+        "ladderhub.decide": {"ladderhub.interface"},
+        "ladderhub.owner": {"ladderhub.interface", "ladderhub.owner"},
+        "ladderhub.pbs": {"ladderhub.pbs"},
+        "ladderhub.loop": {"ladderhub.loop"},
+        "ladderhub.commands": {"ladderhub", "ladderhub.pbs", "ladderhub.commands"},
+        "ladderhub.node": {"ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory"},
+        "ladderhub.server": {
+            "ladderhub.server", "ladderhub.loop", "ladderhub.pbs", "ladderhub.owner", "ladderhub.decide",
+            "ladderhub.interface", "ladderhub.directory",
+        },
+    }  # fmt: skip
+    for name, used in imports().items():
+        for package, may in allowed.items():
+            if name == package or name.startswith(package + "."):
+                top = "ladderhub"  # it holds the version alone
+                wrong = {
+                    u for u in used if not any(u == m or (m != top and u.startswith(m + ".")) for m in may)
+                }
+                assert not wrong, f"{name} imports {sorted(wrong)}"
+                if package in ("ladderhub.decide", "ladderhub.owner"):
+                    text = (ROOT / Path(*name.split(".")[1:])).with_suffix(".py")
+                    source = text.read_text() if text.exists() else ""
+                    assert not {"socket", "selectors", "time", "os"} & {
+                        alias.name for node in ast.walk(ast.parse(source))
+                        if isinstance(node, ast.Import) for alias in node.names
+                    }  # fmt: skip
--- a/tests/world.py
+++ b/tests/world.py
@@ -169,10 +169,7 @@
 
     def close(self) -> None:
         for daemon in self.daemons.values():
-            if daemon.listener is not None:
-                daemon.listener.close()
-            daemon.nodes.close()
-            daemon.links.close()
+            daemon.close()
         for agent in self.agents.values():
             agent.close()
         self.directory.close()
