Rollout tests: what was lost after an update's end is waited for

Cause: the random runs judged a copy that was being placed again after the update's end as not come to rest. Change: they give it its time.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -487,6 +487,10 @@
         if not self.world.rollouts.check(t.Resume("svc")):
             self.world.feed(t.Resume("svc"))
         assert self.world.settle(), "an update that nothing stands in the way of must come to its end"
+        for _ in range(2):  # an update that is over may still have copies that were lost since
+            self.world.wait(10 * S)
+            assert self.world.settle()
+        self.world.wait(10 * S)
         view = self.world.rollouts.view(self.world.now, "svc")
         assert (view.stage, view.new, view.alive) == (t.Stage.OVER, self.count, self.count)
 
