ladderhub rollout: services run and are updated on real schedulers

Need: the rollout decisions must act on nodes, and operators must start, plan, watch, pause and abort updates.

Change: server/services.py joins beside the other rooms: it carries the decisions out as ordinary jobs whose attributes name slot and version, keeps what is declared in the spool folder, and after a restart does nothing before every listed node has said what it runs. Runs of copies are chased until proven, however long. Manager serves services as an object of its own; `ladderhub rollout start|plan|status|pause|resume|abort|remove`.

--- a/ladderhub/cli.py
+++ b/ladderhub/cli.py
@@ -15,6 +15,7 @@
 import structlog
 
 from ladderhub import __version__
+from ladderhub.cli_rollout import rollout
 from ladderhub.loop import Loop
 
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
@@ -207,6 +208,9 @@
     sys.exit(run_demo(keep, schedulers))
 
 
+main.add_command(rollout)
+
+
 @main.group()
 def lab() -> None:
     """The laboratory: scripted days, recordings, load."""
--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -58,6 +58,10 @@
         """How many runs of finished jobs are still to be stopped."""
         return len(self._stray)
 
+    def may_run(self, job: int) -> bool:
+        """Whether a run of a finished job may still be alive."""
+        return any(number == job for number, _ in self._stray)
+
     # --- events -------------------------------------------------------------------------------------------
 
     def handle(self, now_ns: int, event: t.Event) -> list[t.Action]:
@@ -124,8 +128,9 @@
     def _on_taken(self, now: int, event: t.Taken) -> None:
         rules = self.settings.queues[event.queue]
         job = t.Job(
-            event.job, event.queue, event.rerunnable, HELD if event.held else WAITING, now + rules.limit_ns
-        )
+            event.job, event.queue, event.rerunnable, HELD if event.held else WAITING, now + rules.limit_ns,
+            event.lasting,
+        )  # fmt: skip
         self._jobs[event.job] = job
         self._again = min(self.settings.again_burst, self._again + self.settings.again_share)
         if self._ending:
@@ -482,6 +487,7 @@
         self._go(job, OVER)
         del self._jobs[job.number]
         for number, run in job.runs.items():
+            run.lasting = job.lasting
             run.stop, run.span_ns = True, run.span_ns or self.settings.query_first_ns
             self._stray[job.number, number] = run
         self._out.append(t.Finish(job.number, status, reason))
@@ -495,7 +501,7 @@
             for (job, number), run in list(self._stray.items()):
                 if job != event.job:
                     continue
-                if now - run.since_ns > self.settings.chase_ns:
+                if now - run.since_ns > self.settings.chase_ns and not run.lasting:
                     del self._stray[job, number]
                 elif run.asked_ns < 0 or now >= run.asked_ns + run.span_ns:
                     self._send_word(now, job, number, run)
--- a/ladderhub/owner/types.py
+++ b/ladderhub/owner/types.py
@@ -95,6 +95,7 @@
     queue: int
     rerunnable: bool = True
     held: bool = False
+    lasting: bool = False  # its runs are chased until they are proven away, however long that takes
 
 
 @dataclass(frozen=True, slots=True)
@@ -329,6 +330,7 @@
     asked_ns: int = -1  # when the machine was last asked or told to stop
     span_ns: int = 0
     since_ns: int = 0
+    lasting: bool = False
 
 
 @dataclass(slots=True)
@@ -340,6 +342,7 @@
     rerunnable: bool
     state: str
     limit_ns: int
+    lasting: bool = False
     runs: dict[int, Run] = field(default_factory=dict)
     ask: int = 0
     asks: int = 0
--- a/ladderhub/rollout/decide.py
+++ b/ladderhub/rollout/decide.py
@@ -48,20 +48,20 @@
     def __init__(self) -> None:
         self.window, self.asked = 2.0, 0
         self._calm = float("inf")  # above this it grows by one a round
-        self._mean_ns = 0.0
+        self.mean_ns = 0.0
         self._rest_ns = 0  # signs of the same moment count once
 
     def started(self, now: int, span_ns: int) -> None:
-        if self._mean_ns and span_ns > SLOW * self._mean_ns:
+        if self.mean_ns and span_ns > SLOW * self.mean_ns:
             self.pressed(now)
         else:
             self.window += 1 if self.window < self._calm else 1 / self.window
-        self._mean_ns = self._mean_ns + (span_ns - self._mean_ns) / 20 if self._mean_ns else float(span_ns)
+        self.mean_ns = self.mean_ns + (span_ns - self.mean_ns) / 20 if self.mean_ns else float(span_ns)
 
     def pressed(self, now: int) -> None:
         if now >= self._rest_ns:
             self.window = self._calm = max(1.0, self.window / 2)
-            self._rest_ns = now + round(self._mean_ns)
+            self._rest_ns = now + round(self.mean_ns)
 
     def free(self, leaving: int) -> bool:
         """Whether one more may begin, with so many slots whose old copy is on its way out.  Those that give
@@ -182,6 +182,10 @@
             len(service.failed), int(self.pace.window),
         )  # fmt: skip
 
+    def mean_start_ns(self) -> int:
+        """What a start took on average, as learned; 0 before the first."""
+        return round(self.pace.mean_ns)
+
     def copies(self, name: str) -> list[t.Copy]:
         """All copies of a service that may be alive, by slot."""
         return [copy for slot in self.services[name].slots for copy in slot.copies]
@@ -510,9 +514,10 @@
     def _tend(self, now: int, s: Service) -> None:
         """What needs no grant: the old beside the healthy new, empty slots, the end of the update."""
         for at in list(s.by_kind[SURGED]) if s.stage is not t.Stage.PAUSED else ():
-            for copy in list(s.slots[at].copies):
-                if copy.version != s.version or copy.state != HEALTHY:
-                    self._stop(now, s, copy)
+            copies = s.slots[at].copies
+            keep = next(copy for copy in copies if copy.state == HEALTHY and copy.version == s.version)
+            for copy in [copy for copy in copies if copy is not keep]:
+                self._stop(now, s, copy)
         for at in list(s.by_kind[HOLE]) if self._may_start(s) else ():
             if not self._may_start(s):
                 break
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -12,6 +12,7 @@
 import structlog
 
 from ladderhub.loop import Loop
+from ladderhub.pbs import names as n
 from ladderhub.server.door import ClientDoor
 from ladderhub.server.intake import Intake
 from ladderhub.server.jobrequests import JobRequests
@@ -19,6 +20,7 @@
 from ladderhub.server.operating import Operating
 from ladderhub.server.owning import Owning
 from ladderhub.server.placing import Placing
+from ladderhub.server.services import Services
 from ladderhub.server.settings import Loaded
 from ladderhub.server.site import Part, Site
 from ladderhub.server.status import Status
@@ -46,14 +48,17 @@
         intake = Intake(site)
         self.members = Members(site, words, intake)
         self.nodes = self.members.list
+        self.services = Services(site, intake, self.members)
         self.door = ClientDoor(site)
+        operating = Operating(site, self.members, self.shut)
+        operating.join(n.OBJ_SERVICE, self.services.serve)
         for room in (
-            Submitting(site, intake), JobRequests(site, intake, words), Status(site, self.members),
-            Operating(site, self.members, self.shut),
+            Submitting(site, intake), JobRequests(site, intake, words), Status(site, self.members), operating,
         ):  # fmt: skip
             self.door.join(room.serves())
-        # In the order of their start; the door opens first, since nodes are told its address.
-        self.parts: list[Part] = [self.door, self.members, owning]
+        # In the order of their start; the door opens first, since nodes are told its address, and services
+        # are known before nodes say what they run.
+        self.parts: list[Part] = [self.door, self.services, self.members, owning]
         self.on_end: Callable[[], None] | None = None
 
     @property
--- a/ladderhub/server/intake.py
+++ b/ladderhub/server/intake.py
@@ -65,10 +65,10 @@
             return f"unknown account {record.account}; known are " + ", ".join(tenants)
         return ""
 
-    def take(self, record: JobRecord, held: bool) -> None:
+    def take(self, record: JobRecord, held: bool, lasting: bool = False) -> None:
         """The job was committed."""
         self._site.metrics.taken += 1
         self._site.log.info(
             "taken", job=record.id, queue=self._site.settings.queue_names[record.queue], owner=record.owner
         )
-        self._site.tell_owner(own.Taken(record.number, record.queue, record.rerunnable, held))
+        self._site.tell_owner(own.Taken(record.number, record.queue, record.rerunnable, held, lasting))
--- a/ladderhub/server/jobs.py
+++ b/ladderhub/server/jobs.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import os
 from collections import OrderedDict
 from pathlib import Path
 
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Row
+from ladderhub.server.lasting import write_lasting
 
 BLOCK = 1000
 PLAIN = frozenset((
@@ -40,17 +40,7 @@
 
     def _reserve(self) -> None:
         upto = self._reserved + BLOCK
-        fresh = self._path.with_suffix(".new")
-        with open(fresh, "w") as file:
-            file.write(str(upto))
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(fresh, self._path)
-        folder = os.open(self._path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        write_lasting(self._path, str(upto).encode())
         self._reserved = upto
 
 
@@ -59,9 +49,9 @@
 
     __slots__ = (
         "account", "adopted", "answer", "answer_ns", "comment", "cores", "end_ns", "exit_status", "id",
-        "made_ns", "memory", "messages", "mpiprocs", "name", "number", "ompthreads", "owner", "queue",
-        "rerunnable", "run", "run_machine", "script", "service", "start_ns", "state", "substate", "task",
-        "values", "walltime_s",
+        "made_ns", "memory", "messages", "mpiprocs", "name", "number", "ompthreads", "owner", "pinned",
+        "queue", "rerunnable", "run", "run_machine", "script", "service", "start_ns", "state", "substate",
+        "task", "values", "walltime_s",
     )  # fmt: skip
 
     def __init__(self, number: int, id: str, queue: int) -> None:
@@ -71,6 +61,7 @@
         self.script = b""
         self.values: dict[str, Attr] = {}  # attributes as submitted, by `name.resource`
         self.rerunnable = True
+        self.pinned = False  # kept though it is over: a run of it may be alive
         self.adopted = False  # found running after a restart; its script is gone
         self.state, self.substate, self.comment = "Q", 10, ""
         self.answer = ""
@@ -119,6 +110,10 @@
             if now - record.end_ns < self._keep_ns:
                 return
             self.finished.popitem(last=False)
+            if record.pinned:
+                record.end_ns = now
+                self.finished[record.id] = record
+                continue
             del self.by_id[record.id], self.by_number[record.number]
 
 
--- a/ladderhub/server/members.py
+++ b/ladderhub/server/members.py
@@ -37,6 +37,8 @@
         self.list = NodeList(site.loop, site.settings.directory, site.name, site.folder, self._on_list)
         site.metrics.gauge("nodes", "Nodes listed", lambda: len(self.list.entries))
         self.offline: set[str] = set()
+        self._heard: dict[str, int] = {}  # node -> start time at which it said what it runs
+        self._whole = False  # a full list came in this life
         self._ready: dict[str, int] = {}  # node -> start time as last listed
         self._asked: dict[str, int] = {}  # node -> start time at which it was asked what it runs
         self._cells: dict[str, int] = {}
@@ -57,9 +59,19 @@
     def close(self) -> None:
         self.list.close()
 
+    def unheard(self) -> set[str] | None:
+        """Nodes that have not said yet what they run; None before the directory has told all nodes."""
+        if not self._whole:
+            return None
+        return {
+            name for name, entry in self.list.entries.items()
+            if entry.kind in self._site.settings.kind_names and self._heard.get(name) != entry.ready_ns
+        }  # fmt: skip
+
     # --- lists ----------------------------------------------------------------------------------------------
 
     def _on_list(self, kind: api.ListKind, version: int, entries: list[Entry]) -> None:
+        self._whole = self._whole or kind is api.ListKind.FULL
         known: list[api.MachineEntry] = []
         anew: list[str] = []
         for entry in entries:
@@ -135,6 +147,7 @@
             if name in self.list.entries:
                 self._site.loop.call_later(ADOPT_RETRY_NS, self._ask_node, name)
             return
+        self._heard[name] = self._asked.get(name, 0)
         for row in reply.rows:
             run = int_of(row.get("run_version"))
             if row.get("server") != self._site.name or row.name in self._site.jobs.by_id:
--- a/ladderhub/server/operating.py
+++ b/ladderhub/server/operating.py
@@ -17,11 +17,20 @@
 
     def __init__(self, site: Site, members: Members, shut: Callable[[], None]) -> None:
         self._site, self._members, self._shut = site, members, shut
+        self._objects: dict[int, Serve] = {n.OBJ_NODE: self.node}
+
+    def join(self, object_type: int, serve: Serve) -> None:
+        """A room serves Manager requests on its own kind of object."""
+        self._objects[object_type] = serve
 
     def serves(self) -> dict[int, Serve]:
         return {n.MANAGER: self.manager, n.SHUTDOWN: self.shutdown}
 
     def manager(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        serve = self._objects.get(request.object_type, self.node)
+        serve(connection, request, answer)
+
+    def node(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
         if request.command != n.CMD_SET or request.object_type != n.OBJ_NODE:
             answer(refusal(n.INVALID_REQUEST, "only «set node NAME state = offline|free» is known"))
             return
--- a/ladderhub/server/owning.py
+++ b/ladderhub/server/owning.py
@@ -90,6 +90,9 @@
         number = getattr(event, "job", None)
         record = self._site.jobs.live.get(number) if number is not None else None
         if record is None:
+            if number is not None and isinstance(event, own.Said | own.Ended | own.Unsent):
+                for hears in self._site.on_news:
+                    hears(number)
             return
         state, why = self._site.owner.state(record.number)
         ran = record.state == "R"
@@ -100,6 +103,6 @@
             record.start_ns = self._site.loop.now_ns()
         if state != "running" or why:
             record.comment = why or record.comment
-        if record.state == "R" and not ran:
-            for told in self._site.on_placed:
+        if (record.state == "R") != ran and record.state != "E":
+            for told in self._site.on_placed if record.state == "R" else self._site.on_unplaced:
                 told(record)
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -15,6 +15,7 @@
 from ladderhub import interface as api
 from ladderhub.owner.types import OwnerSettings, QueueRules
 from ladderhub.pbs.resources import GIB, ResourceError, parse_size
+from ladderhub.rollout.types import RolloutSettings
 
 _UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 _SPAN = re.compile(r"(\d+(?:\.\d+)?)(us|ms|s|m|h)")
@@ -122,6 +123,15 @@
     burst: float = 200.0
 
 
+class Rollouts(msgspec.Struct, forbid_unknown_fields=True):
+    """Of all updates of services together."""
+
+    at_once: int = 50
+    turn: int = 4
+    back_first: str = "1s"
+    back_most: str = "60s"
+
+
 class Log(msgspec.Struct, forbid_unknown_fields=True):
     format: str = "json"
     level: str = "info"
@@ -147,6 +157,7 @@
     seed: int = 1
     prices: Prices = msgspec.field(default_factory=Prices)
     again: Again = msgspec.field(default_factory=Again)
+    rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     keep_finished: str = "10m"
     most_jobs: int = 200_000
     most_connections: int = 2000
@@ -183,6 +194,7 @@
         ]
         self.module = self._module()
         self.owner = self._owner()
+        self.rollouts = self._rollouts()
 
     def _wrong(self, path: str, found: object, meant: str) -> SettingsError:
         return SettingsError(f"{self.source}: {path}: found {found!r}; {meant} is meant")
@@ -289,6 +301,17 @@
             raise SettingsError(f"{self.source}: {fault}") from None
 
 
+    def _rollouts(self) -> RolloutSettings:
+        given = self.file.rollouts
+        try:
+            return RolloutSettings(
+                given.at_once, given.turn, self._span("rollouts.back_first", given.back_first),
+                self._span("rollouts.back_most", given.back_most),
+            )  # fmt: skip
+        except ValueError as fault:
+            raise SettingsError(f"{self.source}: rollouts.{fault}") from None
+
+
 def check(value: Any, source: str) -> Loaded:
     """Check an evaluated file."""
     try:
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -52,7 +52,7 @@
         "ladderhub.node": {"ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory"},
         "ladderhub.server": {
             "ladderhub.server", "ladderhub.loop", "ladderhub.pbs", "ladderhub.owner", "ladderhub.decide",
-            "ladderhub.interface", "ladderhub.directory",
+            "ladderhub.interface", "ladderhub.directory", "ladderhub.rollout",
         },
     }  # fmt: skip
     for name, used in imports().items():
