--- a/ladderhub/cli.py
+++ b/ladderhub/cli.py
@@ -291,6 +291,23 @@
         click.echo(f"a small request waits at most {weight.held_up_ms:.0f} ms while all jobs are asked for")
 
 
+@lab.command()
+@click.option("--copies", default=200, show_default=True)
+@click.option("--calm", is_flag=True, help="Without faults: how close the length comes to what limits allow.")
+@_SEED
+@_FOLDER
+def updates(copies: int, calm: bool, seed: int, folder: Path | None) -> None:
+    """Update three services at once on real sockets, with faults; judge limits from the recorded bytes."""
+    from ladderhub.lab.updates import run_updates
+
+    got = run_updates(copies, seed, not calm, click.echo, folder)
+    for line in [*got.limits.lines(), *got.rules.lines()]:
+        click.echo(line)
+    click.echo(f"{got.seconds:.1f} s; limits, starts and health allow {got.bound_s:.1f} s at best")
+    click.echo(f"updates that came to their end: {', '.join(got.ended) or 'none'}")
+    sys.exit(0 if got.good() else 1)
+
+
 @lab.command()
 @click.option("--count", default=1000, show_default=True)
 @_SEED
--- a/ladderhub/rollout/decide.py
+++ b/ladderhub/rollout/decide.py
@@ -14,14 +14,15 @@
 from ladderhub.interface import Effect
 from ladderhub.rollout import types as t
 
-ASKED, RUNNING, HEALTHY, STOPPING, DOUBT, OVER = (
-    "asked", "running", "healthy", "stopping", "doubt", "over",
+ASKED, RUNNING, HEALTHY, AWAY, STOPPING, DOUBT, OVER = (
+    "asked", "running", "healthy", "away", "stopping", "doubt", "over",
 )  # fmt: skip
 # state -> states it may go to.  `_go` is the one door and checks it.
 COPIES = {
     ASKED: {RUNNING, STOPPING, DOUBT, OVER},
-    RUNNING: {HEALTHY, ASKED, STOPPING, DOUBT, OVER},
-    HEALTHY: {ASKED, STOPPING, DOUBT, OVER},
+    RUNNING: {HEALTHY, AWAY, ASKED, STOPPING, DOUBT, OVER},
+    HEALTHY: {AWAY, ASKED, STOPPING, DOUBT, OVER},
+    AWAY: {RUNNING, ASKED, STOPPING, DOUBT, OVER},  # its node is gone; it may run there
     STOPPING: {DOUBT, OVER},  # told to end; its node has not said that it has
     DOUBT: {OVER},  # its job is over and it may still be alive
     OVER: set(),
@@ -205,11 +206,14 @@
             few = ", ".join(map(str, slots[:5])) + (", ..." if len(slots) > 5 else "")
             waits.append(f"{node} has not said that the old copy of slot {few} ended")
         if s.by_kind[FRESH]:
-            running = sum(any(c.state == RUNNING for c in s.slots[at].copies) for at in s.by_kind[FRESH])
-            if running:
-                waits.append(f"{running} new copies run and are not healthy yet")
-            if len(s.by_kind[FRESH]) - running:
-                waits.append(f"{len(s.by_kind[FRESH]) - running} new copies are being placed")
+            states = [copy.state for at in s.by_kind[FRESH] for copy in s.slots[at].copies]
+            if RUNNING in states:
+                waits.append(f"{states.count(RUNNING)} new copies run and are not healthy yet")
+            if ASKED in states:
+                waits.append(f"{states.count(ASKED)} new copies are being placed")
+        away = sorted({copy.node for slot in s.slots for copy in slot.copies if copy.state == AWAY})
+        if away:
+            waits.append(f"{', '.join(away)}: gone, and nobody can say whether copies run there")
         if s.by_kind[BACK]:
             waits.append(f"{len(s.by_kind[BACK])} slots rest after their copy ended or was refused")
         if s.stage is t.Stage.GOING and s.racks:
@@ -252,6 +256,14 @@
                 self._on_abort(self.services[event.service])
             case t.Removed():
                 self._on_removed(now_ns, self.services[event.service])
+            case t.NodeGone(node):
+                for s, copy in list(self._copies.values()):
+                    if copy.node == node and copy.state in (RUNNING, HEALTHY):
+                        self._go(s, copy, AWAY)
+            case t.NodeBack(node):
+                for s, copy in list(self._copies.values()):
+                    if copy.node == node and copy.state == AWAY:
+                        self._runs(now_ns, s, copy)
             case t.Due():
                 self._woken = -1
             case _:
@@ -368,11 +380,9 @@
                 copy.node, copy.rack = node, rack
                 if copy.state == ASKED:
                     self.pace.started(now, now - copy.asked_ns)
-                    copy.placed_ns = now
-                    self._go(s, copy, RUNNING)
-                    self._at(now + s.limits.healthy_ns, "healthy", s, copy.number)
+                    self._runs(now, s, copy)
             case t.Unplaced():
-                if copy.state in (RUNNING, HEALTHY):
+                if copy.state in (RUNNING, HEALTHY, AWAY):
                     copy.asked_ns = now
                     self._go(s, copy, ASKED)
             case t.Ended():
@@ -382,6 +392,11 @@
                     self._go(s, copy, OVER)
         self._forget_removed(s)
 
+    def _runs(self, now: int, s: Service, copy: t.Copy) -> None:
+        copy.placed_ns = now
+        self._go(s, copy, RUNNING)
+        self._at(now + s.limits.healthy_ns, "healthy", s, copy.number)
+
     def _on_ended(self, now: int, s: Service, copy: t.Copy, event: t.Ended) -> None:
         if copy.state in (DOUBT, OVER):
             return
@@ -451,6 +466,10 @@
             s.racks.setdefault(healthy[0].rack, {})[at] = None
         if kind == DONE:
             s.taken.pop(at, None)
+        elif kind in (OLD, LAME) and at in s.taken:
+            # Its new copy came to nothing: it stands where it stood, and its place in the wave is free again.
+            del s.taken[at]
+            s.wave_left += s.limits.wave > 0
 
     def _kind(self, s: Service, slot: t.Slot) -> str:
         copies = slot.copies
@@ -584,14 +603,14 @@
         pool = s.by_kind[LAME] or max(s.racks.values(), key=lambda rack: len(rack))
         at = next(iter(pool))
         slot = s.slots[at]
-        s.taken[at] = None
-        s.wave_left -= s.limits.wave > 0
         lame = s.kind[at] == LAME
         if not lame and s.rules.effect is Effect.SAFE and s.alive < s.most_alive():
             self._start(now, s, slot, s.version)
-            return
-        for copy in list(slot.copies):
-            self._stop(now, s, copy)
+        else:
+            for copy in list(slot.copies):
+                self._stop(now, s, copy)
+        s.taken[at] = None
+        s.wave_left -= s.limits.wave > 0
 
     def _start(self, now: int, s: Service, slot: t.Slot, version: int) -> None:
         copy = t.Copy(self._next, slot.index, version, ASKED, now)
--- a/ladderhub/rollout/types.py
+++ b/ladderhub/rollout/types.py
@@ -145,6 +145,20 @@
     copy: int
 
 
+@dataclass(frozen=True, slots=True)
+class NodeGone:
+    """The node is not listed any more, or began anew: nobody can say that its copies run."""
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeBack:
+    """The node is listed again; what became of its copies is told one by one where they did not live on."""
+
+    node: str
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     """The copy is over; `proven`: no run of it can be alive."""
@@ -193,8 +207,8 @@
 
 
 Event = (
-    Declared | Restored | Found | Settled | Placed | Unplaced | Ended | Proven | Pause | Resume | Abort
-    | Removed | Due
+    Declared | Restored | Found | Settled | Placed | Unplaced | NodeGone | NodeBack | Ended | Proven | Pause
+    | Resume | Abort | Removed | Due
 )  # fmt: skip
 
 
--- a/ladderhub/server/members.py
+++ b/ladderhub/server/members.py
@@ -38,6 +38,7 @@
         site.metrics.gauge("nodes", "Nodes listed", lambda: len(self.list.entries))
         self.offline: set[str] = set()
         self._heard: dict[str, int] = {}  # node -> start time at which it said what it runs
+        self._gone: set[str] = set()
         self._whole = False  # a full list came in this life
         self._ready: dict[str, int] = {}  # node -> start time as last listed
         self._asked: dict[str, int] = {}  # node -> start time at which it was asked what it runs
@@ -85,6 +86,7 @@
             self._ready[entry.name] = entry.ready_ns
             known.append(self._machine(entry))
         self._site.tell_module(api.MachineList(kind, version, tuple(known)))
+        self._tell_nodes(kind, entries, anew)
         for name in anew:
             self._site.tell_owner(own.MachineAnew(name))
         gone = {entry.name for entry in entries if entry.stage == "gone"}
@@ -96,6 +98,19 @@
             if entry.stage != "gone" and entry.kind in self._site.settings.kind_names:
                 self._ask_node(entry.name)
 
+    def _tell_nodes(self, kind: api.ListKind, entries: list[Entry], anew: list[str]) -> None:
+        listed = {entry.name for entry in entries if entry.stage != "gone"}
+        gone = {entry.name for entry in entries if entry.stage == "gone"}
+        if kind is api.ListKind.FULL:
+            gone |= set(self._ready) - listed
+        fresh = gone - self._gone
+        back = listed & (self._gone | set(anew))
+        self._gone = (self._gone | gone) - listed
+        for names, here in ((fresh | set(anew), False), (back, True)):
+            for name in sorted(names):
+                for told in self._site.on_node:
+                    told(name, here)
+
     def _machine(self, entry: Entry) -> api.MachineEntry:
         stage = _STAGES[entry.stage]
         if entry.name in self.offline and stage is api.Stage.SERVING:
--- a/ladderhub/server/services.py
+++ b/ladderhub/server/services.py
@@ -82,6 +82,7 @@
         site.on_placed.append(self._placed)
         site.on_unplaced.append(self._unplaced)
         site.on_finished.append(self._finished)
+        site.on_node.append(lambda node, back: self._tell((t.NodeBack if back else t.NodeGone)(node)))
         site.on_news.append(self._news)
         site.metrics.gauge("services", "Services declared", lambda: len(self._books))
         site.metrics.gauge("copies_down", "Copies of services without a healthy run", self._down)
--- a/ladderhub/server/site.py
+++ b/ladderhub/server/site.py
@@ -43,7 +43,8 @@
     """One daemon's shared state.
 
     `on_finished` hears of each job that is over, `on_placed` of each that runs, `on_unplaced` of each that
-    lost its place and is placed again, `on_news` of the number of each finished job that a node spoke of."""
+    lost its place and is placed again, `on_node` of each node that is gone (False) or back (True), also where
+    it began anew without being missed, `on_news` of the number of each finished job that a node spoke of."""
 
     def __init__(self, loop: Loop, settings: Loaded, log: Any) -> None:
         self.loop, self.settings, self.log = loop, settings, log
@@ -61,6 +62,7 @@
         self.on_finished: list[Callable[[JobRecord], None]] = []
         self.on_placed: list[Callable[[JobRecord], None]] = []
         self.on_unplaced: list[Callable[[JobRecord], None]] = []
+        self.on_node: list[Callable[[str, bool], None]] = []
         self.on_news: list[Callable[[int], None]] = []
         self._module: Callable[[api.Event], None] = _nobody
         self._owner: Callable[[own.Event], None] = _nobody
