--- a/ladderhub/rollout/decide.py
+++ b/ladderhub/rollout/decide.py
@@ -38,6 +38,7 @@
     "surged",  # a new healthy copy beside an old one
     "done",  # a new healthy copy alone
 )  # fmt: skip
+TRUST = 4  # so many copies of a new version may be tried for each one that is healthy
 SLOW = 4.0  # a start that takes so many times the average tells of a fleet that is pressed
 
 
@@ -96,6 +97,14 @@
     def down(self) -> int:
         return self.rules.count - len(self.healthy)
 
+    def trusted(self) -> int:
+        """How many slots may be in replacement while the version has yet to show that it runs.
+
+        Danger: a version that fails everywhere takes all that the limits allow down at once.  At first twice
+        the failure budget is tried, then so many for each healthy copy."""
+        shown = len(self.by_kind[DONE]) + len(self.by_kind[SURGED])
+        return max(2 * self.limits.failures, TRUST * shown)
+
     def most_alive(self) -> int:
         return self.rules.count + self.limits.surplus
 
@@ -223,6 +232,8 @@
                 waits.append(soon if rest > 0 else "this wave is not done")
             if not self._has_room(s):
                 waits.append(f"{s.down()} copies are down and {s.alive} alive: the limits allow no more")
+            if len(s.taken) >= s.trusted():
+                waits.append(f"{len(s.taken)} copies are tried, until more of the new version are healthy")
             if self._in_replacement() >= self.settings.most_at_once:
                 waits.append("the budget that all updates share is spent")
             if not self.pace.free(len(s.by_kind[LEAVING])):
@@ -592,6 +603,8 @@
             return False
         if s.limits.wave and not s.wave_left:
             return False
+        if len(s.taken) >= s.trusted():
+            return False
         if s.by_kind[LAME]:
             return True
         return bool(s.racks) and self._has_room(s) and self.pace.free(len(s.by_kind[LEAVING]))
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -176,7 +176,7 @@
 
 
 def test_a_failing_version_pauses_and_what_is_down_is_filled_with_what_ran_well() -> None:
-    limits = t.Limits(down=4, healthy_ns=S, failures=3)
+    limits = t.Limits(down=30, healthy_ns=S, failures=3)
     world = World()
     world.feed(declared(1, 100, limits=limits))
     world.settle()
@@ -184,8 +184,9 @@
     assert world.settle(bad=2)
     view = world.rollouts.view(world.now, "svc")
     assert view.stage is t.Stage.PAUSED and "3 of" in view.waits[0]
-    # At most the budget and what was under way when it was spent.
-    assert 3 <= world.started[2] <= limits.failures + limits.down
+    # Twice the budget is tried of a version that has not shown that it runs, and each failure but the last
+    # may have been followed by a second try in its slot; thirty were allowed down.
+    assert 3 <= world.started[2] <= 3 * limits.failures
     world.wait(20 * S)
     world.settle(bad=2)
     assert {copy.version for copy in world.runs.values()} == {1} and len(world.runs) == 100
