One daemon to a spool folder; the rollout command tested as people type it

Need: two daemons on one spool would give job numbers twice and run services twice. Change: a lock that the kernel lets go of with the process; a second daemon is told which process holds it.

--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -120,3 +120,4 @@
         for part in self.parts:
             part.close()
         self.site.links.close()
+        self.site.lock.close()
--- a/ladderhub/server/lasting.py
+++ b/ladderhub/server/lasting.py
@@ -2,10 +2,39 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 from pathlib import Path
 
 
+class Locked(OSError):
+    """Another process holds the folder; the message says which."""
+
+
+class FolderLock:
+    """One daemon to a spool folder: two would give job numbers twice and run services twice.
+
+    The kernel lets go of it when the process ends, however it ends."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / "lock"
+        self._file = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+        try:
+            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            holder = os.read(self._file, 32).decode("ascii", "replace").strip() or "unknown"
+            self.close()
+            raise Locked(f"{folder} is held by the running process {holder}") from None
+        os.ftruncate(self._file, 0)
+        os.pwrite(self._file, f"{os.getpid()}\n".encode(), 0)
+
+    def close(self) -> None:
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+
 def write_lasting(path: Path, data: bytes) -> None:
     """Replace the file's content in one step, on disk when this returns; OSError where that fails."""
     fresh = path.with_suffix(".new")
--- a/ladderhub/server/site.py
+++ b/ladderhub/server/site.py
@@ -17,6 +17,7 @@
 from ladderhub.owner import types as own
 from ladderhub.server.board import Board, Carrier
 from ladderhub.server.jobs import JobRecord, JobTable
+from ladderhub.server.lasting import FolderLock
 from ladderhub.server.metrics import Metrics
 from ladderhub.server.nodelinks import NodeLinks
 from ladderhub.server.runs import Runs
@@ -50,6 +51,7 @@
         self.loop, self.settings, self.log = loop, settings, log
         self.name = settings.file.server
         self.folder = Path(settings.file.spool)
+        self.lock = FolderLock(self.folder)
         self.jobs = JobTable(settings.keep_finished_ns, self.name)
         self.runs = Runs()
         self.metrics = Metrics()
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -251,6 +251,54 @@
     assert fleet.run_until(lambda: not any(k[0] in jobs for a in fleet.nodes.values() for k in a.jobs), 5 * S)
 
 
+def test_a_service_is_planned_started_watched_and_updated(fleet: Fleet) -> None:
+    file = fleet.folder / "orders.jsonnet"
+    update: dict[str, Any] = {"down": 1, "surplus": 1, "healthy": "200ms", "failures": {"number": 3}}
+    good: dict[str, Any] = {
+        "service": "orders",
+        "queue": "batch",
+        "count": 4,
+        "script": "true\n",
+        "update": update,
+    }
+
+    def rollout(action: str, value: dict[str, Any] | str) -> tuple[int, str]:
+        if isinstance(value, dict):
+            file.write_text(json.dumps(value))
+        return fleet.command(
+            "sched0", ["ladderhub", "rollout", action, str(file) if value != "orders" else value]
+        )
+
+    status, out = rollout("plan", good)
+    assert status == 0 and "4 copies of safe work, for the first time" in out, out
+    assert "bound by update.down and update.surplus" in out and run(fleet, "qselect") == ""
+    status, out = rollout("start", good)
+    assert status == 0 and "going  v1" in out, out
+    status, out = fleet.command("sched0", ["ladderhub", "rollout", "status", "orders", "--watch"])
+    assert status == 0 and "over   v1: 4 new, 0 old, 0 down, 4 alive of 4" in out, out
+    assert len(run(fleet, "qselect", "-s", "R").splitlines()) == 4
+    status, out = fleet.command("sched0", ["ladderhub", "rollout", "start", str(file), "--watch"])
+    assert status == 0 and "over   v2: 4 new, 0 old, 0 down, 4 alive of 4" in out, out
+    cases: list[tuple[dict[str, Any], int, str]] = [
+        (good | {"count": 2}, 2, "count: found 2; at least 4 is meant, as many as run"),
+        (good | {"update": update | {"down": 0, "surplus": 0}}, 2, "update.down: found 0"),
+        (good | {"update": update | {"healthy": 5}}, 2, "update.healthy: found '5'; a time with its unit"),
+        (good | {"colour": 1}, 1, "colour: unknown; service, queue, count"),
+        (good | {"resources": 3}, 1, "resources: found 3; an object is meant"),
+        ({"queue": "web"}, 1, "service: a name is meant"),
+    ]
+    for value, wanted, words in cases:
+        status, out = rollout("start", value)
+        assert status == wanted and words in out and "Traceback" not in out, (words, status, out)
+    status, out = rollout("abort", "orders")
+    assert status == 2 and "no update is under way" in out
+    # One spool folder, one daemon: a second one is told who holds it.
+    scheduler = fleet.schedulers["sched0"]
+    done = subprocess.run(module("ladderhub", "serve", str(scheduler.file)), capture_output=True, text=True)
+    assert scheduler.process is not None
+    assert done.returncode == 1 and f"held by the running process {scheduler.process.pid}" in done.stderr
+
+
 def test_commands_start_without_heavy_imports() -> None:
     # `qsub` runs by the thousand: nothing beyond the standard library's light half belongs on its path.
     code = "import sys, ladderhub.commands.qsub; print(*sys.modules)"
