--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -265,9 +265,8 @@
     def rollout(action: str, value: dict[str, Any] | str) -> tuple[int, str]:
         if isinstance(value, dict):
             file.write_text(json.dumps(value))
-        return fleet.command(
-            "sched0", ["ladderhub", "rollout", action, str(file) if value != "orders" else value]
-        )
+        argument = str(file) if isinstance(value, dict) else value
+        return fleet.command("sched0", ["ladderhub", "rollout", action, argument])
 
     status, out = rollout("plan", good)
     assert status == 0 and "4 copies of safe work, for the first time" in out, out
