--- a/ladderhub/cli.py
+++ b/ladderhub/cli.py
@@ -311,11 +311,12 @@
 @lab.command()
 @click.option("--count", default=1000, show_default=True)
 @_SEED
-def submits(count: int, seed: int) -> None:
+@_FOLDER
+def submits(count: int, seed: int, folder: Path | None) -> None:
     """Submit by real qsub processes against flaky nodes; count answers from the recording and from qstat."""
     from ladderhub.lab.load import thousand
 
-    got = thousand(count, seed, click.echo)
+    got = thousand(count, seed, click.echo, keep=folder)
     click.echo(f"acknowledged {got.acknowledged}, commands that failed {got.failed_commands}")
     click.echo(f"by the recording: {got.by_recording}")
     click.echo(f"by qstat:         {got.by_qstat}")
--- a/ladderhub/lab/load.py
+++ b/ladderhub/lab/load.py
@@ -280,12 +280,15 @@
     verdict: Verdict
 
 
-def thousand(count: int, seed: int, say: Callable[[str], None], side: int = 8) -> Submits:
+def thousand(
+    count: int, seed: int, say: Callable[[str], None], side: int = 8, keep: Path | None = None
+) -> Submits:
     """`count` submissions by the real `qsub`, `side` at a time, while nodes lose, cut, repeat and refuse."""
     chance = random.Random(seed)
     loop = Loop()
     with tempfile.TemporaryDirectory(prefix="ladderhub-submits-") as name:
-        folder = Path(name)
+        folder = keep or Path(name)
+        folder.mkdir(parents=True, exist_ok=True)
         fleet = Fleet(
             loop, folder, nodes=12, schedulers=2, seed=seed, record=folder / "recording.tap",
             emulated=EmulatedSettings(warm_ns=20 * MS, cold_times=4.0, life_ns=(S // 2, 2 * S)),
