--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -30,6 +30,7 @@
 HOME_GUESSES = (0.8, 0.3)  # share of warm starts believed of a service's first homes, and of the next as many
 NEAR_SHARE, NEAR_NS = 0.1, 30 * MS  # sums this close are equal: estimates are no better than this
 REST_FIRST_NS, REST_ODD_NS = 600 * MS, 6 * S  # first rest after turning work away; where no reason came
+ERRORS_ROW = 3  # errors in a row, each of another task, by which a machine and not the tasks shows as sick
 REST_TIMES = 8  # and doubling up to so many first ones
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
@@ -122,6 +123,7 @@
         self.kept: OrderedDict[str, None] = OrderedDict()  # services whose last task ended, oldest first
         self.asked, self.used = _Account(), _Account()
         self.rests: dict[tuple[int, int] | None, tuple[int, int]] = {}  # until when, next span
+        self.errors = 0  # tasks in a row that first erred here, with none placed between
         self.notes = [(-NOTE_FRESH_NS, 0.0), (-NOTE_FRESH_NS, 0.0)]  # last of poor service, of short memory
         self.sends: deque[int] = deque()
 
@@ -560,7 +562,7 @@
         if found:
             task, attempt = found
             task.placed = True
-            attempt.machine.rests = {}
+            attempt.machine.rests, attempt.machine.errors = {}, 0
             self._accept.add(now - attempt.sent_ns)
             if self.settings.first_at_running:
                 self._started(now, task, attempt)
@@ -629,7 +631,8 @@
     def _learn_end(self, now: int, task: _Task, attempt: _Attempt, event: AttemptEnded) -> None:
         machine = attempt.machine
         never_started = attempt.started is None and not task.placed
-        if event.outcome in NEVER_RAN or (never_started and event.outcome is Outcome.TIMED_OUT):
+        erred = never_started and event.outcome is Outcome.ERROR
+        if event.outcome in NEVER_RAN or erred or (never_started and event.outcome is Outcome.TIMED_OUT):
             task.struck.add(machine.id)
         unplaced = event.outcome is Outcome.TIMED_OUT and not task.placed
         silent = unplaced and not self.settings.first_at_running  # else a long start looks the same
@@ -646,6 +649,13 @@
             # draws all of it.  Lack of room is told and passes; what comes with no reason lasts, and at many
             # schedulers each asking again soon is a flood.  Harm: room that came back is found a little late.
             machine.rest(now, task.what, REST_FIRST_NS if event.reason else REST_ODD_NS)
+        elif erred and task.maybe_ran is None:
+            # Danger: a sick machine errs at once, so its line is the shortest and it draws everything.  One
+            # task that errs wherever it goes speaks against no machine, hence several, each at its first
+            # attempt.  Harm: several broken tasks in a row rest a good machine for a spell.
+            machine.errors += 1
+            if machine.errors >= ERRORS_ROW:
+                machine.rest(now, None)
 
     # --- what few schedulers tell each other ------------------------------------------------------------
 
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -71,7 +71,7 @@
         self._count = 0
         self.open = 0
         self.links: Links | None = None
-        self.other_line: Callable[[OwnerLine], OwnerLine] = lambda line: line
+        self.tell_over: Callable[[OwnerLine, Message], None] = lambda line, message: line.put(message)
         report.gauges["open"] = lambda: self.open
         report.gauges["standing"] = lambda: len(self._by_id) - self.open
         report.gauges["attempts_out"] = lambda: sum(1 for t in self._by_number.values() if t.offer)
@@ -215,9 +215,8 @@
         if task is None or task.leg.state is not State.STANDS or task.offer is None:
             return
         self._report.count("moved")
-        line = self._line_of(task)
         self._settle(task, Step.MOVE)
-        line.put(Message(Kind.MOVE, task.asked.id))
+        self.tell_over(task.line, Message(Kind.MOVE, task.asked.id))
         link = self.links.get(task.offer.machine) if self.links is not None else None
         if link is not None:
             link.release(task.offer, Cause.CANCELLED)
@@ -292,13 +291,9 @@
         if task is None or task.leg.state is not State.STANDS:
             return
         self._report.count(f"over.{outcome.name.lower()}")
-        line = self._line_of(task)
         self._settle(task, Step.RELEASE)
         if outcome is not api.Outcome.CANCELLED:
-            line.put(Message(Kind.RELEASE, task.asked.id, cause))
-
-    def _line_of(self, task: Task) -> OwnerLine:
-        return task.line if task.line.alive else self.other_line(task.line)
+            self.tell_over(task.line, Message(Kind.RELEASE, task.asked.id, cause))
 
     def _ended(
         self, offer: Offer, outcome: api.Outcome, reason: api.Reason = api.Reason.UNKNOWN, why: str = ""
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -18,7 +18,8 @@
 from ladderhub.lab.auditor import audit
 from ladderhub.lab.client import BatchClient, attributes
 from ladderhub.lab.day import charter_of
-from ladderhub.loop.http import HttpDoor, Stream
+from ladderhub.loop import Stream
+from ladderhub.loop.http import HttpDoor
 from ladderhub.loop.stream import connect
 from ladderhub.node.agent import Post
 from ladderhub.pbs import names as n
