Owners' connections with unread set-ups are not closed for room or for silence

To blame: OwnerDoor._make_room, which took a connection without open set-ups for idle though a set-up lay unread in its socket; newly accepted ones, which had 'said nothing', went first. Change: idle also means that nothing waits to be read (a peek); the same before a close for silence. Test: a set-up written before forty connections are accepted is answered; fails without the change.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -97,6 +97,13 @@
             self.loop.call_soon(self.abort, BufferError("the peer does not read"))
         self._watch()
 
+    def unread(self) -> bool:
+        """Whether bytes of the peer wait here that no callback has been given yet."""
+        try:
+            return bool(self._socket().recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def pause(self, paused: bool) -> None:
         """Stop or resume reading."""
         if self._paused != paused:
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -164,7 +164,9 @@
         self.stream.write(encode_line(message))
 
     def idle(self) -> bool:
-        return not self.open
+        """Nothing is open on it, and nothing has come that was not read yet: a set-up counts as taken once it
+        was written, and closing over it would lose it."""
+        return not self.open and not self.stream.unread()
 
 
 class _Unheard:
@@ -218,18 +220,20 @@
 
     def _make_room(self) -> bool:
         """Close one connection with nothing open on it: those that never said anything go first."""
-        idle = [conn for conn in self._conns if conn.idle()]
-        if not idle:
-            return False
-        min(idle, key=lambda conn: (conn.useful, conn.heard_ns)).shut("no room")
-        return True
+        for conn in sorted(self._conns, key=lambda conn: (conn.useful, conn.heard_ns)):
+            if conn.idle():
+                self.report.count("owner.evicted")
+                conn.shut("no room")
+                return True
+        return False
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_NS, self._sweep)
         now = self.loop.now_ns()
         for conn in list(self._conns):
             silent = not conn.useful and now - conn.since_ns > SILENT_NS
-            if (conn.alive and silent) or (conn.partial_ns and now - conn.partial_ns > SILENT_NS):
+            half = conn.partial_ns and now - conn.partial_ns > SILENT_NS
+            if (silent or half) and not conn.stream.unread():
                 self.report.count("owner.silent")
                 conn.shut("silent")
         for id, each in list(self._unheard.items()):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -179,6 +179,24 @@
     bed.run(lambda: good.said(Kind.RELEASE))
 
 
+def test_a_connection_with_a_set_up_that_was_not_read_yet_is_never_closed_for_room(beds: Any) -> None:
+    # Guards against the close of a connection whose set-up lay unread behind a burst of new connections: what
+    # was written is taken, and a recorded day lost four requests so.
+    bed = beds(yes, sockets=48)
+    good = Owner(bed)
+    bed.run()
+    asked = bed.setup()
+    listener = bed.service.door._listener
+    assert listener is not None
+    good.say(asked)  # written, and not read before forty others are accepted
+    others = [socket.create_connection(bed.door) for _ in range(40)]
+    listener._ready(0)
+    bed.run(lambda: good.said(Kind.ANSWER))
+    assert not good.closed
+    for other in others:
+        other.close()
+
+
 def test_an_owner_that_gives_up_hears_nothing_and_the_machine_is_released(beds: Any) -> None:
     # Guards the crossing of a give-up and an answer: what the machine started must not stand on.
     bed = beds(never)
