A crowd that only sends tests pushes no owner's connection out

The log of 13.4 to 18.4 s has up to 531 tests and 578 evictions a second at the cap of 192, and more ends told elsewhere (30) than ended (18): told to strangers, which never said 'released'. To blame: OwnerDoor._make_room, by which a test made a connection as good as an owner's, so that the longest unheard went, which were the owners' own. Change: connections that never carried a task go first.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -27,7 +27,7 @@
 # connection is still read for as long as a set-up may cross its close, and each is told that it failed.
 CROSSING_NS = 50 * MS
 # A release of what stood is owed within 1 s.  Its owner says that it heard it, else it is told elsewhere.
-AGAIN_NS = 300 * MS
+AGAIN_NS = 200 * MS
 KEPT_NS = 8 * S
 PORTION = MESSAGE_MOST  # bytes of one connection that are read at a time
 
@@ -219,8 +219,9 @@
         self._conns[OwnerConn(self, sock)] = None
 
     def _make_room(self) -> bool:
-        """Close one connection with nothing open on it: those that never said anything go first."""
-        for conn in sorted(self._conns, key=lambda conn: (conn.useful, conn.heard_ns)):
+        """Close one connection with nothing open on it: first those that never said anything, then those that
+        never carried a task (a crowd that only tests would else push the owners out), the longest unheard."""
+        for conn in sorted(self._conns, key=lambda conn: (conn.carried, conn.useful, conn.heard_ns)):
             if conn.idle():
                 self.report.count("owner.evicted")
                 conn.shut("no room")
