An end whose connection is lost is told to connections that carried tasks first

To blame: OwnerDoor._tell sorted by the caller's address before what a connection had carried; the crowd has many addresses. Change: what a connection has shown (nothing, a test, a set-up, a task that stood) is one order, used for closing and for telling; the address only settles equals. Test: a stranger from the owner's own address is not told.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -7,6 +7,7 @@
 
 import math
 import socket
+from enum import IntEnum
 
 from ladderhub import interface as api
 from ladderhub.loop import Listener, Loop, Stream
@@ -78,17 +79,26 @@
     return number
 
 
+class Trust(IntEnum):
+    """What a connection has shown of who is behind it; the least goes first where room is short, the most is
+    chosen to tell an end whose own connection is lost."""
+
+    NONE = 0
+    TESTED = 1  # a whole message that made sense came
+    ASKED = 2  # a set-up that made sense came
+    CARRIED = 3  # a task of its owner has stood
+
+
 class OwnerConn:
     """One connection of an owner."""
 
     def __init__(self, door: OwnerDoor, sock: socket.socket) -> None:
         self.door = door
         self.since_ns = self.heard_ns = door.loop.now_ns()
-        self.useful = False  # a whole message that made sense came
+        self.trust = Trust.NONE
         self.partial_ns = 0  # since when a line is unfinished
         self.open: dict[str, Task] = {}
         self.alive = True  # False once it is closed or about to be
-        self.carried = False  # a task of its owner has stood
         self.reader = LineReader()
         self.stream = Stream(door.loop, sock, self, read_most=PORTION)
         self.peer = self.stream.peer().rpartition(":")[0]
@@ -156,7 +166,8 @@
     def put(self, message: Message) -> None:
         if message.kind in (Kind.ANSWER, Kind.RELEASE):
             self.open.pop(message.id, None)
-            self.carried = self.carried or message.kind is Kind.ANSWER
+            if message.kind is Kind.ANSWER:
+                self.trust = Trust.CARRIED
         if self.alive:
             self._write(message)
 
@@ -221,7 +232,7 @@
     def _make_room(self) -> bool:
         """Close one connection with nothing open on it: first those that never said anything, then those that
         never carried a task (a crowd that only tests would else push the owners out), the longest unheard."""
-        for conn in sorted(self._conns, key=lambda conn: (conn.carried, conn.useful, conn.heard_ns)):
+        for conn in sorted(self._conns, key=lambda conn: (conn.trust, conn.heard_ns)):
             if conn.idle():
                 self.report.count("owner.evicted")
                 conn.shut("no room")
@@ -232,7 +243,7 @@
         self.loop.call_later(SWEEP_NS, self._sweep)
         now = self.loop.now_ns()
         for conn in list(self._conns):
-            silent = not conn.useful and now - conn.since_ns > SILENT_NS
+            silent = conn.trust is Trust.NONE and now - conn.since_ns > SILENT_NS
             half = conn.partial_ns and now - conn.partial_ns > SILENT_NS
             if (silent or half) and not conn.stream.unread():
                 self.report.count("owner.silent")
@@ -257,10 +268,9 @@
 
     def _tell(self, each: _Unheard, line: OwnerConn | None = None) -> None:
         if line is None or not line.alive:
-            # The same caller's connections first, and those that owners of tasks have used.
-            useful = [conn for conn in self._conns if conn.useful]
+            useful = [conn for conn in self._conns if conn.trust is not Trust.NONE]
             others = [conn for conn in useful if conn not in each.tried] or useful
-            others.sort(key=lambda conn: (conn.peer == each.peer, conn.carried, conn.heard_ns))
+            others.sort(key=lambda conn: (conn.trust, conn.peer == each.peer, conn.heard_ns))
             line = others[-1] if others else None
             self.report.count("over.elsewhere" if line is not None else "over.kept")
         each.told_ns = self.loop.now_ns()
@@ -279,7 +289,7 @@
     def hear(self, conn: OwnerConn, message: Message) -> None:
         self.report.count(f"heard.{message.kind.name.lower()}")
         if message.kind is Kind.PING:
-            conn.useful = True
+            conn.trust = max(conn.trust, Trust.TESTED)
             conn.put(Message(Kind.PONG, message.id, TEST_FAILED if self.stopping else TEST_PASSED))
         elif message.kind is Kind.SETUP:
             self._setup(conn, message)
@@ -295,8 +305,7 @@
         except SignalError as fault:
             conn.turn_away(fault)
             return
-        conn.useful = True
-        conn.carried = conn.carried or bool(asked.machine)
+        conn.trust = max(conn.trust, Trust.CARRIED if asked.machine else Trust.ASKED)
         if known is not None:
             if asked.machine and known.leg.state is State.STANDS:
                 known.line = conn  # held already; its owner may be reached here
@@ -318,7 +327,7 @@
         if task is None:
             return
         if task.leg.state is State.STANDS:
-            conn.useful = True
+            conn.trust = max(conn.trust, Trust.TESTED)
             self.tasks.end_standing(task, message.cause if message.cause is not None else Cause.NORMAL)
             conn.put(Message(Kind.RELEASED, message.id))
         elif conn.open.get(message.id) is task:
--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from ladderhub.loop import Listener, Loop, ManualClock, Stream
-from ladderhub.loop.stream import connect
 from ladderhub.platform.config import load
 from ladderhub.platform.report import Report
 from ladderhub.platform.service import Service
@@ -113,11 +113,12 @@
 class Owner:
     """One connection of an owner."""
 
-    def __init__(self, bed: Bed, polite: bool = True) -> None:
+    def __init__(self, bed: Bed, polite: bool = True, source: str = "127.0.0.1") -> None:
         self.reader, self.polite = LineReader(), polite
         self.got: list[Message] = []
         self.closed = False
-        self.stream = connect(bed.loop, bed.door, self, S)
+        sock = socket.create_connection(bed.door, source_address=(source, 0))
+        self.stream = Stream(bed.loop, sock, self)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         found, fault = self.reader.feed(data)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -198,8 +198,8 @@
 
 
 def test_a_crowd_that_only_tests_pushes_no_owner_out(beds: Any) -> None:
-    # Guards against ends told to strangers: a crowd that sent one test each had the owners' connections closed,
-    # and two ends were not told in time.
+    # Guards against ends told to strangers: a crowd that sent one test each had the owners' connections
+    # closed, or was told in their place since it came from the same address; ends were not told in time.
     bed = beds(yes, sockets=48)
     good = Owner(bed)
     asked = stand(bed, good)
@@ -208,8 +208,14 @@
         stranger.say(Message(Kind.PING, "0" * 16, 0))
         bed.run(lambda stranger=stranger: stranger.said(Kind.PONG), span_ns=0)
     assert not good.closed
+    other = Owner(bed, source="127.0.0.2")
+    stand(bed, other)
+    stranger = Owner(bed)  # from the first owner's address, and heard last
+    stranger.say(Message(Kind.PING, "0" * 16, 0))
+    good.stream.abort()
+    bed.run()
     bed.machines[0].conns[0].say(release(asked.id, 16))
-    bed.run(lambda: good.said(Kind.RELEASE))
+    bed.run(lambda: other.said(Kind.RELEASE))
 
 
 def test_an_owner_that_gives_up_hears_nothing_and_the_machine_is_released(beds: Any) -> None:
