Half of a scheduler's many seats at a fresh machine are left to its successor

Excluded: the door (0.4 ms from answer to owner), the list (whole at start), the outage itself (4.4 s between SIGTERM and the next start whatever we do). To blame: decide.py _cold_ok, where a scheduler younger than the machine let a whole window pass, with 111 seats free. Change: where it has 16 seats or more, a scheduler leaves half to its successor, which may use those at once.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -44,6 +44,7 @@
 TIMEOUT_LEAST_NS = 1_500 * MS  # shortest time-out of a repeatable offer
 TIMEOUT_TIMES = 2.0  # and as a multiple of the time a cold start would take: most cold starts must end in it
 ACCEPT_LEAST_NS, ACCEPT_TIMES = 1 * S, 8.0  # the same where machines answer on acceptance, by its average
+SEATS_MANY = 16  # from so many seats at a fresh machine on, half are more than a scheduler takes in a window
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
 
 TELL_NS = 200 * MS  # how often peers are told what changed: fresher than any list
@@ -485,17 +486,19 @@
 
         Danger: more schedulers than seats.  Who has one follows from ordinal, machine and ready time, so all
         reckon alike and together never pass the number.  A scheduler younger than the machine forgot what it
-        sent, so it first lets a window pass.  Harm: where the whole fleet is fresh, tasks wait."""
+        sent: where seats are many, half are left to a successor, which takes no others until a window has
+        passed; where they are few it lets the window pass.  Harm: where the whole fleet is fresh, tasks wait."""
         if not machine.ready_ns or now - machine.ready_ns > self.settings.cold_span_ns + self._cold_window:
             machine.sends.clear()
             return True
-        if machine.ready_ns < self._born_ns and now < self._born_ns + self._cold_window:
-            return False
         while machine.sends and machine.sends[0] < now - self._cold_window:
             machine.sends.popleft()
         count, safe = self.settings.schedulers, int(self.settings.cold_safe_offers)
         seat = (self.settings.ordinal + zlib.crc32(f"{machine.id} {machine.ready_ns}".encode())) % count
-        return len(machine.sends) < safe // count + (seat < safe % count)
+        seats = safe // count + (seat < safe % count)
+        young = machine.ready_ns < self._born_ns and now < self._born_ns + self._cold_window
+        spare = seats // 2 if seats >= SEATS_MANY else 0
+        return len(machine.sends) < (spare if young else seats - spare)
 
     def _send(self, now: int, task: _Task, machine: _Machine) -> None:
         if not (self._may_go(now, task) and self._may_send(now, task, machine)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -222,6 +222,19 @@
     assert [action.task for action in bed.wait(3 * S) if isinstance(action, Send)] == [1]
 
 
+@pytest.mark.parametrize("safe", [8.0, 15.0, 16.0, 111.0])
+def test_a_scheduler_and_its_successor_together_keep_to_the_safe_offers(safe: float) -> None:
+    # Guards both sides: a successor that waits a whole window stays off fresh machines just when its owners'
+    # backlog comes (reload days on sockets), and one that does not wait may double what they bear.
+    given = settings(cold_safe_offers=safe)
+    before = fresh_offers(given, 100 * S + 1, asks=200)
+    bed = Bed(given, machines=1)
+    bed.change("m0", ready_ns=bed.now - S)
+    after = sum(len(bed.ask(task, cores=0.1, memory=0.1)) for task in range(200))
+    assert before > 0 and before + after == (int(safe) if safe >= 16 else before)
+    assert (after > 0) == (safe >= 16)
+
+
 def test_the_budget_covers_offers_that_have_ended() -> None:
     bed = Bed(settings(), machines=1)
     bed.change("m0", ready_ns=bed.now)
