--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -487,7 +487,7 @@
         Danger: more schedulers than seats.  Who has one follows from ordinal, machine and ready time, so all
         reckon alike and together never pass the number.  A scheduler younger than the machine forgot what it
         sent: where seats are many, half are left to a successor, which takes no others until a window has
-        passed; where they are few it lets the window pass.  Harm: where all the fleet is fresh, tasks wait."""
+        passed; where they are few it lets the window pass.  Harm: in a fresh fleet tasks wait."""
         if not machine.ready_ns or now - machine.ready_ns > self.settings.cold_span_ns + self._cold_window:
             machine.sends.clear()
             return True
--- a/ladderhub/platform/follower.py
+++ b/ladderhub/platform/follower.py
@@ -23,6 +23,7 @@
         self.follower = follower
         self.reader = JournalReader(follower.pos)
         self.heard_ns = follower.loop.now_ns()
+        self.told = False
         self.stream = connect(follower.loop, address, self, CONNECT_NS, self._connected)
 
     def _connected(self, stream: Stream) -> None:
@@ -30,7 +31,7 @@
         stream.write(self.reader.start())
 
     def on_data(self, stream: Stream, data: bytes) -> None:
-        self.heard_ns = self.follower.loop.now_ns()
+        self.heard_ns, self.told = self.follower.loop.now_ns(), True
         events, fault = self.reader.feed(data)
         for event in events:
             self.follower.take(event)
@@ -80,9 +81,8 @@
         if conn is self._conn:
             self._conn = None
             self._report.line("journal.closed", why=repr(fault)[:80], pos=self.pos)
-            # One that served well is dialled again at once, one that can't be had a little later.
-            span = 0 if conn.stream.connected and self.loop.now_ns() - conn.heard_ns < SILENT_NS else AGAIN_NS
-            self.loop.call_later(span, self._dial)
+            # One that told something is dialled again at once, one that only accepts a little later.
+            self.loop.call_later(0 if conn.told else AGAIN_NS, self._dial)
 
     def _look(self) -> None:
         self.loop.call_later(LOOK_NS, self._look)
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -281,6 +281,7 @@
     def lose(self, why: str) -> None:
         """The machine can't hold our tasks any more."""
         lost, self.standing = list(self.standing.values()), {}
+        self.unsaid.clear()
         for offer in lost:
             offer.leg.step(Step.RELEASE)
             self.links.hearer.on_broken(offer, why)
--- a/ladderhub/signalling/lines.py
+++ b/ladderhub/signalling/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -12,11 +13,14 @@
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 
 
+_Byte = Annotated[int, msgspec.Meta(ge=0, le=255)]  # as the binary encoding has it
+
+
 class _Line(msgspec.Struct):
     type: str
     id: str = ""
     fields: dict[str, str | int | float] = {}
-    cause: int | None = None
+    cause: _Byte | None = None
     sdp: str | None = None
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -428,6 +428,22 @@
     assert moved.tails[-1] == b"tail 2\n" and bed.journal.tails == [b"tail 2\n"]
 
 
+def test_a_journal_that_only_accepts_is_not_dialled_without_a_pause(beds: Any) -> None:
+    bed = beds(yes)
+    bed.run(lambda: bed.journal.streams)
+    dials = 0
+
+    def shut(sock: socket.socket) -> None:
+        nonlocal dials
+        dials += 1
+        sock.close()
+
+    bed.journal.listener._accept = shut
+    bed.journal.streams[0].abort()
+    bed.run(span_ns=S)
+    assert 3 <= dials <= 12
+
+
 def test_a_new_machine_at_the_address_of_one_that_is_gone_has_a_link_of_its_own(beds: Any) -> None:
     bed = beds(yes)
     machine, owner = bed.machines[0], Owner(bed)
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -130,6 +130,8 @@
         (line(fields={"left": None}), True),
         (line(sdp=7), True),
         (line(cause="x"), True),
+        (line(cause=256), True),  # would not go into a machine's message
+        (line(cause=-1), True),
         (line(id="xyz"), False),
         (line(id=ID.upper()), False),
         (line(id=5), False),
@@ -140,7 +142,7 @@
         (b"5\n", False),
         (b"\n", False),
     ],
-    ids=range(16),
+    ids=range(18),
 )
 def test_a_line_that_is_no_message_names_its_task_where_it_can(data: bytes, named: bool) -> None:
     good = encode_line(Message(Kind.PING, ID, 0))
