--- a/ladderhub/platform/config.py
+++ b/ladderhub/platform/config.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """A whole configuration.  Spans are nanoseconds; `per_link` is how many set-ups one connection bears."""
+    """A whole configuration.  Spans are nanoseconds."""
 
     name: str
     listen: Address
@@ -58,8 +58,6 @@
     known: tuple[JournalEvent, ...]
     pos: int
     connect_ns: int
-    idle_ns: int
-    slack_ns: int
 
 
 def address_of(text: str, where: str) -> Address:
@@ -103,8 +101,6 @@
         known=tuple(event_of(entry) for entry in file.known.entries),
         pos=file.known.pos,
         connect_ns=int(limits.get("dial-timeout-ns") or 250 * MS),
-        idle_ns=int(limits.get("conn-idle-ns") or 30_000 * MS),
-        slack_ns=50 * MS,
     )
 
 
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -37,7 +37,7 @@
 
     def __init__(self, loop: Loop, config: Config, report: Report) -> None:
         self._loop, self._config, self._report = loop, config, report
-        self.tasks = Tasks(loop, Scheduler(config.settings, config.seed), report, config.slack_ns)
+        self.tasks = Tasks(loop, Scheduler(config.settings, config.seed), report)
         owners = config.sockets // OWNERS_SHARE
         self._links = Links(
             loop, report, self.tasks, config.connect_ns, config.sockets - owners - OWN_DESCRIPTORS
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -63,8 +63,8 @@
 class Tasks:
     """Carrier of the decision module, and the one who hears of offers."""
 
-    def __init__(self, loop: Loop, module: Scheduler, report: Report, slack_ns: int) -> None:
-        self._loop, self._report, self._slack_ns = loop, report, slack_ns
+    def __init__(self, loop: Loop, module: Scheduler, report: Report) -> None:
+        self._loop, self._report, self.module = loop, report, module
         self._tell = Board(loop.now_ns, self._fault).add(module, self)
         self._by_number: dict[int, Task] = {}
         self._by_id: dict[str, Task] = {}  # open and standing
--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from ladderhub.decide import Scheduler
 from ladderhub.loop import Listener, Loop, ManualClock, Stream
 from ladderhub.platform.config import load
 from ladderhub.platform.report import Report
@@ -220,6 +221,10 @@
     def at(self, machine: Machine) -> Message:
         return self.setup(at=machine.name)
 
+    def module(self) -> Scheduler:
+        """The decision module as it stands."""
+        return self.service.tasks.module
+
     def close(self) -> None:
         assert self.troubles == []
         assert not [row for row in self.logged if row["event"] == "trouble"]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -478,6 +478,48 @@
     assert bed.service._links.count <= 6 and bed.loop.pending_timers() < 20
 
 
+def test_what_the_module_holds_of_each_machine_is_what_crossed_the_sockets(beds: Any) -> None:
+    # Guards against a view that drifts: an end, a give-up or a crossing that one side counts and the other
+    # does not would fill a machine in the module's eyes for good.
+    def mixed(conn: MachineConn, message: Message) -> None:
+        if message.kind is not Kind.SETUP:
+            return
+        turn = int(message.id, 16) % 7
+        if turn == 0:
+            conn.say(release(message.id, 34, "no_cores"))
+        elif turn == 1:
+            conn.say(release(message.id, 47))
+        elif turn == 2:
+            conn.stream.abort()
+        elif turn != 3:  # 3 is left without an answer
+            conn.say(Message(Kind.ANSWER, message.id, None, "runs"))
+            if turn == 4:
+                conn.say(release(message.id, 16))
+
+    bed = beds(mixed, mixed, mixed)
+    owner, asked = Owner(bed), [bed.setup(service=f"{at:016x}") for at in range(42)]
+    owner.say(*asked)
+    bed.run(span_ns=500 * MS)
+    owner.say(*(Message(Kind.RELEASE, m.id, 16) for m in asked if int(m.id, 16) % 7 == 5))
+    bed.run(span_ns=6 * S)
+    stands: dict[str, set[str]] = {}
+    for machine in bed.machines:
+        yes_to = {m.id for m in machine.got(Kind.SETUP) if int(m.id, 16) % 7 in (5, 6)}
+        stands[machine.name] = yes_to
+        ended = {m.id for m in machine.got(Kind.RELEASE)}
+        for id in sorted(yes_to & ended):
+            (machine.conns[0]).say(release(id, 31))
+            stands[machine.name].discard(id)
+    bed.run(span_ns=S)
+    module = bed.module()
+    for machine in bed.machines:
+        view, link = module._machines[machine.name], bed.service._links.get(machine.name)
+        assert link is not None and set(link.standing) == stands[machine.name]
+        assert round(view.asked.own[0]) == sum(view.held.values()) == len(stands[machine.name])
+        assert not view.line
+    assert sum(map(len, stands.values())) == 6 and len(module._tasks) == 6 and bed.service.tasks.open == 0
+
+
 def test_a_fault_of_the_module_leaves_no_set_up_without_an_answer(
     beds: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
