--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -49,6 +49,7 @@
         self._cpu_s = 0.0
         report.gauges |= {
             "machines": lambda: self._links.count,
+            "descriptors": _descriptors,
             "rss_mb": _resident_mb,
             "cpu_ms": self._cpu_ms,
             "late_ms": lambda: self._late_ms,
@@ -138,6 +139,13 @@
     )
 
 
+def _descriptors() -> int:
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # the listing has one of its own
+    except OSError:
+        return -1
+
+
 def _resident_mb() -> float:
     try:
         with open("/proc/self/statm") as file:
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -60,18 +61,39 @@
         self.backstop: Timer | None = None
 
 
+class _Timed:
+    """The module, with the time spent in it."""
+
+    def __init__(self, module: Scheduler) -> None:
+        self._module, self._spent_ns = module, 0
+
+    def handle(self, now_ns: int, event: api.Event) -> Sequence[api.Action]:
+        begun = time.perf_counter_ns()
+        try:
+            return self._module.handle(now_ns, event)
+        finally:
+            self._spent_ns += time.perf_counter_ns() - begun
+
+    def take_ms(self) -> float:
+        """Milliseconds since the last call."""
+        spent, self._spent_ns = self._spent_ns, 0
+        return round(spent / MS, 1)
+
+
 class Tasks:
     """Carrier of the decision module, and the one who hears of offers."""
 
     def __init__(self, loop: Loop, module: Scheduler, report: Report) -> None:
         self._loop, self._report, self.module = loop, report, module
-        self._tell = Board(loop.now_ns, self._fault).add(module, self)
+        self._timed = _Timed(module)
+        self._tell = Board(loop.now_ns, self._fault).add(self._timed, self)
         self._by_number: dict[int, Task] = {}
         self._by_id: dict[str, Task] = {}  # open and standing
         self._count = 0
         self.open = 0
         self.links: Links | None = None
         self.tell_over: Callable[[OwnerLine, Message], None] = lambda line, message: line.put(message)
+        report.gauges["module_ms"] = self._timed.take_ms
         report.gauges["open"] = lambda: self.open
         report.gauges["standing"] = lambda: len(self._by_id) - self.open
         report.gauges["attempts_out"] = lambda: sum(1 for t in self._by_number.values() if t.offer)
@@ -303,6 +325,7 @@
         if task is None:
             return
         self._report.count(f"attempt.{outcome.name.lower()}")
+        self._report.count(f"at.{offer.machine}.{outcome.name.lower()}")
         if outcome not in (api.Outcome.DONE, api.Outcome.REFUSED, api.Outcome.CANCELLED):
             self._report.line(
                 "attempt", machine=offer.machine, outcome=outcome.name.lower(), task=offer.id, why=why,
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ast
+import subprocess
+import sys
 from graphlib import CycleError, TopologicalSorter
 from pathlib import Path
 
@@ -78,3 +80,12 @@
                         alias.name for node in ast.walk(ast.parse(source))
                         if isinstance(node, ast.Import) for alias in node.names
                     }  # fmt: skip
+
+
+def test_the_platforms_scheduler_loads_nothing_that_its_environment_has_not() -> None:
+    # Guards against the first start there, which died on a library that `run` does not install.
+    code = "import sys, ladderhub.platform.service; print(*{name.partition('.')[0] for name in sys.modules})"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    needed = (ROOT.parent / "requirements.txt").read_text()
+    for library in ("click", "structlog", "httptools", "hdrh", "prometheus_client", "_jsonnet", "msgspec"):
+        assert (library in done.stdout.split()) == (library in needed), library
