--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import errno
+import math
 from typing import Protocol
 
 from ladderhub.loop import Loop, Stream, Timer
@@ -122,7 +123,6 @@
         self.late: dict[str, None] = {}
         self.unsaid: dict[str, int] = {}  # releases of standing tasks that found no connection
         self.heard_ns: int = links.loop.now_ns()
-        self.tested_ns = 0
         self.shut = False  # nothing new is written
         self.gone = False  # not on the list: forgotten once nothing is open
 
@@ -167,6 +167,9 @@
         for id, cause in self.unsaid.items():
             self._put(conn, Message(Kind.RELEASE, id, cause))
         self.unsaid.clear()
+        if self.standing:
+            # A machine that was dialled again may have nothing to say, and would count as silent.
+            self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
         for offer in list(conn.open.values()):
             if not offer.written:
                 self._write(conn, offer)
@@ -319,7 +322,9 @@
                 try:
                     figure = float(message.values.get(Code.FIGURE, "0"))
                 except ValueError:
-                    raise SignalError("a note's figure is not a number") from None
+                    figure = math.nan
+                if not math.isfinite(figure):
+                    raise SignalError("a note's figure is not a number")
                 hearer.on_note(offer, message.values.get(Code.NOTE), figure)
         elif message.kind is Kind.PING:
             self._put(conn, Message(Kind.PONG, message.id, 1))
--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -60,7 +60,7 @@
         for message in messages:
             self.machine.heard.append(message)
             if message.kind is Kind.PING:
-                if not self.machine.silent:
+                if not self.machine.silent and self not in self.machine.dead:
                     self.say(Message(Kind.PONG, message.id, 1))
             else:
                 self.machine.script(self, message)
@@ -80,6 +80,7 @@
         self.heard: list[Message] = []
         self.conns: list[MachineConn] = []
         self.silent = False
+        self.dead: list[MachineConn] = []  # connections that stay open and bring nothing any more
         self.listener = Listener(bed.loop, ("127.0.0.1", 0), self._accept)
         self.address = self.listener.address
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import signal
 import socket
@@ -346,6 +347,32 @@
     assert [m.id for m in owner.said(Kind.RELEASE)] == [asked.id]
 
 
+def test_a_machine_whose_connections_died_in_silence_is_asked_over_a_new_one(beds: Any) -> None:
+    # Guards against tasks given up with their connection: a draining machine gets no set-ups that would show
+    # that it lives, and a connection dialled anew was not tested.
+    bed = beds(yes)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = stand(bed, owner)
+    machine.dead = list(machine.conns)
+    bed.run(span_ns=15 * S)
+    assert not owner.said(Kind.RELEASE)
+    machine.conns[-1].say(release(asked.id, 16))
+    bed.run(lambda: owner.said(Kind.RELEASE))
+
+
+@pytest.mark.parametrize("figure", ["nan", "inf", "-inf", "much", "1e999"])
+def test_a_note_without_a_finite_figure_never_reaches_the_module(beds: Any, figure: str) -> None:
+    # Guards against one bad figure that would stay in the module's averages for good.
+    bed = beds(yes)
+    owner = Owner(bed)
+    asked = stand(bed, owner)
+    note = Message(Kind.NOTE, asked.id, values={Code.NOTE: "cores", Code.FIGURE: figure})
+    bed.machines[0].conns[0].say(note)
+    bed.run(lambda: [row for row in bed.logged if row["event"] == "machine.spoilt"])
+    assert math.isfinite(bed.module()._class_use[0][0].value)
+    assert bed.service.tasks.find(asked.id) is not None
+
+
 def test_tasks_handed_over_are_looked_after(beds: Any) -> None:
     bed = beds(yes)
     owner, again = Owner(bed), Owner(bed)
