--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -94,8 +94,8 @@
 
     def row(self, status: str = "ready", since_ms: int = 0) -> dict[str, Any]:
         return {
-            "name": self.name, "address": ":".join(map(str, self.address)), "zone": "room", "type": "small", "group": 0,
-            "status": status, "weight": 1, "since_ms": since_ms, "left_over": [16, 32],
+            "name": self.name, "address": ":".join(map(str, self.address)), "zone": "room", "type": "small",
+            "group": 0, "status": status, "weight": 1, "since_ms": since_ms, "left_over": [16, 32],
         }  # fmt: skip
 
 
