--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -6,7 +6,6 @@
 import os
 import selectors
 import signal
-import socket
 import subprocess
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -16,6 +15,10 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 IDLE_WAIT_NS = 1_000_000_000
+# After so long a round leaves what else is ready to the next one, so that a flood holds up neither timers nor
+# descriptors that come first.
+ROUND_NS = 10_000_000
+WOKEN_NS = 200_000  # a look that took longer than this waited
 Trouble = Callable[[str, BaseException], None]
 
 
@@ -48,7 +51,10 @@
         self._soon: deque[tuple[Callable[..., object], tuple[Any, ...]]] = deque()
         self._running = False
         self._signals: dict[int, Callable[[], object]] = {}
-        self._wake: tuple[socket.socket, socket.socket] | None = None
+        self._wake: tuple[int, int] | None = None
+        self._first: set[int] = set()
+        self._left: list[int] = []  # ready in the last round, and left to this one
+        self._look_ns = self._before_ns = self.now_ns()
 
     def now_ns(self) -> int:
         return self.clock.now_ns()
@@ -79,11 +85,13 @@
 
     # --- descriptors ------------------------------------------------------------------------------------
 
-    def watch(self, fd: int, events: int, call: Callable[[int], object]) -> None:
-        """Call with the ready events; watching a descriptor again replaces what was asked; 0 ends it."""
+    def watch(self, fd: int, events: int, call: Callable[[int], object], first: bool = False) -> None:
+        """Call with the ready events; watching a descriptor again replaces what was asked; 0 ends it.  With
+        `first` it goes before others in each round."""
         if fd < 0:
             return
         known = fd in self._selector.get_map()
+        (self._first.add if first and events else self._first.discard)(fd)
         if not events:
             if known:
                 self._selector.unregister(fd)
@@ -92,23 +100,27 @@
         else:
             self._selector.register(fd, events, call)
 
+    def unseen_since_ns(self) -> int:
+        """What is read in this round has come since then, if all that was ready before was read."""
+        return self._before_ns
+
     # --- signals and children ---------------------------------------------------------------------------
 
     def on_signal(self, number: int, call: Callable[[], object]) -> None:
         """Signals arrive as bytes on a wake-up descriptor, so that handlers run between callbacks."""
         if self._wake is None:
-            self._wake = socket.socketpair()
+            self._wake = os.pipe()
             for end in self._wake:
-                end.setblocking(False)
-            signal.set_wakeup_fd(self._wake[1].fileno(), warn_on_full_buffer=False)
-            self.watch(self._wake[0].fileno(), READ, self._read_signals)
+                os.set_blocking(end, False)
+            signal.set_wakeup_fd(self._wake[1], warn_on_full_buffer=False)
+            self.watch(self._wake[0], READ, self._read_signals, first=True)
         self._signals[number] = call
         signal.signal(number, lambda *_: None)
 
     def _read_signals(self, _: int) -> None:
         assert self._wake is not None
         try:
-            numbers = self._wake[0].recv(256)
+            numbers = os.read(self._wake[0], 256)
         except BlockingIOError:
             return
         for number in numbers:
@@ -142,18 +154,20 @@
         self._running = False
 
     def turn(self, most_wait_ns: int = IDLE_WAIT_NS) -> None:
-        """One round: wait for what is ready, at most so long, then timers that are due, then what was put
-        off."""
+        """One round: wait for what is ready, at most so long, and handle what of it fits into a round; then
+        timers that are due, then what was put off."""
         wait = most_wait_ns
-        if self._soon:
+        if self._soon or self._left:
             wait = 0
         elif self._timers:
             wait = min(wait, max(0, self._timers[0][0] - self.now_ns()))
-        for key, events in self._selector.select(wait / 1e9):
-            # A callback earlier in this round may have closed or replaced what stands here.
-            current = self._selector.get_map().get(key.fd)
-            if current is not None and current.data == key.data:
-                self._guard("descriptor", key.data, (events,))
+        asleep = self.now_ns()
+        found = self._selector.select(wait / 1e9)
+        now = self.now_ns()
+        if not self._left:  # what ends a wait has only just come
+            self._before_ns = now if now - asleep > WOKEN_NS else self._look_ns
+        self._look_ns = now
+        self._handle(found, now + ROUND_NS)
         now = self.now_ns()
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
@@ -167,6 +181,22 @@
             call, args = self._soon.popleft()
             self._guard("soon", call, args)
 
+    def _handle(self, found: list[tuple[selectors.SelectorKey, int]], until_ns: int) -> None:
+        if self._first or self._left:
+            ready = {key.fd: (key, events) for key, events in found}
+            early = [fd for fd in ready if fd in self._first]
+            ranks = dict.fromkeys([*early, *self._left, *ready])
+            found = [ready[fd] for fd in ranks if fd in ready]
+        self._left = []
+        for at, (key, events) in enumerate(found, 1):
+            # A callback earlier in this round may have closed or replaced what stands here.
+            current = self._selector.get_map().get(key.fd)
+            if current is not None and current.data == key.data:
+                self._guard("descriptor", key.data, (events,))
+            if at < len(found) and self.now_ns() >= until_ns:
+                self._left = [key.fd for key, _ in found[at:]]
+                return
+
     def _guard(self, where: str, call: Callable[..., object], args: tuple[Any, ...]) -> None:
         try:
             call(*args)
@@ -178,4 +208,4 @@
         if self._wake is not None:
             signal.set_wakeup_fd(-1)
             for end in self._wake:
-                end.close()
+                os.close(end)
--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -53,9 +53,12 @@
         handler: Handler,
         connecting: bool = False,
         read_most: int = READ_MOST,
+        first: bool = False,
     ) -> None:
-        """`read_most`: bytes taken at a time, so that one busy peer leaves the others their turn."""
+        """`read_most`: bytes taken at a time, so that one busy peer leaves the others their turn.  `first`:
+        read before others."""
         self.loop, self.sock, self.handler, self._read_most = loop, sock, handler, read_most
+        self._first = first
         self.connected = not connecting
         self.closed = False
         self.on_connected: Callable[[Stream], None] | None = None
@@ -158,7 +161,7 @@
             return
         reading = self.connected and not self._paused and not self._closing and not self.backed_up()
         events = (READ if reading else 0) | (WRITE if self._out or not self.connected else 0)
-        self.loop.watch(self.sock.fileno(), events, self._ready)
+        self.loop.watch(self.sock.fileno(), events, self._ready, self._first)
 
     def _ready(self, events: int) -> None:
         try:
@@ -217,6 +220,7 @@
     handler: Handler,
     timeout_ns: int,
     on_connected: Callable[[Stream], None] | None = None,
+    first: bool = False,
 ) -> Stream:
     """Begin a connection; what goes wrong, a time-out included, comes later as `on_closed`, never from
     here."""
@@ -234,7 +238,7 @@
         stream = Stream(loop, sock, handler, connecting=True)
         loop.call_soon(stream.abort, fault)
         return stream
-    stream = Stream(loop, sock, handler, connecting=True)
+    stream = Stream(loop, sock, handler, connecting=True, first=first)
     stream.on_connected = on_connected
     if code not in (0, errno.EINPROGRESS):
         loop.call_soon(stream.abort, OSError(code, "connect"))
--- a/ladderhub/platform/follower.py
+++ b/ladderhub/platform/follower.py
@@ -15,6 +15,9 @@
 # A line comes each second; one that has not come after a second and a half has been missed.
 SILENT_NS = 1_500 * MS
 LOOK_NS = 100 * MS
+# At a start what was told meanwhile comes at once after the question; where nothing has come after so many
+# times what the connection took, there is nothing.
+CAUGHT_UP_TIMES = 4
 
 
 class _Conn:
@@ -23,17 +26,23 @@
         self.reader = JournalReader(follower.pos)
         self.heard_ns = follower.loop.now_ns()
         self.told = False
-        self.stream = connect(follower.loop, address, self, follower.connect_ns, self._connected)
+        self.stream = connect(
+            follower.loop, address, self, follower.connect_ns, self._connected, first=True
+        )
 
     def _connected(self, stream: Stream) -> None:
         self.reader.pos = self.follower.pos
         stream.write(self.reader.start())
+        took_ns = self.follower.loop.now_ns() - self.heard_ns
+        self.follower.loop.call_later(CAUGHT_UP_TIMES * took_ns + MS, self.follower.catch_up)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.heard_ns, self.told = self.follower.loop.now_ns(), True
         events, fault = self.reader.feed(data)
         for event in events:
             self.follower.take(event)
+        if not self.reader.pending():
+            self.follower.catch_up()
         if fault is not None:
             stream.abort(fault)
 
@@ -57,9 +66,14 @@
         self.connect_ns, self._on_event = connect_ns, on_event
         self._conn: _Conn | None = None
         self._old: _Conn | None = None  # to an address that was changed; what it still tells counts
+        self.caught_up = False  # what was told during the start has been taken
+        self.on_caught_up: Callable[[], None] = lambda: None
         report.gauges["journal"] = lambda: self.pos
 
     def start(self) -> None:
+        self._began_ns = self.loop.now_ns()
+        # A service that can't be reached keeps no scheduler from serving by the list it has.
+        self.loop.call_later(self.connect_ns, self.catch_up)
         self._dial()
         self.loop.call_later(LOOK_NS, self._look)
 
@@ -75,6 +89,14 @@
         self._old, self._conn = self._conn, None
         self._dial()
 
+    def catch_up(self) -> None:
+        """The list is as new as can be had: from now on tests are passed."""
+        if not self.caught_up:
+            self.caught_up = True
+            after = (self.loop.now_ns() - self._began_ns) // 1000
+            self._report.line("journal.caught_up", pos=self.pos, after_us=after)
+            self.on_caught_up()
+
     def take(self, event: JournalEvent) -> None:
         if event.pos > self.pos:
             self.pos = event.pos
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -7,6 +7,7 @@
 
 import math
 import socket
+from dataclasses import replace
 from enum import IntEnum
 
 from ladderhub import interface as api
@@ -97,6 +98,9 @@
         self.since_ns = self.heard_ns = door.loop.now_ns()
         self.trust = Trust.NONE
         self.partial_ns = 0  # since when a line is unfinished
+        # What comes first may have lain there since before the connection was accepted.
+        self._unread_ns = door.loop.unseen_since_ns()
+        self.read_ns = self.since_ns  # what was read last had come by then at the earliest
         self.open: dict[str, Task] = {}
         self.alive = True  # False once it is closed or about to be
         self.reader = LineReader()
@@ -105,6 +109,8 @@
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.heard_ns = self.door.loop.now_ns()
+        self.read_ns = self._unread_ns or self.door.loop.unseen_since_ns()
+        self._unread_ns = self.read_ns if len(data) >= PORTION else 0
         found, end = self.reader.feed(data)
         for each in found:
             if not self.alive:
@@ -202,11 +208,14 @@
         self._names, self._settings, self._most = names, settings, most
         self._conns: dict[OwnerConn, None] = {}
         self._listener: Listener | None = None
+        # A list may be older than the start, and whoever passes a test gets set-ups at once.
+        self.may_pass = False
+        self._waiting: list[tuple[OwnerConn, str]] = []  # tests until then
         self.stopping = False  # new callers are asked to stay away
         self.settling = False  # and no set-up comes any more that would be owed an answer of the module
         tasks.tell_over = self.tell_over
         self._unheard: dict[str, _Unheard] = {}
-        report.gauges["owners"] = lambda: len(self._conns)
+        report.gauges["owners"] = self.count
 
     def start(self, address: Address) -> None:
         """Open the door; OSError where the address can't be had."""
@@ -218,6 +227,20 @@
         assert self._listener is not None
         return self._listener.address
 
+    def count(self) -> int:
+        """Connections open now."""
+        return len(self._conns)
+
+    def pass_tests(self) -> None:
+        """From now on tests are answered, those that wait first."""
+        self.may_pass = True
+        waiting, self._waiting = self._waiting, []
+        for conn, id in waiting:
+            self._pong(conn, id)
+
+    def _pong(self, conn: OwnerConn, id: str) -> None:
+        conn.put(Message(Kind.PONG, id, TEST_FAILED if self.stopping else TEST_PASSED))
+
     def settle(self) -> None:
         """Take nothing more, and let go of each connection on which nothing is open."""
         self.settling = True
@@ -300,7 +323,10 @@
         self.report.count(f"heard.{message.kind.name.lower()}")
         if message.kind is Kind.PING:
             conn.trust = max(conn.trust, Trust.TESTED)
-            conn.put(Message(Kind.PONG, message.id, TEST_FAILED if self.stopping else TEST_PASSED))
+            if self.may_pass or self.stopping:
+                self._pong(conn, message.id)
+            else:
+                self._waiting.append((conn, message.id))
         elif message.kind is Kind.SETUP:
             self._setup(conn, message)
         elif message.kind is Kind.RELEASE:
@@ -330,7 +356,10 @@
             conn.put(Message(Kind.RELEASE, message.id, Cause.BUSY))
         else:
             self.report.count("setups")
-            task = self.tasks.ask(conn, asked)
+            # Danger: the owner counts from when it sent, not from when a busy scheduler read it.  Harm: of a
+            # set-up that came late in the time between two looks a little is taken too much.
+            lain_ns = self.loop.now_ns() - conn.read_ns
+            task = self.tasks.ask(conn, replace(asked, left_ns=max(1, asked.left_ns - lain_ns)))
             if task.leg.state is State.SET_UP:
                 conn.open[message.id] = task
 
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -46,11 +46,12 @@
         self.follower = Follower(
             loop, report, config.journal, config.pos, config.connect_ns, self.take
         )
+        self.follower.on_caught_up = self.door.pass_tests
         self._stop_ns = self._late_ms = self._second_ns = 0
         self._cpu_s, self._quiet = 0.0, False
         report.gauges |= {
             "machines": lambda: self.links.count,
-            "descriptors": _descriptors,
+            "descriptors": lambda: self.links.count + self.door.count() + OWN_DESCRIPTORS,
             "rss_mb": _resident_mb,
             "cpu_ms": self._cpu_ms,
             "late_ms": lambda: self._late_ms,
@@ -139,13 +140,6 @@
         return round(spent * 1000)
 
 
-def _descriptors() -> int:
-    try:
-        return len(os.listdir("/proc/self/fd")) - 1  # the listing has one of its own
-    except OSError:
-        return -1
-
-
 def _resident_mb() -> float:
     try:
         with open("/proc/self/statm") as file:
--- a/ladderhub/signalling/journal.py
+++ b/ladderhub/signalling/journal.py
@@ -80,6 +80,10 @@
         self._lines = LineSplitter(EVENT_MOST)
         return b"tail %d\n" % self.pos
 
+    def pending(self) -> int:
+        """Bytes of a line that has not come whole."""
+        return self._lines.pending()
+
     def feed(self, data: bytes) -> tuple[list[JournalEvent], SignalError | None]:
         """The new events in order, and what ended the reading if something did."""
         lines, end = self._lines.feed(data)
--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -171,7 +171,7 @@
 class Bed:
     """One scheduler with its surroundings, on a clock that the test moves."""
 
-    def __init__(self, folder: Path, *scripts: Script, sockets: int = 256) -> None:
+    def __init__(self, folder: Path, *scripts: Script, sockets: int = 256, caught_up: bool = True) -> None:
         self.clock = ManualClock(START_NS)
         self.troubles: list[str] = []
         self.heard: list[tuple[Machine, Message]] = []  # by all machines, in order
@@ -192,6 +192,9 @@
         config = replace(load(self.environment), listen=("127.0.0.1", 0))  # any free port, which no file says
         self.service = Service(self.loop, config, report)
         self.service.start()
+        while caught_up and not self.service.follower.caught_up:
+            self.loop.turn(MS)
+            self.clock.advance(MS)
         self.door: tuple[str, int] = self.service.door.address()
         self._count = 0
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -120,3 +120,32 @@
     assert set(seen) == {"signal", 3}
     loop.close()
     signal.signal(signal.SIGUSR1, old)
+
+
+def test_a_flood_holds_up_neither_timers_nor_what_comes_first_and_all_have_their_turn() -> None:
+    # Guards against rounds as long as there are descriptors ready, while deadlines pass and the journal lies
+    # unread.  Handling takes 4 ms here, by the clock of the test.
+    clock = ManualClock()
+    loop = Loop(clock)
+    pairs = [socket.socketpair() for _ in range(20)]
+    handled: list[int] = []
+
+    def handle(at: int) -> None:
+        handled.append(at)
+        clock.advance(4_000_000)
+
+    for at, (ours, theirs) in enumerate(pairs):
+        loop.watch(ours.fileno(), 1, lambda _, at=at: handle(at), first=at == 19)  # type: ignore[misc]
+        theirs.send(b"x")
+    timed: list[int] = []
+    loop.call_at(clock.now_ns() + 10_000_000, lambda: timed.append(len(handled)))
+    loop.turn(0)
+    assert handled[0] == 19 and timed and timed[0] < 6
+    for _ in range(20):
+        loop.turn(0)
+    assert set(handled) == set(range(20))
+    for pair in pairs:
+        for end in pair:
+            loop.watch(end.fileno(), 0, print)
+            end.close()
+    loop.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -541,6 +541,62 @@
     assert moved.tails[-1] == b"tail 2\n" and bed.journal.tails == [b"tail 2\n"]
 
 
+def test_no_test_is_passed_before_what_was_told_during_the_start_is_taken(beds: Any) -> None:
+    # Guards against set-ups to machines that were announced as leaving while the scheduler was starting: its
+    # list is as old as its start is long, and whoever passes a test gets set-ups at once.
+    bed = beds(yes, yes, caught_up=False)
+    owner = Owner(bed)
+    owner.say(Message(Kind.PING, "0" * 16, 0))
+    bed.run(lambda: bed.journal.tails)
+    bed.run()
+    assert not owner.said(Kind.PONG)
+    told = json.dumps(event(2, bed.machines[0].row("draining"))).encode() + b"\n"
+    bed.journal.write(told[:40])
+    bed.run()
+    assert not owner.said(Kind.PONG)
+    bed.journal.write(told[40:])
+    bed.run(lambda: owner.said(Kind.PONG))
+    for _ in range(4):
+        stand(bed, owner)
+    assert {machine.name for machine, _ in bed.heard} == {"m1"}
+
+
+@pytest.mark.parametrize("journal", ["has nothing to tell", "does not answer"])
+def test_a_journal_without_news_keeps_no_scheduler_from_serving(beds: Any, journal: str) -> None:
+    bed = beds(yes, caught_up=False)
+    if journal == "does not answer":
+        bed.journal.listener.close()
+    owner = Owner(bed)
+    owner.say(Message(Kind.PING, "0" * 16, 0))
+    bed.run(span_ns=260 * MS)
+    bed.run(lambda: owner.said(Kind.PONG))
+    assert owner.said(Kind.PONG)[0].cause == 1
+
+
+def test_the_journal_is_read_before_set_ups_that_lie_there_with_it(beds: Any) -> None:
+    # Guards against a flood of set-ups under which an announced drain lies unread, past the grace.
+    bed = beds(yes, yes)
+    owners = [Owner(bed) for _ in range(30)]
+    bed.run()
+    for owner in owners:
+        owner.say(bed.setup(cores=0.1, memory=0.1), bed.setup(cores=0.1, memory=0.1))
+    bed.journal.write(json.dumps(event(2, bed.machines[0].row("draining"))).encode() + b"\n")
+    bed.run(lambda: all(len(owner.said(Kind.ANSWER)) == 2 for owner in owners))
+    assert {machine.name for machine, _ in bed.heard} == {"m1"}
+
+
+def test_the_time_that_a_set_up_lay_unread_is_taken_from_its_time(beds: Any) -> None:
+    # Guards against answers that come too late for their owner, who counts from when the set-up was sent.
+    bed = beds(yes)
+    owner = Owner(bed)
+    stand(bed, owner)
+    bed.loop.turn(0)
+    owner.say(bed.setup(left=2000))
+    bed.clock.advance(300 * MS)
+    bed.run(lambda: len(bed.machines[0].got(Kind.SETUP)) == 2)
+    assert int(bed.machines[0].got(Kind.SETUP)[1].values[Code.WAIT]) <= 1700
+
+
 def test_a_journal_that_only_accepts_is_not_dialled_without_a_pause(beds: Any) -> None:
     bed = beds(yes)
     bed.run(lambda: bed.journal.streams)
