Links: a quiet connection is tested and used again instead of dialling a new one

Now such a connection gets a test, and the set-up is written once that has passed: a proof as good as a dial's, that costs no handshake. A connection that brings nothing within the time of a dial is closed and a new one dialled, so a dead connection does not speak for its machine.

--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -1,9 +1,9 @@
 """Connections to machines: set-ups on their way out, and what machines say of them.
 
 A set-up has a connection to itself, so that a spoilt or broken one ends that set-up alone.  A connection on
-which all went well is used again while the machine was heard a moment ago; else one is dialled, so that a
-machine that can't be reached is found before anything left.  While tasks stand at a machine a connection to
-it is kept, over which it tells of them.
+which all went well is used again: at once while the machine was heard a moment ago, else once a test on it has
+passed.  Where there is none, one is dialled.  So a machine that can't be reached is found before anything left.
+While tasks stand at a machine a connection to it is kept, over which it tells of them.
 
 Where descriptors run short, a connection that nothing is open on is let go for each that is needed: first
 those of no use, then lines to machines with standing tasks, in turn.  Such a machine tells what ended on the
@@ -96,6 +96,7 @@
         self.clean = True  # every set-up on it was ended by a whole message
         self.leaving = False
         self.let_go = False  # closed for room: its machine is visited later
+        self.proof: Timer | None = None  # runs while a test must pass before set-ups are written
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.link.heard_ns = self.link.links.loop.now_ns()
@@ -148,6 +149,10 @@
         loop = self.links.loop
         offer.timer = loop.call_at(offer.until_ns, self._overdue, offer)
         conn = self._unused()
+        if conn is not None and loop.now_ns() - self.heard_ns > TEST_NS:
+            # A test costs the machine less than a new connection, and shows as much before anything has left.
+            conn.proof = loop.call_later(self.links.connect_ns, self._unproven, conn)
+            self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
         if conn is None and self.links.make_room():
             conn = self.dial("setup")
         if conn is None:
@@ -159,17 +164,21 @@
             conn = min(live, key=lambda each: len(each.open))
         offer.conn = conn
         conn.open[offer.id] = offer
-        if conn.live():
+        if conn.live() and conn.proof is None:
             self._write(conn, offer)
 
     def _unused(self) -> Conn | None:
-        if self.links.loop.now_ns() - self.heard_ns > TEST_NS:
-            return None
         for conn in reversed(self.conns):
-            if conn.clean and conn.live() and not conn.open and not conn.reader.pending():
+            if conn.clean and conn.idle() and conn.proof is None:
                 return conn
         return None
 
+    def _unproven(self, conn: Conn) -> None:
+        """No test passed in the time that a new connection would have had to come up."""
+        conn.proof = None
+        if conn.stream is not None:
+            conn.stream.abort(TimeoutError("silent"))
+
     def dial(self, why: str) -> Conn:
         self.links.report.count(f"dial.{why}")
         conn = Conn(self)
@@ -320,6 +329,11 @@
 
     def hear(self, conn: Conn, message: Message) -> None:
         hearer = self.links.hearer
+        if conn.proof is not None:
+            conn.proof.cancel()
+            conn.proof = None
+            for waiting in [each for each in conn.open.values() if not each.written]:
+                self._write(conn, waiting)
         offer = conn.open.get(message.id)
         if message.kind is Kind.ANSWER:
             if offer is None or not offer.written:
@@ -363,6 +377,8 @@
     def closed(self, conn: Conn, fault: BaseException | None) -> None:
         self.conns.remove(conn)
         self.links.ended(conn)
+        if conn.proof is not None:
+            conn.proof.cancel()
         stream = conn.stream
         up = stream is not None and stream.connected
         if not up:
@@ -371,6 +387,13 @@
             self.links.report.line(
                 "machine.closed", machine=self.name, why=repr(fault)[:80], open=len(conn.open)
             )
+        unsent = [offer for offer in conn.open.values() if not offer.written]
+        if up and unsent and not self.shut and self.links.make_room():
+            # It waited for a test on a connection that was dead; whether the machine is, only a new one tells.
+            fresh = self.dial("setup")
+            for offer in unsent:
+                offer.conn = fresh
+                fresh.open[offer.id] = conn.open.pop(offer.id)
         for offer in list(conn.open.values()):
             self._end(offer)
             if not offer.written:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -448,6 +448,28 @@
     assert peak <= most == 12
 
 
+def test_a_quiet_connection_is_tested_and_used_again_and_a_dead_one_replaced(beds: Any) -> None:
+    # Guards against a new connection for nearly each set-up: two of three offers dialled, though idle connections
+    # to the same machines stood open, and each is paid for.
+    bed = beds(yes)
+    machine, owner = bed.machines[0], Owner(bed)
+    for turn in range(3):
+        asked = stand(bed, owner)
+        machine.conns[0].say(release(asked.id, 16))
+        bed.run(lambda turn=turn: len(owner.said(Kind.RELEASE)) == turn + 1)
+        bed.run(span_ns=5 * S)  # nothing stands there: nobody asks whether the machine is there
+    assert len(machine.conns) == 1 and len(machine.got(Kind.PING)) >= 2
+    # The connection brings nothing more, the machine lives: nothing is written until that is known.
+    machine.dead = list(machine.conns)
+    asked = bed.setup()
+    owner.say(asked)
+    bed.run(lambda: len(machine.got(Kind.PING)) >= 3)
+    assert not [m for m in machine.got(Kind.SETUP) if m.id == asked.id]
+    bed.run(span_ns=260 * MS)
+    bed.run(lambda: [m for m in owner.said(Kind.ANSWER) if m.id == asked.id])
+    assert len([m for m in machine.got(Kind.SETUP) if m.id == asked.id]) == 1
+
+
 @pytest.mark.parametrize("figure", ["nan", "inf", "-inf", "much", "1e999"])
 def test_a_note_without_a_finite_figure_never_reaches_the_module(beds: Any, figure: str) -> None:
     # Guards against one bad figure that would stay in the module's averages for good.
