Links: machines get the descriptors that owners leave, until owners come

At fault: `Service.__init__`, a fixed half for owners, who hold a third at most and five here. Now machines may have all but what owners hold and one round of callers (64, `ACCEPT_MOST`); for each caller beyond that an idle connection to a machine is let go, down to the half that machines have for sure. No cap on either list.

--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -14,6 +14,7 @@
 
 import errno
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 from ladderhub.loop import Loop, Stream, Timer
@@ -281,7 +282,7 @@
     def keep_line(self) -> None:
         """Where tasks stand a connection is kept or dialled while there is room for it; beyond that machines
         are visited in turn, by `test`."""
-        if self.standing and not self.conns and self.links.count < self.links.most:
+        if self.standing and not self.conns and self.links.count < self.links.most():
             self.dial("line")
 
     def test(self, now: int) -> None:
@@ -423,9 +424,12 @@
 
 
 class Links:
-    """The links to all machines, by name: an address may pass from a machine that is gone to a new one."""
+    """The links to all machines, by name: an address may pass from a machine that is gone to a new one.
+    `most`: how many connections there may be now."""
 
-    def __init__(self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, most: int) -> None:
+    def __init__(
+        self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, most: Callable[[], int]
+    ) -> None:
         self.loop, self.report, self.hearer = loop, report, hearer
         self.connect_ns, self.most = connect_ns, most
         self.count = 0
@@ -437,8 +441,14 @@
 
     def make_room(self) -> bool:
         """Whether a connection may be dialled, after letting one go for it where the bound is reached."""
-        if self.count < self.most:
-            return True
+        return self.count < self.most() or self._let_go()
+
+    def trim(self) -> None:
+        """Others need descriptors: one idle connection less where there are more than there may be."""
+        if self.count > self.most():
+            self._let_go()
+
+    def _let_go(self) -> bool:
         # First what is of no use, as no task stands there or there is another line; of the rest the longest
         # up, so that all have turns of the same length.
         idle = [conn for conn in self._up if conn.idle()]
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -7,6 +7,7 @@
 
 import math
 import socket
+from collections.abc import Callable
 from dataclasses import replace
 from enum import IntEnum
 
@@ -208,6 +209,7 @@
         self._names, self._settings, self._most = names, settings, most
         self._conns: dict[OwnerConn, None] = {}
         self._listener: Listener | None = None
+        self.on_accepted: Callable[[], None] = lambda: None
         # A list may be older than the start, and whoever passes a test gets set-ups at once.
         self.may_pass = False
         self._waiting: list[tuple[OwnerConn, str]] = []  # tests until then
@@ -260,6 +262,7 @@
             sock.close()
             return
         self._conns[OwnerConn(self, sock)] = None
+        self.on_accepted()
 
     def _make_room(self) -> bool:
         """Close one connection with nothing open on it: first those that never said anything, then those that
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -13,7 +13,7 @@
 from ladderhub import interface as api
 from ladderhub.decide import Scheduler
 from ladderhub.loop import Loop
-from ladderhub.loop.stream import Address
+from ladderhub.loop.stream import ACCEPT_MOST, Address
 from ladderhub.platform.config import OWN_DESCRIPTORS, Config, ConfigError, address_of, load
 from ladderhub.platform.follower import Follower
 from ladderhub.platform.links import Links
@@ -40,12 +40,18 @@
         self.tasks = Tasks(loop, Scheduler(config.settings, config.seed), report)
         owners = config.sockets // OWNERS_SHARE
         machines = config.sockets - owners - OWN_DESCRIPTORS
-        self.links = Links(loop, report, self.tasks, config.connect_ns, machines)
+        # Machines have the rest for sure, and what owners don't use, less a round of new callers; for each
+        # of those a connection to a machine is let go.
+        spare = config.sockets - OWN_DESCRIPTORS - ACCEPT_MOST
+        self.links = Links(
+            loop, report, self.tasks, config.connect_ns, lambda: max(machines, spare - self.door.count())
+        )
         self.tasks.join(self.links)
         self.door = OwnerDoor(loop, report, self.tasks, config.names, config.settings, owners)
         self.follower = Follower(
             loop, report, config.journal, config.pos, config.connect_ns, self.take
         )
+        self.door.on_accepted = self.links.trim
         self.follower.on_caught_up = self.door.pass_tests
         self._stop_ns = self._late_ms = self._second_ns = 0
         self._cpu_s, self._quiet = 0.0, False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -416,7 +416,7 @@
     # Guards against set-ups given up as unreachable while idle connections to other machines were kept: with
     # 400 machines, most of them new, most offers ended so.  Twelve connections to twenty-four machines here.
     bed = beds(*[yes] * 24, sockets=48)
-    most = bed.service.links.most
+    most = bed.service.links.most()
     owner, held = Owner(bed), [bed.at(machine) for machine in bed.machines]
     owner.say(*held)
     peak = 0
@@ -448,6 +448,19 @@
     assert peak <= most == 12
 
 
+def test_descriptors_that_owners_leave_go_to_machines_until_owners_come(beds: Any) -> None:
+    # Guards against lines that are closed and dialled in turn while half of the descriptors lie unused.
+    bed = beds(*[yes] * 4, sockets=256)
+    links, owner = bed.service.links, Owner(bed)
+    owner.say(*(bed.setup(cores=0.1, memory=0.1) for _ in range(140)))
+    bed.run(lambda: len(owner.said(Kind.ANSWER)) == 140)
+    assert links.count == 140  # all at once, each on a connection of its own; half of the descriptors are 128
+    crowd = [Owner(bed) for _ in range(120)]
+    bed.run(lambda: bed.service.door.count() == 121)
+    assert links.count == links.most() == 256 - 128 - 12
+    assert not owner.said(Kind.RELEASE) and not any(each.closed for each in crowd)
+
+
 def test_a_quiet_connection_is_tested_and_used_again_and_a_dead_one_replaced(beds: Any) -> None:
     # Guards against a new connection for nearly each set-up: two of three offers dialled, though idle
     # connections to the same machines stood open, and each is paid for.
