Links: where handshakes are priced, repeatable set-ups to one machine share a connection

At fault: `Link.send` dialled for each set-up that is open at the same time as another there.

Where the settings price a handshake, a safe set-up now joins others of its kind on a connection that is coming up or was heard within a second. What is not safe keeps a connection to itself, so no such task is lost by another's spoilt answer, and without a price nothing changes.

--- a/ladderhub/platform/config.py
+++ b/ladderhub/platform/config.py
@@ -64,6 +64,7 @@
     known: tuple[JournalEvent, ...]
     pos: int
     connect_ns: int
+    dials_cost: bool  # new connections to machines are paid for
 
 
 def address_of(text: str, where: str) -> Address:
@@ -91,7 +92,7 @@
         raise ConfigError("PROXY_LISTEN is not set: the address for owners, HOST:PORT, is meant")
     try:
         settings, names = read_settings(file.settings), Names(file.settings)
-        limits = part_of(file.settings, "ceilings")
+        limits, prices = part_of(file.settings, "ceilings"), part_of(file.settings, "prices")
     except (WireError, ValueError, TypeError, AttributeError) as fault:
         raise ConfigError(f"{path}: settings: {fault}") from None
     if file.limits.sockets < SOCKETS_LEAST:
@@ -107,6 +108,7 @@
         names=names,
         known=tuple(event_of(entry) for entry in file.known.entries),
         pos=file.known.pos,
+        dials_cost=bool(prices.get("handshake")),
         connect_ns=int(limits.get("dial-timeout-ns") or 250 * MS),
     )
 
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -5,6 +5,9 @@
 has passed.  Where there is none, one is dialled.  So a machine that can't be reached is found before anything
 left.  While tasks stand at a machine a connection to it is kept, over which it tells of them.
 
+Where new connections are paid for, a second set-up to a machine joins the first on its connection, if the
+effects of both allow that they are lost together and asked for again.
+
 Where descriptors run short, a connection that nothing is open on is let go for each that is needed: first
 those of no use, then lines to machines with standing tasks, in turn.  Such a machine tells what ended on the
 next connection that is opened, so it is visited in time.  Only where all are in use do set-ups share.
@@ -56,6 +59,7 @@
     ) -> None:
         self.number, self.attempt, self.machine = number, attempt, machine
         self.setup, self.id = setup, setup.id
+        self.alone = True  # on a connection to itself, whatever that costs
         self.sent_ns, self.until_ns = sent_ns, until_ns
         self.leg = Leg()
         self.timer: Timer | None = None
@@ -154,6 +158,8 @@
             # A test costs the machine less than a new connection, and shows as much before anything has left.
             conn.proof = loop.call_later(self.links.connect_ns, self._unproven, conn)
             self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
+        if conn is None and self.links.share and not offer.alone:
+            conn = self._shared()
         if conn is None and self.links.make_room():
             conn = self.dial("setup")
         if conn is None:
@@ -174,6 +180,18 @@
                 return conn
         return None
 
+    def _shared(self) -> Conn | None:
+        """A connection, up or coming up, with none but set-ups on it that may be lost with others."""
+        heard = self.links.loop.now_ns() - self.heard_ns <= TEST_NS
+        fit: list[Conn] = []
+        for conn in self.conns:
+            waits = not conn.live() or conn.proof is not None  # nothing is written yet
+            if conn.leaving or not conn.clean or conn.reader.pending() or not (waits or heard):
+                continue
+            if conn.open and not any(offer.alone for offer in conn.open.values()):
+                fit.append(conn)
+        return min(fit, key=lambda conn: len(conn.open)) if fit else None
+
     def _unproven(self, conn: Conn) -> None:
         """No test passed in the time that a new connection would have had to come up."""
         conn.proof = None
@@ -425,13 +443,15 @@
 
 class Links:
     """The links to all machines, by name: an address may pass from a machine that is gone to a new one.
-    `most`: how many connections there may be now."""
+    `most`: how many connections there may be now.  `share`: connections are paid for, so set-ups that may be
+    repeated share one."""
 
     def __init__(
-        self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, most: Callable[[], int]
-    ) -> None:
+        self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, most: Callable[[], int],
+        share: bool = False,
+    ) -> None:  # fmt: skip
         self.loop, self.report, self.hearer = loop, report, hearer
-        self.connect_ns, self.most = connect_ns, most
+        self.connect_ns, self.most, self.share = connect_ns, most, share
         self.count = 0
         self._links: dict[str, Link] = {}
         self._up: dict[Conn, None] = {}  # connections by the time they came up, oldest first
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -44,8 +44,9 @@
         # of those a connection to a machine is let go.
         spare = config.sockets - OWN_DESCRIPTORS - ACCEPT_MOST
         self.links = Links(
-            loop, report, self.tasks, config.connect_ns, lambda: max(machines, spare - self.door.count())
-        )
+            loop, report, self.tasks, config.connect_ns, lambda: max(machines, spare - self.door.count()),
+            config.dials_cost,
+        )  # fmt: skip
         self.tasks.join(self.links)
         self.door = OwnerDoor(loop, report, self.tasks, config.names, config.settings, owners)
         self.follower = Follower(
--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -48,6 +48,7 @@
 
     def __init__(self, machine: Machine, sock: Any) -> None:
         self.machine, self.reader = machine, BinaryReader()
+        self.heard: list[Message] = []
         self.stream = Stream(machine.bed.loop, sock, self)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
@@ -55,6 +56,7 @@
         assert fault is None, fault
         for message in messages:
             self.machine.heard.append(message)
+            self.heard.append(message)
             self.machine.bed.heard.append((self.machine, message))
             if message.kind is Kind.PING:
                 if not self.machine.silent and self not in self.machine.dead:
@@ -171,7 +173,9 @@
 class Bed:
     """One scheduler with its surroundings, on a clock that the test moves."""
 
-    def __init__(self, folder: Path, *scripts: Script, sockets: int = 256, caught_up: bool = True) -> None:
+    def __init__(
+        self, folder: Path, *scripts: Script, sockets: int = 256, caught_up: bool = True, handshake: float = 0
+    ) -> None:  # fmt: skip
         self.clock = ManualClock(START_NS)
         self.troubles: list[str] = []
         self.heard: list[tuple[Machine, Message]] = []  # by all machines, in order
@@ -183,7 +187,7 @@
         known = event(1, *(machine.row() for machine in self.machines), full=True)
         self.file = {
             "name": "n0", "listen": "127.0.0.1:1", "seed": "0a", "limits": {"sockets": sockets},
-            "journal": self.journal.address, "settings": settings(),
+            "journal": self.journal.address, "settings": settings() | {"prices": {"handshake": handshake}},
             "known": {"pos": 1, "entries": [known]},
         }  # fmt: skip
         self.environment = {"PROXY_NAME": "n0", "PROXY_CONFIG": str(self.path)}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -461,6 +461,24 @@
     assert not owner.said(Kind.RELEASE) and not any(each.closed for each in crowd)
 
 
+def test_where_connections_are_paid_for_repeatable_set_ups_share_one_and_others_do_not(beds: Any) -> None:
+    # Guards against a handshake for each of several set-ups under way to one machine: four of ten connections
+    # were of that kind, and cost a twentieth of a day's score.
+    bed = beds(never, handshake=0.08)
+    machine, owner = bed.machines[0], Owner(bed)
+    safe, unsafe = [bed.setup() for _ in range(6)], [bed.setup("bill") for _ in range(2)]
+    owner.say(*safe[:3], *unsafe, *safe[3:])
+    bed.run(lambda: len(machine.got(Kind.SETUP)) == 8)
+    assert len(machine.conns) == 3
+    shared = max(machine.conns, key=lambda conn: len(conn.heard))
+    assert {m.id for m in shared.heard} == {m.id for m in safe}
+    # What is spoilt there ends those on it, each once, and none of the others; they are asked for again.
+    machine.script = yes
+    shared.stream.write(b"\0\1\0")
+    bed.run(lambda: {m.id for m in owner.said(Kind.ANSWER)} == {m.id for m in safe})
+    assert not owner.said(Kind.RELEASE)
+
+
 def test_a_quiet_connection_is_tested_and_used_again_and_a_dead_one_replaced(beds: Any) -> None:
     # Guards against a new connection for nearly each set-up: two of three offers dialled, though idle
     # connections to the same machines stood open, and each is paid for.
