Links: a set-up is written only where nothing waits in its connection's buffer

Need: a set-up counts from its first byte, and what lies in a stream's buffer when a drain is heard leaves after it. Shared connections make it likelier. At fault: `Link._write` handed every set-up to the stream, whatever waited there. The test fails without it; another holds lists of 1,024 machines and 1,024 schedulers, at the start and by events.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -115,6 +115,10 @@
         except OSError:
             return False
 
+    def unsent(self) -> bool:
+        """Whether bytes wait for the peer to take them."""
+        return bool(self._out)
+
     def pause(self, paused: bool) -> None:
         """Stop or resume reading."""
         if self._paused != paused:
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -175,8 +175,7 @@
             conn = min(live, key=lambda each: len(each.open))
         offer.conn = conn
         conn.open[offer.id] = offer
-        if conn.live() and conn.proof is None:
-            self._write(conn, offer)
+        self._write_waiting(conn)
 
     def _unused(self) -> Conn | None:
         for conn in reversed(self.conns):
@@ -210,6 +209,7 @@
         conn.stream = connect(
             self.links.loop, self.address, conn, self.links.connect_ns, lambda _: self._connected(conn)
         )
+        conn.stream.on_drained = lambda: self._write_waiting(conn)
         return conn
 
     def _connected(self, conn: Conn) -> None:
@@ -220,9 +220,17 @@
         if self.standing:
             # A machine that was dialled again may have nothing to say, and would count as silent.
             self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
-        for offer in list(conn.open.values()):
-            if not offer.written:
-                self._write(conn, offer)
+        self._write_waiting(conn)
+
+    def _write_waiting(self, conn: Conn) -> None:
+        """Write what may leave now.
+
+        Danger: what the peer does not take would lie in the stream's buffer and leave after its machine was
+        announced as leaving.  So a set-up is written only where nothing waits there."""
+        for offer in [each for each in conn.open.values() if not each.written]:
+            if conn.stream is None or conn.stream.unsent() or conn.proof is not None or not conn.live():
+                return
+            self._write(conn, offer)
 
     def _write(self, conn: Conn, offer: Offer) -> None:
         left_ms = (offer.until_ns - self.links.loop.now_ns()) // 1_000_000
@@ -355,8 +363,7 @@
         if conn.proof is not None:
             conn.proof.cancel()
             conn.proof = None
-            for waiting in [each for each in conn.open.values() if not each.written]:
-                self._write(conn, waiting)
+            self._write_waiting(conn)
         offer = conn.open.get(message.id)
         if message.kind is Kind.ANSWER:
             if offer is None or not offer.written:
--- a/tests/platform_bed.py
+++ b/tests/platform_bed.py
@@ -174,7 +174,8 @@
     """One scheduler with its surroundings, on a clock that the test moves."""
 
     def __init__(
-        self, folder: Path, *scripts: Script, sockets: int = 256, caught_up: bool = True, handshake: float = 0
+        self, folder: Path, *scripts: Script, sockets: int = 256, caught_up: bool = True,
+        handshake: float = 0, schedulers: int = 1,
     ) -> None:  # fmt: skip
         self.clock = ManualClock(START_NS)
         self.troubles: list[str] = []
@@ -187,7 +188,9 @@
         known = event(1, *(machine.row() for machine in self.machines), full=True)
         self.file = {
             "name": "n0", "listen": "127.0.0.1:1", "seed": "0a", "limits": {"sockets": sockets},
-            "journal": self.journal.address, "settings": settings() | {"prices": {"handshake": handshake}},
+            "journal": self.journal.address, "settings": settings() | {
+                "prices": {"handshake": handshake}, "balancers": schedulers, "ordinal": schedulers - 1,
+            },
             "known": {"pos": 1, "entries": [known]},
         }  # fmt: skip
         self.environment = {"PROXY_NAME": "n0", "PROXY_CONFIG": str(self.path)}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -461,6 +461,60 @@
     assert not owner.said(Kind.RELEASE) and not any(each.closed for each in crowd)
 
 
+def test_what_a_machine_does_not_take_is_not_sent_once_it_is_leaving(beds: Any) -> None:
+    # Guards against set-ups that lie in the buffer of a connection and leave after the drain was heard.
+    bed = beds(never, never, handshake=0.08)
+    for machine in bed.machines:
+        machine.listener.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        machine.on_accept = lambda conn: conn.stream.pause(True)
+    owner = Owner(bed)
+
+    def ask() -> None:
+        asked = bed.setup(cores=0.1, memory=0.1, left=9000)
+        asked.description = "x" * 12_000
+        owner.say(asked)
+
+    def offers(written: bool) -> set[str]:
+        link = bed.service.links.get(name)
+        return {each.id for conn in link.conns for each in conn.open.values() if each.written == written}
+
+    ask()
+    bed.run(lambda: bed.service.links.count)
+    bed.run()
+    for link in (bed.service.links.get(machine.name) for machine in bed.machines):
+        for conn in link.conns:
+            conn.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            name = link.name
+    for _ in range(40):
+        ask()
+        bed.run()
+    leaving = next(machine for machine in bed.machines if machine.name == name)
+    assert offers(written=False)
+    bed.service.take(decode_event(json.dumps(event(2, leaving.row("draining"))).encode()))
+    begun = offers(written=True)
+    for conn in leaving.conns:
+        conn.stream.pause(False)
+    bed.run(span_ns=S)
+    assert begun and {message.id for message in leaving.got(Kind.SETUP)} <= begun
+
+
+def test_a_thousand_machines_and_schedulers_are_taken_at_the_start_and_by_events(beds: Any) -> None:
+    # Guards against a bound on either list; the users have hundreds of both.
+    bed = beds(yes, schedulers=1024)
+    owner, real = Owner(bed), bed.machines[0]
+
+    def rows(first: int) -> list[dict[str, Any]]:
+        return [real.row() | {"name": f"m{at}", "group": at // 6} for at in range(first, first + 1024)]
+
+    bed.service.take(decode_event(json.dumps(event(2, *rows(0), full=True)).encode()))
+    assert sum(not machine.shut for machine in bed.module()._machines.values()) == 1024
+    bed.service.take(decode_event(json.dumps(event(3, *rows(1024), full=True)).encode()))
+    assert {stand(bed, owner).id for _ in range(20)} == {m.id for m in real.got(Kind.SETUP)}
+    assert all(int(offer.machine[1:]) >= 1024 for link in bed.service.links._links.values()
+               for offer in link.standing.values())  # fmt: skip
+    assert sum(len(link.standing) for link in bed.service.links._links.values()) == 20
+
+
 def test_a_machine_that_missed_its_test_is_dialled_at_once(beds: Any) -> None:
     # Guards against waiting twice for a machine that is cut off, for a test on a connection and for a dial:
     # half a second for each offer, on a day when a fifth of the machines fell silent.
