Links: machines are tested once a second also where they are few

Seen on reading the whole change: with fewer than ten machines a part of the tests came up every 100 ms, as the list of those still to be tested was empty at once (11 machines: every 0.6 s). At fault: `Links._test`, which began anew when the list was empty and not when the second was over. Machines were tested twice a second at most; nothing else came of it.

--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -468,7 +468,7 @@
         self._links: dict[str, Link] = {}
         self._up: dict[Conn, None] = {}  # connections by the time they came up, oldest first
         self._testing: list[Link] = []  # of this second, those still to be tested
-        self._portion = 0
+        self._part = self._portion = 0
         loop.call_later(TEST_NS // TEST_PARTS, self._test)
 
     def make_room(self) -> bool:
@@ -556,9 +556,10 @@
     def _test(self) -> None:
         self.loop.call_later(TEST_NS // TEST_PARTS, self._test)
         now = self.loop.now_ns()
-        if not self._testing:
+        if not self._part:
             self._testing = list(self._links.values())
             self._portion = -(-len(self._testing) // TEST_PARTS)
+        self._part = (self._part + 1) % TEST_PARTS
         due, self._testing = self._testing[: self._portion], self._testing[self._portion :]
         for link in due:
             if self._links.get(link.name) is link:
