One wording of the spread rule, a fact instead of a choice in the carrier, one way to count calls

Found on reading the whole change: - `_spread_ok` and `_full_places` worded the same rule twice; the first now asks the second. - `Tasks._offer` chose which connection an offer may have (`alone`), though nothing is chosen there. No check or bound is changed.

--- a/ladderhub/decide.py
+++ b/ladderhub/decide.py
@@ -527,14 +527,10 @@
 
     def _spread_ok(self, task: _Task, machine: _Machine) -> bool:
         """Spread: attempts and open tasks of the service in one place, each until its outcome."""
-        klass = self.settings.classes[task.klass]
-        if klass.spread is Scope.NONE:
-            return True
-        places = self._spread.get(task.asked.service, {})
-        return places.get(_place_of(machine, klass.spread), 0) < klass.spread_most
+        return _place_of(machine, self.settings.classes[task.klass].spread) not in self._full_places(task)
 
     def _full_places(self, task: _Task) -> frozenset[str | int]:
-        """Where the task's service may not go, for `_spread_ok` on many machines at once."""
+        """Where the task's service may not go."""
         klass, places = self.settings.classes[task.klass], self._spread.get(task.asked.service, {})
         if klass.spread is Scope.NONE:
             return frozenset()
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -55,12 +55,13 @@
     """One set-up to one machine, from the module's `Send` to its end."""
 
     def __init__(
-        self, number: int, attempt: int, machine: str, setup: Message, sent_ns: int, until_ns: int
-    ) -> None:
+        self, number: int, attempt: int, machine: str, setup: Message, sent_ns: int, until_ns: int,
+        repeatable: bool,
+    ) -> None:  # fmt: skip
+        """`repeatable`: whatever becomes of it, it may be sent again."""
         self.number, self.attempt, self.machine = number, attempt, machine
         self.setup, self.id = setup, setup.id
-        self.alone = True  # on a connection to itself, whatever that costs
-        self.sent_ns, self.until_ns = sent_ns, until_ns
+        self.sent_ns, self.until_ns, self.repeatable = sent_ns, until_ns, repeatable
         self.leg = Leg()
         self.timer: Timer | None = None
         self.conn: Conn | None = None
@@ -162,7 +163,7 @@
             # A test costs the machine less than a new connection, and shows as much before anything has left.
             conn.proof = loop.call_later(self.links.connect_ns, self._unproven, conn)
             self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
-        if conn is None and self.links.share and not offer.alone:
+        if conn is None and self.links.share and offer.repeatable:
             conn = self._shared()
         if conn is None and self.links.make_room():
             conn = self.dial("setup")
@@ -191,7 +192,7 @@
             waits = not conn.live() or conn.proof is not None  # nothing is written yet
             if conn.leaving or not conn.clean or conn.reader.pending() or not (waits or heard):
                 continue
-            if conn.open and not any(offer.alone for offer in conn.open.values()):
+            if conn.open and all(offer.repeatable for offer in conn.open.values()):
                 fit.append(conn)
         return min(fit, key=lambda conn: len(conn.open)) if fit else None
 
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -238,9 +238,8 @@
         task.sent += 1
         setup = Message(Kind.SETUP, asked.id, None, asked.description)
         setup.values = {Code.CLASS: asked.klass_name, Code.KEY: asked.key}
-        offer = Offer(task.number, attempt, machine, setup, self._loop.now_ns(), until_ns)
-        offer.alone = self.module.settings.classes[asked.klass].effect is not api.Effect.SAFE
-        return offer
+        repeatable = self.module.settings.classes[asked.klass].effect is api.Effect.SAFE
+        return Offer(task.number, attempt, machine, setup, self._loop.now_ns(), until_ns, repeatable)
 
     def _send(self, now: int, task: Task, machine: str, timeout: int | None) -> None:
         until = task.until_ns if timeout is None else min(task.until_ns, now + timeout)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import cProfile
+from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import Any, TypeVar
 
 from ladderhub.decide import Scheduler
 from ladderhub.interface import (
@@ -29,6 +31,7 @@
     Topic,
 )
 
+T = TypeVar("T")
 MS = 1_000_000
 S = 1_000 * MS
 CLASS = TaskClass(Effect.SAFE, aim_ns=S, deadline_ns=5 * S, dedupe_window_ns=2 * S)
@@ -54,6 +57,13 @@
     return replace(base, **changes)
 
 
+def calls_of(work: Callable[[], T]) -> tuple[T, int]:
+    """What the work gives, and how many calls it took: a cost that no clock is asked for."""
+    profile = cProfile.Profile(builtins=False)
+    given = profile.runcall(work)
+    return given, sum(entry.callcount for entry in profile.getstats())
+
+
 class Bed:
     """One scheduler on a clock that the test moves; timers that come due are delivered on the way."""
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import sys
 from dataclasses import replace
-from types import FrameType
 
 import pytest
 
@@ -28,7 +26,7 @@
     Topic,
 )
 from ladderhub.decide import NEAR_NS, NEAR_SHARE
-from tests.helpers import CLASS, MS, Bed, S, settings
+from tests.helpers import CLASS, MS, Bed, S, calls_of, settings
 
 
 def run(bed: Bed, task: int, machine: str, after_ns: int) -> None:
@@ -210,18 +208,8 @@
     bed.listed(ListKind.FULL, *rows)
     for task in range(1, 60):
         bed.place(task, service=f"s{task % 20}", cores=0.5, memory=0.5)
-    calls = 0
-
-    def count(frame: FrameType, event: str, arg: object) -> None:
-        nonlocal calls
-        calls += event == "call"
-
-    old = sys.getprofile()
-    sys.setprofile(count)
-    try:
-        sent = bed.sent(bed.ask(100, service="new", cores=0.5, memory=0.5))
-    finally:
-        sys.setprofile(old)
+    actions, calls = calls_of(lambda: bed.ask(100, service="new", cores=0.5, memory=0.5))
+    sent = bed.sent(actions)
     assert calls < 5 * 1024
     # The rule itself, spelled out: of the sums near the lowest, the emptiest machine.
     module = bed.scheduler
@@ -253,18 +241,8 @@
     bed.listed(ListKind.FULL, *(replace(full, machine=f"m{at}") for at in range(300)))
     for task in range(1, 201):
         assert not bed.ask(task, service=f"s{task}", cores=2.0 if task % 2 else 1.0, budget_ns=60 * S)
-    calls = 0
-
-    def count(frame: FrameType, event: str, arg: object) -> None:
-        nonlocal calls
-        calls += event == "call"
-
-    old = sys.getprofile()
-    sys.setprofile(count)
-    try:
-        assert not bed.wait(20 * MS)
-    finally:
-        sys.setprofile(old)
+    actions, calls = calls_of(lambda: bed.wait(20 * MS))
+    assert not actions
     assert calls < 20 * 300  # not 200 times 300
     # Room for the small ones on one machine: the small ones go, whatever was found of the large ones.
     bed.listed(ListKind.CHANGES, MachineEntry("m7", Stage.SERVING, free_cores=-14.5, free_memory=16.0))
