--- a/ladderhub/platform/follower.py
+++ b/ladderhub/platform/follower.py
@@ -37,8 +37,9 @@
         self.follower.loop.call_later(CAUGHT_UP_TIMES * took_ns + MS, self.follower.catch_up)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
-        self.heard_ns, self.told = self.follower.loop.now_ns(), True
+        self.heard_ns = self.follower.loop.now_ns()
         events, fault = self.reader.feed(data)
+        self.told = self.told or fault is None  # else a line that stays spoilt is asked for without a pause
         for event in events:
             self.follower.take(event)
         if not self.reader.pending():
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -83,19 +83,28 @@
             return
         entries: list[api.MachineEntry] = []
         addresses: list[Address] = []
+        spoilt = list(event.spoilt)
         for row in event.rows:
             try:
                 entry, address = self._config.names.entry(row), address_of(row.address, row.name)
             except (WireError, ConfigError) as fault:
-                self._report.line("list.row", machine=row.name[:60], why=str(fault)[:120])
+                spoilt.append((row.name, str(fault)))
                 continue
             entries.append(entry)
             addresses.append(address)
+        for name, why in spoilt:
+            self._report.line("list.row", machine=name[:60], why=why[:120])
+            link = self.links.get(name)
+            if link is not None:
+                # Danger: it may have told that the machine is leaving.  Harm: nothing new goes there until a
+                # row comes that can be used.
+                entries.append(api.MachineEntry(name, api.Stage.DRAINING))
+                addresses.append(link.address)
         # The module hears it first: what the links then give back goes to machines that it knows to serve.
         kind = api.ListKind.FULL if event.full else api.ListKind.CHANGES
         self.tasks.tell_list(api.MachineList(kind, event.pos, tuple(entries)))
         if event.full:
-            self.links.drop_others({row.name for row in event.rows})
+            self.links.drop_others({entry.machine for entry in entries})
         for entry, address in zip(entries, addresses, strict=True):
             serving, gone = entry.stage is api.Stage.SERVING, entry.stage is api.Stage.GONE
             self.links.place(entry.machine, address, serving, gone)
--- a/ladderhub/signalling/journal.py
+++ b/ladderhub/signalling/journal.py
@@ -29,39 +29,67 @@
 
 class Hosts(msgspec.Struct):
     snapshot: bool = False
-    endpoints: list[HostRow] = []
+    endpoints: list[msgspec.Raw] = []  # read one by one: a row that can't be used leaves the others in force
 
 
 class Entry(msgspec.Struct):
     """One event as it stands in the configuration and on a line."""
 
     pos: int
-    hosts: Hosts | None = None
+    hosts: msgspec.Raw = msgspec.Raw()
+
+
+class _Named(msgspec.Struct):
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class JournalEvent:
-    """Event number `pos`; `rows` None where the line held the last number alone."""
+    """Event number `pos`; `rows` None where the line held the last number alone.  `spoilt`: rows that can't
+    be used, each by its machine's name, '' where that can't be told, and why."""
 
     pos: int
     full: bool = False
     rows: tuple[HostRow, ...] | None = None
+    spoilt: tuple[tuple[str, str], ...] = ()
 
 
+_FAULTS = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
+_hosts: msgspec.json.Decoder[Hosts] = msgspec.json.Decoder(Hosts)
+_row: msgspec.json.Decoder[HostRow] = msgspec.json.Decoder(HostRow)
+_named: msgspec.json.Decoder[_Named] = msgspec.json.Decoder(_Named)
 _decoder: msgspec.json.Decoder[Entry | int] = msgspec.json.Decoder(Entry | int)
 
 
 def event_of(entry: Entry) -> JournalEvent:
-    if entry.hosts is None:
+    if not bytes(entry.hosts):
         return JournalEvent(entry.pos)
-    return JournalEvent(entry.pos, entry.hosts.snapshot, tuple(entry.hosts.endpoints))
+    rows: list[HostRow] = []
+    spoilt: list[tuple[str, str]] = []
+    try:
+        hosts = _hosts.decode(entry.hosts)
+    except _FAULTS as fault:
+        return JournalEvent(entry.pos, False, (), (("", str(fault)),))
+    for raw in hosts.endpoints:
+        try:
+            rows.append(_row.decode(raw))
+        except _FAULTS as fault:
+            spoilt.append((_name_of(raw), str(fault)))
+    return JournalEvent(entry.pos, hosts.snapshot, tuple(rows), tuple(spoilt))
+
+
+def _name_of(raw: msgspec.Raw) -> str:
+    try:
+        return _named.decode(raw).name
+    except _FAULTS:
+        return ""
 
 
 def decode_event(line: bytes) -> JournalEvent:
     """One line; SignalError where it is none."""
     try:
         row = _decoder.decode(line)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as fault:
+    except _FAULTS as fault:
         raise SignalError(f"not a line of the journal: {fault}") from None
     return JournalEvent(row) if isinstance(row, int) else event_of(row)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 import pytest
 
 from ladderhub.interface import Move
+from ladderhub.platform.config import load
 from ladderhub.signalling import Code, Kind, Message, encode_line
 from ladderhub.signalling.journal import decode_event
 from tests.platform_bed import MS, Bed, Journal, Machine, MachineConn, Owner, S
@@ -718,6 +719,30 @@
     assert int(bed.machines[0].got(Kind.SETUP)[1].values[Code.WAIT]) <= 1700
 
 
+@pytest.mark.parametrize(
+    "spoilt", [{"left_over": "much"}, {"status": "?"}, {"type": "odd"}, {"address": "x"}]
+)
+def test_a_row_that_cannot_be_used_is_told_and_the_rest_of_its_event_is_in_force(
+    beds: Any, spoilt: dict[str, Any]
+) -> None:
+    # Guards against one bad row that keeps the whole list from changing, or a scheduler from starting; and
+    # against set-ups to the machine that it was about, which may be leaving.
+    bed = beds(yes, yes, yes)
+    owner, (one, two, _) = Owner(bed), bed.machines
+    rows = (one.row("draining") | spoilt, two.row("draining"))
+    bed.journal.write(json.dumps(event(2, *rows)).encode() + b'\n{"pos":3,"hosts":7}\n')
+    bed.run(lambda: bed.service.follower.pos == 3)
+    for _ in range(4):
+        stand(bed, owner)
+    assert {machine.name for machine, _ in bed.heard} == {"m2"}
+    assert [row["machine"] for row in bed.logged if row["event"] == "list.row"] == ["m0", ""]
+    assert not [row for row in bed.logged if row["event"] == "journal.closed"]
+    bed.file["known"] = {"pos": 1, "entries": [event(1, *rows, full=True)]}
+    bed.path.write_text(json.dumps(bed.file))
+    (known,) = load(bed.environment).known  # and a scheduler starts on such a list
+    assert known.rows is not None and len(known.rows) + len(known.spoilt) == 2
+
+
 def test_a_journal_that_only_accepts_is_not_dialled_without_a_pause(beds: Any) -> None:
     bed = beds(yes)
     bed.run(lambda: bed.journal.streams)
