--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -462,6 +462,24 @@
     assert not owner.said(Kind.RELEASE) and not any(each.closed for each in crowd)
 
 
+@pytest.mark.parametrize("sockets", [48, 256])
+def test_each_set_up_of_a_flood_gets_one_final_answer_in_time_also_without_descriptors(
+    beds: Any, sockets: int
+) -> None:
+    # Guards against set-ups that are lost or answered late when machines say nothing and more is asked than
+    # there are connections to be had.
+    bed = beds(never, never, sockets=sockets, handshake=0.08)
+    owner = Owner(bed)
+    asked = [bed.setup(klass, cores=0.1, memory=0.1) for klass in ("bill", "web") for _ in range(100)]
+    owner.say(*asked)
+    bed.run(span_ns=1_900 * MS)
+    bed.run(span_ns=100 * MS)
+    bed.run(lambda: len(owner.said(Kind.RELEASE)) == len(asked))  # the clock stands at the deadline
+    bed.run()
+    assert sorted(m.id for m in owner.said(Kind.RELEASE)) == sorted(m.id for m in asked)
+    assert not owner.said(Kind.ANSWER) and bed.service.tasks.open == 0
+
+
 def test_what_a_machine_does_not_take_is_not_sent_once_it_is_leaving(beds: Any) -> None:
     # Guards against set-ups that lie in the buffer of a connection and leave after the drain was heard.
     bed = beds(never, never, handshake=0.08)
