--- /dev/null
+++ b/ladderhub/decide/ends.py
@@ -0,0 +1,38 @@
+"""What the end of an attempt teaches of its machine."""
+
+from ladderhub.decide.records import NEVER_RAN, REST_FIRST_NS, REST_ODD_NS, Attempt, Task
+from ladderhub.interface import AttemptEnded, Outcome, Reason, Settings
+
+ERRORS_ROW = 3  # errors in a row, each of another task, by which a machine and not the tasks shows as sick
+
+
+def learn_end(settings: Settings, now: int, task: Task, attempt: Attempt, event: AttemptEnded) -> None:
+    """Strike the machine out for this task, let it rest for others, as the outcome says."""
+    machine = attempt.machine
+    never_started = attempt.started is None and not task.placed
+    erred = never_started and event.outcome is Outcome.ERROR
+    if event.outcome in NEVER_RAN or erred or (never_started and event.outcome is Outcome.TIMED_OUT):
+        task.struck.add(machine.id)
+    unplaced = event.outcome is Outcome.TIMED_OUT and not task.placed
+    silent = unplaced and not settings.first_at_running  # else a long start looks the same
+    lost = event.outcome is Outcome.LOST
+    leaving = event.reason is Reason.NOT_HERE and task.maybe_ran is None
+    if event.reason is Reason.EVICTED:
+        machine.notes[1] = (now, 1.0)
+    elif leaving or silent or event.outcome is Outcome.UNREACHABLE or (lost and task.placed):
+        # Danger: a machine drains, dies or is cut off seconds before any list tells, and has the shortest
+        # line.  Sending tasks away, silence, or taking none where a standing copy can't be the reason,
+        # shows it.  Harm: a machine that only erred, or whose answers alone are lost, rests for a spell.
+        machine.rest(now, None)
+    elif event.outcome is Outcome.REFUSED:
+        # Danger: a machine that turns a class away, for whatever reason or none, keeps an empty line and
+        # draws all of it.  Lack of room is told and passes; what comes with no reason lasts, and at many
+        # schedulers each asking again soon is a flood.  Harm: room that came back is found a little late.
+        machine.rest(now, task.what, REST_FIRST_NS if event.reason else REST_ODD_NS)
+    elif erred and task.maybe_ran is None:
+        # Danger: a sick machine errs at once, so its line is the shortest and it draws everything.  One
+        # task that errs wherever it goes speaks against no machine, hence several, each at its first
+        # attempt.  Harm: several broken tasks in a row rest a good machine for a spell.
+        machine.errors += 1
+        if machine.errors >= ERRORS_ROW:
+            machine.rest(now, None)
--- /dev/null
+++ b/ladderhub/decide/scheduler.py
@@ -0,0 +1,210 @@
+"""The scheduler: its events, the path of a task, and the doors for offers and final answers."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ladderhub.decide.accounts import TELL_NS, Ledger, Telling
+from ladderhub.decide.ends import learn_end
+from ladderhub.decide.estimates import Estimates
+from ladderhub.decide.fleet import Fleet
+from ladderhub.decide.picking import Picking
+from ladderhub.decide.records import ANSWER_MARGIN_NS, MS, NEVER_RAN, Attempt, Machine, Task
+from ladderhub.decide.rules import Rules
+from ladderhub.decide.warmth import Warmth
+from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, MachineList, PeerMessage
+from ladderhub.interface import Refuse, Send, SetTimer, Settings, TaskAsked, TaskNote, TaskOpen
+from ladderhub.interface import TaskPlaced, TaskWithdrawn, TimerFired, Topic
+
+HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
+SWEEP_TIMER, TELL_TIMER = 0, 1  # a task's own timer bears its number and two
+
+
+class Scheduler:
+    """Decides for one scheduler.  Feed it events in order; carry out its actions in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.tasks: dict[int, Task] = {}
+        self.held: dict[int, Task] = {}  # those that wait for a machine
+        self.warmth = Warmth(settings)
+        self.fleet = Fleet(settings, self.warmth)
+        self.ledger, self.rules, self.telling = Ledger(settings), Rules(settings), Telling(settings)
+        self.estimates = Estimates(settings, self.warmth)
+        self.picking = Picking(settings, seed, self.fleet, self.ledger, self.rules, self.estimates)
+        self._sweep_set = self._tell_set = False
+        self._out: list[Action] = []
+        self._hear: dict[type, Callable[[int, Any], None]] = {
+            TaskAsked: self._on_asked, AttemptEnded: self._on_ended, TaskNote: self._on_news,
+            TaskPlaced: self._on_news, MachineList: self._on_list, TimerFired: self._on_timer,
+            TaskOpen: self._on_open, TaskWithdrawn: lambda _, event: self._end(event.task),
+            PeerMessage: lambda _, event: self.telling.hear(event, self.fleet.machines.values()),
+        }  # fmt: skip
+
+    def handle(self, now_ns: int, event: Event) -> list[Action]:
+        """Take one event and give the actions it calls for.  Probes, each paid for, are not used."""
+        self._out = []
+        if self.rules.born_ns < 0:
+            self.rules.born_ns = now_ns
+        hear = self._hear.get(type(event))
+        if hear is not None:
+            hear(now_ns, event)
+        if self.held and not self._sweep_set:
+            self._sweep_set = True
+            self._out.append(SetTimer(now_ns + HOLD_STEP_NS, SWEEP_TIMER))
+        if self.telling.changed and self.telling.allowed and not self._tell_set:
+            self._tell_set = True
+            self._out.append(SetTimer(now_ns + TELL_NS, TELL_TIMER))
+        return self._out
+
+    # --- asking, placing, holding -----------------------------------------------------------------------
+
+    def _on_list(self, now: int, event: MachineList) -> None:
+        moved, forgotten = self.fleet.follow(now, event)
+        if moved:
+            self.rules.recount(self.tasks.values())
+        for name in forgotten:
+            self.telling.changed.pop(name, None)
+
+    def _on_asked(self, now: int, asked: TaskAsked) -> None:
+        if asked.task in self.tasks:
+            return
+        task = self.tasks[asked.task] = Task(asked, now)
+        self._out.append(SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 2))
+        self._place(now, task)
+
+    def _on_open(self, now: int, event: TaskOpen) -> None:
+        task = self.tasks[event.asked.task] = Task(event.asked, now)
+        task.sent, task.placed = 1, True
+        task.attempt = attempt = Attempt(0, self.fleet.unlisted(event.machine), now)
+        attempt.started = now
+        self._charge(now, task, attempt, running=True)
+
+    def _place(self, now: int, task: Task) -> None:
+        """Send the task, or hold it, or give up where no further attempt can be allowed."""
+        if not self.rules.may_go(now, task):
+            self._give_up(task)
+        else:
+            machine = self.picking.pick(now, task)
+            if machine is not None:
+                self.held.pop(task.asked.task, None)
+                self._send(now, task, machine)
+            else:
+                self.held[task.asked.task] = task
+
+    def _sweep(self, now: int) -> None:
+        """Look again at the tasks that wait: the highest class first, the oldest first within it."""
+        classes, vain = self.settings.classes, set()
+        # Where one found no machine though none was closed to it in particular, none that asks as much will.
+        nowhere: dict[tuple[int, int], list[tuple[float, float]]] = {}
+        for task in sorted(self.held.values(), key=lambda held: -classes[held.klass].priority):
+            cores, memory, found = task.asked.cores, task.asked.memory, nowhere.setdefault(task.what, [])
+            like = (task.what, task.asked.service, cores, memory, bool(task.struck))
+            if like in vain or any(cores >= least[0] and memory >= least[1] for least in found):
+                continue
+            self._place(now, task)
+            if task.asked.task in self.held:
+                vain.add(like)
+                if not task.struck and task.maybe_ran is None and not self.rules.full_places(task):
+                    found.append((cores, memory))
+
+    def _on_timer(self, now: int, event: TimerFired) -> None:
+        task = self.tasks.get(event.timer - 2)
+        if event.timer == SWEEP_TIMER:
+            self._sweep_set = False
+            self._sweep(now)
+        elif event.timer == TELL_TIMER:
+            self._tell_set = False
+            self._out += self.telling.tell()
+        elif task is not None and now >= task.deadline_ns - ANSWER_MARGIN_NS:
+            self._give_up(task)
+
+    # --- the doors: every offer and every final answer --------------------------------------------------
+
+    def _send(self, now: int, task: Task, machine: Machine) -> None:
+        if not (self.rules.may_go(now, task) and self.rules.may_send(now, task, machine)):
+            return
+        task.attempt = attempt = Attempt(task.sent, machine, now)
+        attempt.line_ns = round(self.estimates.line(now, machine))
+        service = task.asked.service
+        attempt.held = service in machine.held
+        if not attempt.held:
+            attempt.depth = machine.depth_of(service)
+            attempt.level = self.fleet.homes_of(task).get(machine.id)
+        attempt.own_ns = round(self.estimates.own_figure(now, task, machine, attempt.level))
+        task.sent += 1
+        if machine.ready_ns:
+            machine.sends.append(now)
+        machine.line[task.asked.task] = attempt
+        self._charge(now, task, attempt)
+        self._out.append(Send(task.asked.task, machine.id, self.estimates.timeout(now, task, attempt)))
+
+    def _give_up(self, task: Task) -> None:
+        """The one final answer of a task that was not placed: refused where that is true, else failed."""
+        if task.ended or task.placed:
+            return
+        self._out.append((Refuse if self.rules.may_refuse(task) else Fail)(task.asked.task))
+        unsafe = self.settings.classes[task.klass].effect is Effect.UNSAFE
+        if task.attempt is not None and self.settings.may_abort and not unsafe:
+            self._out.append(Abort(task.asked.task, task.attempt.number))
+        self._end(task.asked.task)
+
+    def _end(self, number: int) -> None:
+        """No more is owed; the task is forgotten once no attempt is out."""
+        task = self.tasks.get(number)
+        if task is not None:
+            task.ended = True
+            self.held.pop(number, None)
+            if task.attempt is None:
+                del self.tasks[number]
+
+    # --- what comes back --------------------------------------------------------------------------------
+
+    def _on_news(self, now: int, event: TaskPlaced | TaskNote) -> None:
+        task = self.tasks.get(event.task)
+        attempt = task.attempt if task is not None else None
+        if task is None or attempt is None or attempt.number != event.attempt:
+            return
+        if isinstance(event, TaskPlaced):
+            task.placed = True
+            attempt.machine.rests, attempt.machine.errors = {}, 0
+            self.estimates.accept.add(now - attempt.sent_ns)
+            if self.settings.first_at_running:
+                self.estimates.started(now, task, attempt)
+        elif event.topic is Topic.RUNNING:
+            self.estimates.started(now, task, attempt)
+        elif event.topic is Topic.SERVICE_LEVEL:
+            attempt.machine.notes[0] = (now, max(0.0, 1 - event.level))
+        elif event.topic is Topic.MACHINE_MEMORY:
+            attempt.machine.notes[1] = (now, event.level)
+        else:
+            self.ledger.learn_use(now, task, attempt, event)
+
+    def _on_ended(self, now: int, event: AttemptEnded) -> None:
+        machines = self.fleet.machines
+        if event.report is not None and event.machine in machines:
+            self.ledger.read_report(now, machines[event.machine], event.report)
+        task = self.tasks.get(event.task)
+        attempt = task.attempt if task is not None else None
+        if task is None or attempt is None or attempt.number != event.attempt:
+            return
+        learn_end(self.settings, now, task, attempt, event)
+        self._release(now, task, attempt)
+        if event.outcome not in NEVER_RAN and task.maybe_ran is None:
+            task.maybe_ran = (attempt.machine, attempt.sent_ns)
+        task.attempt = None
+        if event.concluded or task.ended or task.placed:
+            self._end(event.task)
+        else:
+            self._place(now, task)
+
+    def _charge(self, now: int, task: Task, attempt: Attempt, running: bool = False) -> None:
+        self.rules.count(task, attempt)
+        self.telling.changed[attempt.machine.id] = attempt.machine
+        self.ledger.charge(now, task, attempt, running)
+
+    def _release(self, now: int, task: Task, attempt: Attempt) -> None:
+        attempt.machine.line.pop(task.asked.task, None)
+        self.rules.discount(task, attempt)
+        if attempt.is_current():
+            self.telling.changed[attempt.machine.id] = attempt.machine
+            self.ledger.release(now, task, attempt)
