--- a/ladderhub/benchlink.py
+++ b/ladderhub/benchlink.py
@@ -14,7 +14,7 @@
 from ladderhub.decide import Scheduler
 from ladderhub.translate import (
     Row,
-    WireError,
+    FieldError,
     choice_of,
     code_of,
     flag_of,
@@ -86,11 +86,11 @@
     if values is None:
         return None
     if not isinstance(values, list) or len(values) != len(fields):
-        raise WireError("field 'feedback' does not match the report's fields")
+        raise FieldError("field 'feedback' does not match the report's fields")
     known: dict[str, Any] = {}
     for name, value in zip(fields, values, strict=True):
         if not isinstance(value, int | float) or isinstance(value, bool):
-            raise WireError("field 'feedback' holds a value that is no number")
+            raise FieldError("field 'feedback' holds a value that is no number")
         if name in _REPORT_FIELDS:
             scale = _NS_PER_MS if name == "latency_ms" else 1
             known[_REPORT_FIELDS[name]] = float(value) * scale
@@ -101,7 +101,7 @@
     try:
         return bytes.fromhex(str_of(row, "blob"))
     except ValueError:
-        raise WireError("field 'blob' is not hex") from None
+        raise FieldError("field 'blob' is not hex") from None
 
 
 def read_event(row: Row, fields: tuple[str, ...], tables: Tables) -> api.Event:
@@ -113,7 +113,7 @@
             if kind is not api.ListKind.FAILED:
                 number = int_of(row, "roster-id")
                 if number not in tables:
-                    raise WireError(f"no Table has the number {number}")
+                    raise FieldError(f"no Table has the number {number}")
                 entries = tables[number]
             return api.MachineList(kind, int_of(row, "gen", 0), entries)
         case "Demand":
@@ -159,7 +159,7 @@
         case "Message":
             return api.PeerMessage(int_of(row, "neighbour"), _read_bytes(row))
         case other:
-            raise WireError(f"unknown event {other!r}")
+            raise FieldError(f"unknown event {other!r}")
 
 
 def write_action(action: api.Action) -> Row:
@@ -211,7 +211,7 @@
         if what == "Born":
             return self._born(name, row)
         if name not in self._instances:
-            raise WireError(f"{what} for instance {name!r}, which is not born")
+            raise FieldError(f"{what} for instance {name!r}, which is not born")
         if what == "CrashNow":
             del self._instances[name]
             return []
@@ -232,8 +232,8 @@
         try:
             settings = read_settings(raw)
             scheduler = Scheduler(settings, seed)
-        except (WireError, TypeError, AttributeError) as fault:
-            raise WireError(f"settings: {fault}") from None
+        except (FieldError, TypeError, AttributeError) as fault:
+            raise FieldError(str(fault), where="settings") from None
         except ValueError as fault:
             return [_internal_error(name, fault)]
         self._instances[name] = (scheduler, fields)
@@ -243,9 +243,9 @@
 def _check_indices(asked: api.TaskAsked, settings: api.Settings) -> None:
     """Tenant 0 also stands for none, where there are no tenants."""
     if not 0 <= asked.klass < len(settings.classes):
-        raise WireError(f"field 'category' holds {asked.klass}, which is not in the list of classes")
+        raise FieldError(f"field 'category' holds {asked.klass}, which is not in the list of classes")
     if not 0 <= asked.tenant < max(1, len(settings.tenants)):
-        raise WireError(f"field 'project' holds {asked.tenant}, which is not in the list of tenants")
+        raise FieldError(f"field 'project' holds {asked.tenant}, which is not in the list of tenants")
 
 
 def _internal_error(name: str, fault: Exception) -> Row:
@@ -260,9 +260,9 @@
     try:
         row = json.loads(line)
     except ValueError as fault:
-        raise WireError(f"not JSON ({fault})") from None
+        raise FieldError(f"not JSON ({fault})") from None
     if not isinstance(row, dict) or not isinstance(row.get("what"), str):
-        raise WireError("not an object with a 'what'")
+        raise FieldError("not an object with a 'what'")
     return row
 
 
@@ -278,10 +278,10 @@
             what = row["what"]
             if what == "Round":
                 if now_ns is not None:
-                    raise WireError("a Round inside a batch")
+                    raise FieldError("a Round inside a batch")
                 now_ns = int_of(row, "wall-ns")
             elif now_ns is None:
-                raise WireError(f"{what} outside a batch")
+                raise FieldError(f"{what} outside a batch")
             elif what == "EofBatch":
                 text = "".join(json.dumps(reply, separators=(",", ":")) + "\n" for reply in replies)
                 sink.write(text.encode() + b'{"what":"Finished"}\n')
@@ -289,17 +289,17 @@
                 replies, now_ns = [], None
             else:
                 replies.extend(link.event(now_ns, row))
-        except WireError as fault:
-            raise WireError(f"line {number}: {fault}") from None
+        except FieldError as fault:
+            raise FieldError(str(fault), where=f"line {number}") from None
     if now_ns is not None:
-        raise WireError(f"line {number}: the input ends inside a batch")
+        raise FieldError(f"line {number}: the input ends inside a batch")
 
 
 def main() -> NoReturn:
     """Serve standard input; exit 2 with one message where it is not the wire."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except WireError as fault:
+    except FieldError as fault:
         print(f"benchlink: {fault}", file=sys.stderr)
         sys.exit(2)
     except BrokenPipeError:
--- /dev/null
+++ b/ladderhub/cli/daemons.py
@@ -0,0 +1,155 @@
+"""What runs until it is told to end: scheduler, node, directory, demo; and the check of a settings file."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+from pathlib import Path
+
+import click
+
+from ladderhub.cli.common import address_option, fail, load_settings, make_loop, set_up_log
+from ladderhub.errors import LadderhubError
+
+
+@click.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def check(file: Path) -> None:
+    """Check a settings FILE without starting anything."""
+    settings = load_settings(file)
+    click.echo(f"{file}: good: {len(settings.queue_names)} queues, {len(settings.kind_names)} kinds of node")
+
+
+@click.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def serve(file: Path) -> None:
+    """Run one scheduler daemon with the settings in FILE.  SIGTERM settles what was taken, then ends it."""
+    from ladderhub.loop.http import HttpDoor
+    from ladderhub.server.daemon import Daemon
+
+    settings = load_settings(file)
+    log = set_up_log(settings.file.log.format, settings.file.log.level)
+    loop = make_loop(log)
+    try:
+        daemon = Daemon(loop, settings, log)
+        count = daemon.metrics
+
+        def trouble(where: str, fault: BaseException) -> None:
+            count.troubles += 1
+            log.error("trouble", where=where, exc_info=fault)
+
+        loop.trouble = trouble
+        daemon.start()
+        if settings.http is not None:
+            HttpDoor(loop, settings.http, {
+                "/metrics": daemon.metrics.page,
+                "/health": lambda: (503, "text/plain", b"stopping\n") if daemon.stopping
+                else (200, "text/plain", b"ok\n"),
+            })  # fmt: skip
+    except LadderhubError as fault:
+        fail(fault, f"ladderhub: {file}: cannot start")
+    except (OSError, ValueError) as fault:
+        click.echo(f"ladderhub: {file}: cannot start: {fault}", err=True)
+        sys.exit(1)
+    # What was loaded until now stays for good: the collector need not look at it again, and what a burst of
+    # jobs leaves behind is looked through seldom, since one look through all of it holds everybody up.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    daemon.on_end = loop.stop
+    loop.on_signal(signal.SIGTERM, daemon.shut)
+    loop.on_signal(signal.SIGINT, daemon.shut)
+    loop.run()
+
+
+@click.command("platform")
+def on_platform() -> None:
+    """Run one scheduler on the users' platform, as PROXY_CONFIG, PROXY_LISTEN and PROXY_NAME tell it."""
+    from ladderhub.platform.service import main as run
+
+    run()
+
+
+@click.command()
+@click.option("--name", required=True, help="The node's name, unique in the fleet.")
+@click.option("--listen", default="127.0.0.1:0", callback=address_option, show_default=True)
+@click.option("--directory", required=True, callback=address_option, help="HOST:PORT of the directory.")
+@click.option("--kind", required=True, help="Its kind, as the settings of the schedulers name it.")
+@click.option("--cores", required=True, type=click.FloatRange(min=0, min_open=True))
+@click.option("--memory", required=True, help="As 64gb.")
+@click.option("--rack", default="rack-1", show_default=True)
+@click.option("--zone", default="zone-1", show_default=True)
+@click.option("--admit-cores", default=1.0, show_default=True)
+@click.option("--admit-memory", default=1.0, show_default=True)
+@click.option("--answers", type=click.Choice(["running", "accepted"]), default="running", show_default=True)
+@click.option("--runner", type=click.Choice(["real", "emulated"]), default="real", show_default=True)
+@click.option("--spool", type=click.Path(path_type=Path), default=Path("spool"), show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def node(
+    name: str, listen: tuple[str, int], directory: tuple[str, int], kind: str, cores: float, memory: str,
+    rack: str,
+    zone: str, admit_cores: float, admit_memory: float, answers: str, runner: str, spool: Path, seed: int,
+) -> None:  # fmt: skip
+    """Run one node agent."""
+    from ladderhub.node.admission import NodeSettings
+    from ladderhub.node.agent import Agent
+    from ladderhub.node.runners import EmulatedRunner, EmulatedSettings, RealRunner, Runner
+    from ladderhub.pbs.resources import GIB, ResourceError, parse_size
+
+    log = set_up_log("json", "info")
+    loop = make_loop(log)
+    spool.mkdir(parents=True, exist_ok=True)
+    work: Runner = (
+        EmulatedRunner(loop, EmulatedSettings(), seed) if runner == "emulated" else RealRunner(loop, spool)
+    )
+    try:
+        settings = NodeSettings(cores, parse_size(memory, "memory") / GIB, kind, admit_cores, admit_memory)
+        agent = Agent(
+            loop, name, settings, work, address=listen, directory=directory, rack=rack, zone=zone,
+            answers=answers,
+            seed=seed,
+        )  # fmt: skip
+    except (ResourceError, OSError, ValueError) as fault:
+        click.echo(f"ladderhub: cannot start: {fault}", err=True)
+        sys.exit(1)
+    log.info("ready", node=name, address=agent.advertise)
+
+    def end() -> None:
+        agent.send_away()
+        loop.call_later(3_000_000_000, loop.stop)
+
+    loop.on_signal(signal.SIGTERM, end)
+    loop.on_signal(signal.SIGINT, end)
+    loop.run()
+    agent.close()
+
+
+@click.command()
+@click.option("--listen", default="127.0.0.1:15009", callback=address_option, show_default=True)
+@click.option("--delay", default=1.0, show_default=True, help="Seconds by which schedulers are told late.")
+def directory(listen: tuple[str, int], delay: float) -> None:
+    """Run the directory that tells schedulers of nodes."""
+    from ladderhub.directory.service import Directory
+
+    log = set_up_log("json", "info")
+    loop = make_loop(log)
+    try:
+        service = Directory(loop, listen, round(delay * 1e9))
+    except OSError as fault:
+        click.echo(f"ladderhub: cannot start: {fault}", err=True)
+        sys.exit(1)
+    log.info("ready", address="{}:{}".format(*service.address))
+    loop.on_signal(signal.SIGTERM, loop.stop)
+    loop.on_signal(signal.SIGINT, loop.stop)
+    loop.run()
+
+
+@click.command()
+@click.option("--keep", is_flag=True, help="Stay up, with the real runner, for commands from another shell.")
+@click.option("--schedulers", default=2, show_default=True, type=click.IntRange(1, 9))
+def demo(keep: bool, schedulers: int) -> None:
+    """Start schedulers, a directory and eight nodes, submit job scripts and show what becomes of them."""
+    from ladderhub.lab.demo import run_demo
+
+    sys.exit(run_demo(keep, schedulers))
--- /dev/null
+++ b/ladderhub/cli/lab.py
@@ -0,0 +1,124 @@
+"""`ladderhub lab`: scripted days, recordings, load."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+
+@click.group()
+def lab() -> None:
+    """The laboratory: scripted days, recordings, load."""
+
+
+def _run_day(name: str, seed: int, folder: Path | None) -> None:
+    from ladderhub.lab.day import Day, scenario
+
+    try:
+        plan = scenario(name)
+    except ValueError as fault:
+        raise click.UsageError(str(fault)) from None
+    click.echo(f"{plan.name}: {plan.about}; {plan.schedulers} schedulers, {plan.nodes} nodes, seed {seed}")
+    day = Day(plan, seed, folder)
+    outcome = day.run(click.echo)
+    for line in outcome.verdict.lines():
+        click.echo(line)
+    for trouble in day.troubles[:5]:
+        click.echo(f"trouble in the laboratory: {trouble}", err=True)
+    unanswered = sum(job not in outcome.told for job in day.jobs)
+    click.echo(
+        f"{outcome.submitted} submitted, {outcome.acknowledged} acknowledged, {unanswered} not told by qstat"
+    )
+    sys.exit(0 if outcome.verdict.good() and not outcome.verdict.unread else 1)
+
+
+_SEED = click.option("--seed", default=1, show_default=True)
+_FOLDER = click.option("--folder", type=click.Path(path_type=Path), help="Keep recording and logs here.")
+
+
+@lab.command("bad-day")
+@_SEED
+@_FOLDER
+def bad_day(seed: int, folder: Path | None) -> None:
+    """Run the bad day and judge the five rules from the recorded bytes."""
+    _run_day("bad-day", seed, folder)
+
+
+@lab.command()
+@click.argument("kind")
+@_SEED
+@_FOLDER
+def replay(kind: str, seed: int, folder: Path | None) -> None:
+    """Run one KIND of trouble through real schedulers and judge the rules."""
+    _run_day(kind, seed, folder)
+
+
+@lab.command()
+@click.option("--nodes", default=90, show_default=True)
+@click.option("--rate", default=180.0, show_default=True, help="Jobs a second.")
+@click.option("--seconds", default=20.0, show_default=True)
+@click.option("--jobs", default=10_000, show_default=True, help="Held jobs for memory and qstat; 0 for none.")
+def load(nodes: int, rate: float, seconds: float, jobs: int) -> None:
+    """Measure one daemon: rate, delay it adds, memory a job, qstat, qsub's own start."""
+    from ladderhub.lab.load import Bench, start_ratio, weigh
+
+    bench = Bench(nodes)
+    try:
+        got = bench.load(rate, seconds)
+    finally:
+        bench.close()
+    click.echo(f"{os.cpu_count()} cores here; {nodes} emulated nodes, {rate:g} jobs/s for {seconds:g} s")
+    click.echo(f"submitted {got.submitted}: {got.placed} placed, {got.refused} refused, {got.failed} failed")
+    click.echo(f"daemon used {got.cores:.2f} of one core")
+    for name, values in (
+        ("submit to acknowledged", got.commit_ms), ("submit to offer at the node", got.added_ms),
+        ("submit to running", got.start_ms),
+    ):  # fmt: skip
+        click.echo(f"{name:<28} ms at p50/p99/p99.9: {' / '.join(map(str, values))}")
+    own, bare = start_ratio()
+    click.echo(
+        f"qsub starts in {own / bare:.2f} times a bare interpreter ({own * 1000:.0f}, {bare * 1000:.0f} ms)"
+    )
+    if jobs:
+        weight = weigh(jobs)
+        click.echo(f"{weight.jobs} held jobs: {weight.bytes_a_job} bytes each")
+        click.echo(f"qstat {weight.qstat_s:.2f} s, qstat -f {weight.qstat_full_s:.2f} s")
+        click.echo(f"a small request waits at most {weight.held_up_ms:.0f} ms while all jobs are asked for")
+
+
+@lab.command()
+@click.option("--copies", default=200, show_default=True)
+@click.option("--calm", is_flag=True, help="Without faults: how close the length comes to what limits allow.")
+@_SEED
+@_FOLDER
+def updates(copies: int, calm: bool, seed: int, folder: Path | None) -> None:
+    """Update three services at once on real sockets, with faults; judge limits from the recorded bytes."""
+    from ladderhub.lab.updates import run_updates
+
+    got = run_updates(copies, seed, not calm, click.echo, folder)
+    for line in [*got.limits.lines(), *got.rules.lines()]:
+        click.echo(line)
+    click.echo(f"{got.seconds:.1f} s; limits, starts and health allow {got.bound_s:.1f} s at best")
+    click.echo(f"updates that came to their end: {', '.join(got.ended) or 'none'}")
+    sys.exit(0 if got.good() else 1)
+
+
+@lab.command()
+@click.option("--count", default=1000, show_default=True)
+@_SEED
+@_FOLDER
+def submits(count: int, seed: int, folder: Path | None) -> None:
+    """Submit by real qsub processes against flaky nodes; count answers from the recording and from qstat."""
+    from ladderhub.lab.load import thousand
+
+    got = thousand(count, seed, click.echo, keep=folder)
+    click.echo(f"acknowledged {got.acknowledged}, commands that failed {got.failed_commands}")
+    click.echo(f"by the recording: {got.by_recording}")
+    click.echo(f"by qstat:         {got.by_qstat}")
+    for line in got.verdict.lines():
+        click.echo(line)
+    click.echo("the two agree" if got.agree else "the two do NOT agree")
+    sys.exit(0 if got.agree and got.verdict.good() else 1)
--- a/ladderhub/commands/client.py
+++ b/ladderhub/commands/client.py
@@ -12,6 +12,7 @@
 import sys
 from collections.abc import Callable
 
+from ladderhub.errors import LadderhubError
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, ReplyParser, Request, encode_request
 from ladderhub.pbs.dis import DisError
@@ -21,12 +22,25 @@
 USAGE, REFUSED, UNREACHED = 1, 2, 3
 
 
-class CommandError(Exception):
-    """Ends the command with one message and an exit status."""
+class CommandError(LadderhubError):
+    """Ends the command with one message and its exit status: usage, or trouble here."""
 
-    def __init__(self, text: str, status: int = USAGE) -> None:
-        super().__init__(text)
-        self.status = status
+    status, code = USAGE, n.INVALID_REQUEST
+    remedy = "give the command as its usage says"
+
+
+class RefusedError(CommandError):
+    """The server refused what was asked."""
+
+    status, code = REFUSED, n.INVALID_REQUEST
+    remedy = "read the server's reason; it took nothing"
+
+
+class UnreachedError(CommandError):
+    """No server, or none that answers."""
+
+    status, code = UNREACHED, n.NO_SERVER
+    remedy = "look at PBS_SERVER and whether that scheduler runs; `qstat -B` asks it alone"
 
 
 def options(argv: list[str], letters: str, usage: str) -> tuple[list[tuple[str, str]], list[str]]:
@@ -53,12 +67,12 @@
     """HOST:PORT of `name`, else of PBS_SERVER, else of PBS_DEFAULT."""
     text = name or os.environ.get("PBS_SERVER") or os.environ.get("PBS_DEFAULT") or ""
     if not text:
-        raise CommandError("no server is named; set PBS_SERVER=HOST:PORT", UNREACHED)
+        raise UnreachedError("no server is named; set PBS_SERVER=HOST:PORT")
     host, colon, port = text.rpartition(":")
     if not colon:
         return text, DEFAULT_PORT
     if not port.isdigit() or not 0 < int(port) < 65536:
-        raise CommandError(f"{text}: not a server; HOST or HOST:PORT is meant", UNREACHED)
+        raise UnreachedError("not a server", where=text, meant="HOST or HOST:PORT")
     return host, int(port)
 
 
@@ -71,9 +85,8 @@
             self._sock = socket.create_connection(self.address, timeout=TIMEOUT_S)
         except OSError as fault:
             where = "{}:{}".format(*self.address)
-            raise CommandError(
-                f"cannot connect to server {where} ({fault.strerror or fault})", UNREACHED
-            ) from None
+            why = fault.strerror or fault
+            raise UnreachedError(f"cannot connect to server {where} ({why})") from None
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = ReplyParser()
         self.user = user()
@@ -92,16 +105,14 @@
                     continue
                 data = self._sock.recv(1 << 18)
                 if not data:
-                    raise CommandError("the server closed the connection", UNREACHED)
+                    raise UnreachedError("the server closed the connection")
                 self._parser.feed(data)
         except TimeoutError:
-            raise CommandError(f"the server did not answer within {TIMEOUT_S:g} s", UNREACHED) from None
+            raise UnreachedError(f"the server did not answer within {TIMEOUT_S:g} s") from None
         except OSError as fault:
-            raise CommandError(
-                f"the connection to the server broke ({fault.strerror or fault})", UNREACHED
-            ) from None
+            raise UnreachedError(f"the connection to the server broke ({fault.strerror or fault})") from None
         except DisError as fault:
-            raise CommandError(f"the server's answer can't be read: {fault}", UNREACHED) from None
+            raise UnreachedError(f"the server's answer can't be read: {fault}") from None
         return replies
 
     def ask(self, request: Request) -> Reply:
@@ -128,7 +139,7 @@
     for operand in operands:
         job = operand.partition("@")[0]
         if not job.partition(".")[0].isdigit():
-            raise CommandError(f"illegally formed job identifier: {operand}", USAGE)
+            raise CommandError(f"illegally formed job identifier: {operand}")
         jobs.append(job)
     return jobs
 
--- a/ladderhub/commands/qselect.py
+++ b/ladderhub/commands/qselect.py
@@ -41,7 +41,7 @@
     extension = "x" if ("-x", "") in options else ""
     reply = connection.ask(Request(n.SELECT_JOBS, attrs=attrs, extension=extension))
     if reply.code:
-        raise c.CommandError(c.words(reply), c.REFUSED)
+        raise c.RefusedError(c.words(reply))
     if reply.jobs:
         print("\n".join(reply.jobs))
     return 0
--- a/ladderhub/commands/qsub.py
+++ b/ladderhub/commands/qsub.py
@@ -188,15 +188,15 @@
     request = Request(n.QUEUE_JOB, attrs=attrs, destination=queue)
     reply = connection.ask(request)
     if reply.code:
-        raise c.CommandError(c.words(reply), c.REFUSED)
+        raise c.RefusedError(c.words(reply))
     identifier = reply.job
     script_job = Request(n.JOB_SCRIPT, job=identifier, data=script)
     for reply in connection.send(script_job, Request(n.READY_TO_COMMIT, job=identifier)):
         if reply.code:
-            raise c.CommandError(c.words(reply), c.REFUSED)
+            raise c.RefusedError(c.words(reply))
     reply = connection.ask(Request(n.COMMIT, job=identifier))
     if reply.code:
-        raise c.CommandError(c.words(reply), c.REFUSED)
+        raise c.RefusedError(c.words(reply))
     if "z" not in job.options:
         print(identifier, flush=True)
     for line in warnings(attrs):
@@ -214,7 +214,7 @@
     while True:
         reply = connection.ask(Request(n.STATUS_JOB, job=job, extension="x"))
         if reply.code:
-            raise c.CommandError(c.words(reply), c.REFUSED)
+            raise c.RefusedError(c.words(reply))
         row = reply.rows[0]
         if row.get("job_state") == "F":
             status = int(row.get("Exit_status", "0"))
--- a/ladderhub/directory/service.py
+++ b/ladderhub/directory/service.py
@@ -16,7 +16,7 @@
     Room,
     State,
     Watch,
-    WireError,
+    DirectoryError,
     encode,
 )
 from ladderhub.loop import Listener, Loop, Stream
@@ -80,7 +80,7 @@
                 self._watchers[peer] = -1 if since > self.version else since
                 self._send(peer)
             case _:
-                raise WireError(f"{type(message).__name__} is out of place here")
+                raise DirectoryError(f"{type(message).__name__} is out of place here")
 
     def lost(self, peer: _Peer) -> None:
         self._watchers.pop(peer, None)
@@ -167,7 +167,7 @@
         try:
             for message in self._lines.feed(data):
                 self._directory.take(self, message)
-        except WireError as fault:
+        except DirectoryError as fault:
             stream.abort(fault)
 
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
--- a/ladderhub/directory/wire.py
+++ b/ladderhub/directory/wire.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ladderhub.errors.base import PROTOCOL, LadderhubError
+
 LINE_MOST = 8 * 1024 * 1024
 
 
@@ -64,9 +66,12 @@
 _ENCODER = msgspec.json.Encoder()
 
 
-class WireError(ValueError):
+class DirectoryError(LadderhubError):
     """The bytes are no message of the directory."""
 
+    status, code = 3, PROTOCOL
+    remedy = "look what listens at the address that the settings give as `directory`"
+
 
 def encode(message: Message) -> bytes:
     return _ENCODER.encode(message) + b"\n"
@@ -79,11 +84,11 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> list[Message]:
-        """Whole messages so far; `WireError` at the first line that is none."""
+        """Whole messages so far; `DirectoryError` at the first line that is none."""
         *lines, self._rest = (self._rest + data).split(b"\n")
         if len(self._rest) > LINE_MOST:
-            raise WireError(f"a line of more than {LINE_MOST} bytes")
+            raise DirectoryError(f"a line of more than {LINE_MOST} bytes")
         try:
             return [_DECODER.decode(line) for line in lines if line]
         except msgspec.MsgspecError as fault:
-            raise WireError(str(fault)) from None
+            raise DirectoryError(str(fault)) from None
--- a/ladderhub/pbs/dis.py
+++ b/ladderhub/pbs/dis.py
@@ -8,18 +8,25 @@
 
 from __future__ import annotations
 
+from ladderhub.errors import LadderhubError
+from ladderhub.pbs import names
+
 DIGITS_MOST = 19  # numbers of 64 bits
 
 
 _SMALL = [b"+%d" % digit for digit in range(10)]
 
 
-class DisError(ValueError):
+class DisError(LadderhubError):
     """The bytes are no DIS, or announce more than is allowed."""
 
+    status, code = 3, names.PROTOCOL_ERROR
+    remedy = "look what speaks at that address: it is no peer of the batch protocol, or its bytes are spoilt"
+
 
-class NeedMore(Exception):
-    """The buffer ends inside a value; at least `total` bytes from its start are needed."""
+class NeedMore(EOFError):
+    """No error but a step of reading: the buffer ends inside a value; at least `total` bytes from its start
+    are needed."""
 
     def __init__(self, total: int) -> None:
         super().__init__(total)
--- a/ladderhub/pbs/jobscript.py
+++ b/ladderhub/pbs/jobscript.py
@@ -4,13 +4,19 @@
 
 import shlex
 
+from ladderhub.errors import LadderhubError
+from ladderhub.pbs import names
+
 PREFIX = "#PBS"
 DIRECTIVE_MOST = 64 * 1024
 
 
-class ScriptError(ValueError):
+class ScriptError(LadderhubError):
     """A directive that can't be read, with the number of its line."""
 
+    status, code = 1, names.BAD_SCRIPT
+    remedy = "mend the directive in that line of the job script"
+
 
 def directives(script: bytes, prefix: str = PREFIX) -> list[tuple[int, list[str]]]:
     """Words of each directive with its line number.
@@ -29,13 +35,12 @@
             if rest and not rest[0].isspace() and prefix == PREFIX:
                 continue  # `#PBSish` is a comment
             if len(line) > DIRECTIVE_MOST:
-                raise ScriptError(
-                    f"line {at}: a directive of {len(line)} characters; {DIRECTIVE_MOST} can be read"
-                )
+                what = f"a directive of {len(line)} characters; {DIRECTIVE_MOST} can be read"
+                raise ScriptError(what, where=f"line {at}")
             try:
                 found.append((at, shlex.split(rest, comments=True)))
             except ValueError as fault:
-                raise ScriptError(f"line {at}: {fault}") from None
+                raise ScriptError(str(fault), where=f"line {at}") from None
         elif text and not text.startswith("#") and not (at == 1 and text.startswith(":")):
             break
     return found
--- a/ladderhub/pbs/resources.py
+++ b/ladderhub/pbs/resources.py
@@ -7,14 +7,20 @@
 
 from __future__ import annotations
 
+from ladderhub.errors import LadderhubError
+from ladderhub.pbs import names
+
 _POWERS = {"": 0, "k": 1, "m": 2, "g": 3, "t": 4, "p": 5}
 WORD = 8
 GIB = 1 << 30
 
 
-class ResourceError(ValueError):
+class ResourceError(LadderhubError):
     """A resource that can't be read: which, what was found, what was meant."""
 
+    status, code = 1, names.BAD_RESOURCE_VALUE
+    remedy = "ask for the resource as the message says it is meant; docs/operators.md has those that act"
+
 
 def parse_size(text: str, name: str = "size") -> int:
     """Bytes of `512`, `2gb`, `4mw`."""
--- a/ladderhub/platform/config.py
+++ b/ladderhub/platform/config.py
@@ -12,22 +12,24 @@
 import msgspec
 
 from ladderhub import interface as api
+from ladderhub.errors.base import BAD_VALUE, LadderhubError
 from ladderhub.loop import parse_address
 from ladderhub.loop.stream import Address
 from ladderhub.platform.words import Names
 from ladderhub.signalling.journal import Entry, JournalEvent, event_of
-from ladderhub.translate import WireError, part_of, read_settings
+from ladderhub.translate import FieldError, part_of, read_settings
 
 MS = 1_000_000
-
-
 OWN_DESCRIPTORS = 12  # listener, selector, wake-up, standard streams, journal, a file
 SOCKETS_LEAST = 4 * OWN_DESCRIPTORS  # a quarter then goes to machines, half to owners
 
 
-class ConfigError(Exception):
+class ConfigError(LadderhubError):
     """The configuration can't be used."""
 
+    status, code = 2, BAD_VALUE
+    remedy = "mend the variable or the field that is named; nothing was started, or the old one is in force"
+
 
 class _Limits(msgspec.Struct):
     cores: float = 1.0
@@ -71,33 +73,33 @@
     try:
         return parse_address(text)
     except ValueError as fault:
-        raise ConfigError(f"{where}: {fault}") from None
+        raise ConfigError(str(fault), where=where) from None
 
 
 def load(environment: Mapping[str, str]) -> Config:
     """Read the file that PROXY_CONFIG names; PROXY_NAME and PROXY_LISTEN go before what it says."""
     path = environment.get("PROXY_CONFIG", "")
     if not path:
-        raise ConfigError("PROXY_CONFIG is not set: the path of the configuration file is meant")
+        raise ConfigError("not set", where="PROXY_CONFIG", meant="the path of the configuration file")
     try:
         data = Path(path).read_bytes()
     except OSError as fault:
-        raise ConfigError(f"PROXY_CONFIG: {path}: {fault.strerror}") from None
+        raise ConfigError(str(fault.strerror), where=f"PROXY_CONFIG: {path}") from None
     try:
         file: _File = msgspec.json.decode(data, type=_File)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as fault:
-        raise ConfigError(f"{path}: {fault}") from None
+        raise ConfigError(str(fault), where=path) from None
     listen = environment.get("PROXY_LISTEN") or file.listen
     if not listen:
-        raise ConfigError("PROXY_LISTEN is not set: the address for owners, HOST:PORT, is meant")
+        raise ConfigError("not set", where="PROXY_LISTEN", meant="the address for owners, HOST:PORT,")
     try:
         settings, names = read_settings(file.settings), Names(file.settings)
         limits, prices = part_of(file.settings, "ceilings"), part_of(file.settings, "prices")
-    except (WireError, ValueError, TypeError, AttributeError) as fault:
-        raise ConfigError(f"{path}: settings: {fault}") from None
+    except (FieldError, ValueError, TypeError, AttributeError) as fault:
+        raise ConfigError(str(fault), where=f"{path}: settings") from None
     if file.limits.sockets < SOCKETS_LEAST:
-        found = file.limits.sockets
-        raise ConfigError(f"{path}: limits.sockets: found {found}; at least {SOCKETS_LEAST} are meant")
+        where, meant = f"{path}: limits.sockets", f"at least {SOCKETS_LEAST}"
+        raise ConfigError(f"found {file.limits.sockets}", where=where, meant=meant)
     return Config(
         name=environment.get("PROXY_NAME") or file.name,
         listen=address_of(listen, "PROXY_LISTEN"),
@@ -117,4 +119,4 @@
     try:
         return value if isinstance(value, int) else int(value or "0", 16)
     except ValueError:
-        raise ConfigError(f"{path}: seed: {value!r} is not a hex number") from None
+        raise ConfigError(f"found {value!r}", where=f"{path}: seed", meant="a hex number") from None
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -21,7 +21,7 @@
 from ladderhub.platform.report import Report
 from ladderhub.platform.tasks import Tasks
 from ladderhub.signalling import JournalEvent
-from ladderhub.translate import WireError
+from ladderhub.translate import FieldError
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -87,7 +87,7 @@
         for row in event.rows:
             try:
                 entry, address = self._config.names.entry(row), address_of(row.address, row.name)
-            except (WireError, ConfigError) as fault:
+            except (FieldError, ConfigError) as fault:
                 spoilt.append((row.name, str(fault)))
                 continue
             entries.append(entry)
--- a/ladderhub/platform/words.py
+++ b/ladderhub/platform/words.py
@@ -56,7 +56,7 @@
         self.zones = {str(name): at for at, name in enumerate(settings.get("zones") or ())}
 
     def entry(self, row: HostRow) -> api.MachineEntry:
-        """One row of the journal; WireError where it names what the settings don't know."""
+        """One row of the journal; FieldError where it names what the settings don't know."""
         return api.MachineEntry(
             machine=row.name,
             stage=choice_of(_STAGES, "status", row.status),
--- a/ladderhub/server/jobs.py
+++ b/ladderhub/server/jobs.py
@@ -7,7 +7,7 @@
 
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Row
-from ladderhub.server.lasting import write_lasting
+from ladderhub.server.lasting import SpoolError, write_lasting
 
 BLOCK = 1000
 PLAIN = frozenset((
@@ -29,7 +29,8 @@
         except FileNotFoundError:
             self._next = 1
         except ValueError:
-            raise ValueError(f"{self._path}: not a number; the next free job number is meant") from None
+            where, meant = str(self._path), "the next free job number"
+            raise SpoolError("not a number", where=where, meant=meant) from None
         self._reserved = self._next
 
     def take(self) -> int:
--- a/ladderhub/server/lasting.py
+++ b/ladderhub/server/lasting.py
@@ -6,10 +6,22 @@
 import os
 from pathlib import Path
 
+from ladderhub.errors import LadderhubError
+from ladderhub.pbs import names
 
-class Locked(OSError):
+
+class SpoolError(LadderhubError):
+    """A file of the spool folder is not as an earlier life left it."""
+
+    status, code = 1, names.SYSTEM
+    remedy = "put the file back from a copy, or move the spool folder away and start without what it held"
+
+
+class SpoolLocked(SpoolError):
     """Another process holds the folder; the message says which."""
 
+    remedy = "end that process, or give this scheduler a spool folder of its own"
+
 
 class FolderLock:
     """One daemon to a spool folder: two would give job numbers twice and run services twice.
@@ -25,7 +37,7 @@
         except OSError:
             holder = os.read(self._file, 32).decode("ascii", "replace").strip() or "unknown"
             self.close()
-            raise Locked(f"{folder} is held by the running process {holder}") from None
+            raise SpoolLocked(f"{folder} is held by the running process {holder}") from None
         os.ftruncate(self._file, 0)
         os.pwrite(self._file, f"{os.getpid()}\n".encode(), 0)
 
--- a/ladderhub/server/nodelist.py
+++ b/ladderhub/server/nodelist.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ladderhub.directory.wire import Entry, Lines, Listed, Watch, WireError, encode
+from ladderhub.directory.wire import Entry, Lines, Listed, Watch, DirectoryError, encode
 from ladderhub.interface import ListKind
 from ladderhub.loop import Loop, Stream
 from ladderhub.loop.stream import Address, connect
@@ -56,9 +56,9 @@
         try:
             for message in self._lines.feed(data):
                 if not isinstance(message, Listed) or message.kind not in ("full", "changes"):
-                    raise WireError("only lists are expected from the directory")
+                    raise DirectoryError("only lists are expected from the directory")
                 self._listed(message)
-        except WireError as fault:
+        except DirectoryError as fault:
             stream.abort(fault)
 
     def _listed(self, message: Listed) -> None:
--- a/ladderhub/server/services.py
+++ b/ladderhub/server/services.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ladderhub.errors import LadderhubError
 from ladderhub.interface import Effect
 from ladderhub.loop import Timer
 from ladderhub.owner import types as own
@@ -23,7 +24,7 @@
 from ladderhub.server.door import Answer
 from ladderhub.server.intake import Intake
 from ladderhub.server.jobs import JobRecord
-from ladderhub.server.lasting import write_lasting
+from ladderhub.server.lasting import SpoolError, write_lasting
 from ladderhub.server.members import Members
 from ladderhub.server.settings import SettingsError, span_ns
 from ladderhub.server.site import Site
@@ -60,9 +61,12 @@
     queued: tuple[int, dict[str, float]] | None = None
 
 
-class Wrong(ValueError):
+class ServiceError(LadderhubError):
     """A request on a service that can't be taken: field, what was found, what was meant."""
 
+    status, code = 2, n.BAD_ATTRIBUTE_VALUE
+    remedy = "mend the field in the service's file; `ladderhub rollout plan FILE` checks it alone"
+
 
 class Services:
     """Carrier of the rollout decisions, and a part of the daemon."""
@@ -93,16 +97,17 @@
     # --- as a part ------------------------------------------------------------------------------------------
 
     def start(self) -> None:
-        """Take up what an earlier life declared; ValueError where its file can't be read."""
+        """Take up what an earlier life declared; SpoolError where its file can't be read."""
         try:
             books: list[Book] = msgspec.json.decode(self._path.read_bytes(), type=list[Book])
         except FileNotFoundError:
             return
         except msgspec.MsgspecError as fault:
-            raise ValueError(f"{self._path}: {fault}; it is meant to be as the scheduler left it") from None
+            raise SpoolError(str(fault), where=str(self._path), meant="what the scheduler left") from None
         for book in books:
             if book.queue not in self._site.settings.queue_names:
-                raise ValueError(f"{self._path}: service {book.name}: the queue {book.queue} is not known")
+                where = f"{self._path}: service {book.name}"
+                raise SpoolError(f"the queue {book.queue} is not known", where=where)
             self._books[book.name] = book
             queued = (book.queued[0], _limits_back(book.queued[1])) if book.queued is not None else None
             rules = self._rules(book.name, book.queue, book.count)
@@ -241,21 +246,21 @@
                 wish = _WISHES.get(request.get("action"))
                 if wish is None:
                     meant = ", ".join(_WISHES)
-                    raise Wrong(f"action: found {request.get('action')!r}; one of {meant} is meant")
+                    raise ServiceError(f"action: found {request.get('action')!r}; one of {meant} is meant")
                 self._wish(wish(request.name))
                 answer(Reply(0, n.R_STATUS, rows=[self._row(request.name)]))
             elif request.command == n.CMD_DELETE:
                 self._wish(t.Removed(request.name))
                 answer(Reply())
             else:
-                raise Wrong("create, set, delete and list are known for a service")
-        except (Wrong, ResourceError, SettingsError) as fault:
-            answer(refusal(n.BAD_ATTRIBUTE_VALUE, str(fault)))
+                raise ServiceError("create, set, delete and list are known for a service")
+        except (ServiceError, ResourceError, SettingsError) as fault:
+            answer(refusal(fault.code, str(fault)))
 
     def _wish(self, event: t.Event) -> None:
         wrong = self.rollouts.check(event)
         if wrong:
-            raise Wrong(wrong)
+            raise ServiceError(wrong)
         self._tell(event)
 
     def _rules(self, name: str, queue: str, count: int) -> t.ServiceRules:
@@ -268,24 +273,28 @@
         own_names = ("queue", "count", "script", "if_busy", "plan", "update")
         attrs = [attr for attr in request.attrs if attr.name not in own_names]
         if not name or not all(char.isalnum() or char in "._-" for char in name):
-            raise Wrong(f"service: found {name!r}; a name of letters, digits, '.', '_' and '-' is meant")
+            meant = "a name of letters, digits, '.', '_' and '-'"
+            raise ServiceError(f"found {name!r}", where="service", meant=meant)
         if not self.settled:
-            raise Wrong(f"{site.name} took up its services anew, and nodes have not all said what they run")
+            why = "took up its services anew, and nodes have not all said what they run"
+            raise ServiceError(f"{site.name} {why}")
         queue = request.get("queue") or site.settings.default_queue
         if queue not in site.settings.queue_names:
-            raise Wrong(f"queue: found {queue!r}; one of {', '.join(site.settings.queue_names)} is meant")
+            meant = f"one of {', '.join(site.settings.queue_names)}"
+            raise ServiceError(f"found {queue!r}", where="queue", meant=meant)
         book = self._books.get(name)
         if book is not None and queue != book.queue:
-            raise Wrong(f"queue: found {queue!r}; {book.queue} is meant, a service stays in its queue")
+            raise ServiceError(f"queue: found {queue!r}; {book.queue} is meant, a service stays in its queue")
         words = [busy.value for busy in t.IfBusy]
         if request.get("if_busy", "refuse") not in words:
-            raise Wrong(f"if_busy: found {request.get('if_busy')!r}; one of {', '.join(words)} is meant")
+            meant = f"one of {', '.join(words)}"
+            raise ServiceError(f"found {request.get('if_busy')!r}", where="if_busy", meant=meant)
         script = request.get("script").encode("utf-8", "surrogateescape")
         if not script:
-            raise Wrong("script: found nothing; what each copy runs is meant")
+            raise ServiceError("script: found nothing; what each copy runs is meant")
         refused = self._intake.unserved(attrs)
         if refused is not None:
-            raise Wrong(refused.text)
+            raise ServiceError(refused.text)
         attrs += [Attr("service", name), Attr("Job_Owner", request.user)]
         if not request.get("Job_Name"):
             attrs.append(Attr("Job_Name", name if name[0].isalpha() else f"S{name}"))
@@ -293,14 +302,14 @@
         self._intake.describe(probe, attrs)
         never = self._intake.check(probe)
         if never:
-            raise Wrong(never)
+            raise ServiceError(never)
         rules = self._rules(name, queue, _whole(request.get("count"), "count"))
         version = 1 + max(book.versions, default=0) if book is not None else 1
         limits = read_limits(request)
         event = t.Declared(rules, version, limits, t.IfBusy(request.get("if_busy", "refuse")))
         wrong = self.rollouts.check(event)
         if wrong:
-            raise Wrong(wrong)
+            raise ServiceError(wrong)
         if request.get("plan"):
             mean = self.rollouts.mean_start_ns()
             reckoned = plan(rules, limits, site.settings.rollouts.most_at_once, mean, 0)
@@ -319,7 +328,7 @@
     def _row(self, name: str) -> Row:
         if name not in self.rollouts.services:
             known = ", ".join(self._books) or "none"
-            raise Wrong(f"service: found {name!r}; one that is declared is meant: {known}")
+            raise ServiceError(f"service: found {name!r}; one that is declared is meant: {known}")
         view = self.rollouts.view(self._site.loop.now_ns(), name)
         attrs = [
             Attr("queue", self._books[name].queue), Attr("count", str(view.count)),
@@ -333,12 +342,12 @@
 
 def _whole(text: str, where: str) -> int:
     if not (text.isascii() and text.isdigit() and len(text) < 10):
-        raise Wrong(f"{where}: found {text!r}; a whole number is meant")
+        raise ServiceError(f"{where}: found {text!r}; a whole number is meant")
     return int(text)
 
 
 def read_limits(request: Request) -> t.Limits:
-    """The limits of an update from its `update.*` attributes; `Wrong` names the field."""
+    """The limits of an update from its `update.*` attributes; `ServiceError` names the field."""
     found: dict[str, float] = {}
     for attr in request.attrs:
         if attr.name != "update":
@@ -354,10 +363,11 @@
             try:
                 found["failed_share"] = float(text)
             except ValueError:
-                raise Wrong(f"{where}: found {text!r}; a share above 0 and at most 1 is meant") from None
+                meant = "a share above 0 and at most 1"
+                raise ServiceError(f"found {text!r}", where=where, meant=meant) from None
         else:
             known = "down, surplus, wave, spacing, healthy, failures and priority"
-            raise Wrong(f"{where}: unknown; {known} are known")
+            raise ServiceError(f"{where}: unknown; {known} are known")
     return _limits_back(found)
 
 
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -13,8 +13,10 @@
 import msgspec
 
 from ladderhub import interface as api
+from ladderhub.errors import LadderhubError
 from ladderhub.loop import parse_address
 from ladderhub.owner.types import OwnerSettings, QueueRules
+from ladderhub.pbs import names
 from ladderhub.pbs.resources import GIB, ResourceError, parse_size
 from ladderhub.rollout.types import RolloutSettings
 
@@ -23,15 +25,18 @@
 _SCOPES = {"none": "none", "node": "machine", "rack": "cell", "zone": "zone", "all": "all"}
 
 
-class SettingsError(ValueError):
+class SettingsError(LadderhubError):
     """The settings can't be used: where, what was found, what was meant."""
 
+    status, code = 2, names.BAD_ATTRIBUTE_VALUE
+    remedy = "mend that field; `ladderhub check FILE` says whether the file is good without starting anything"
+
 
 def span_ns(text: str, where: str) -> int:
     """Nanoseconds of a span with its unit."""
     match = _SPAN.fullmatch(text.strip())
     if match is None:
-        raise SettingsError(f"{where}: found {text!r}; a time with its unit is meant, as 800ms, 6s or 5m")
+        raise SettingsError(f"found {text!r}", where=where, meant="a time with its unit, as 800ms, 6s or 5m,")
     return round(float(match[1]) * _UNITS[match[2]])
 
 
@@ -39,7 +44,7 @@
     try:
         return parse_address(text)
     except ValueError as fault:
-        raise SettingsError(f"{where}: {fault}") from None
+        raise SettingsError(str(fault), where=where) from None
 
 
 class Spread(msgspec.Struct, forbid_unknown_fields=True):
@@ -198,7 +203,7 @@
         self.rollouts = self._rollouts()
 
     def _wrong(self, path: str, found: object, meant: str) -> SettingsError:
-        return SettingsError(f"{self.source}: {path}: found {found!r}; {meant} is meant")
+        return SettingsError(f"found {found!r}", where=f"{self.source}: {path}", meant=meant)
 
     def _span(self, path: str, text: str) -> int:
         return span_ns(text, f"{self.source}: {path}")
@@ -277,7 +282,7 @@
                 price_cross_zone=file.prices.cross_zone,
             )
         except ValueError as fault:
-            raise SettingsError(f"{self.source}: {fault}") from None
+            raise SettingsError(str(fault), where=self.source) from None
 
     def _owner(self) -> OwnerSettings:
         queues = []
@@ -299,7 +304,7 @@
         try:
             return OwnerSettings(tuple(queues), self.file.again.share, self.file.again.burst)
         except ValueError as fault:
-            raise SettingsError(f"{self.source}: {fault}") from None
+            raise SettingsError(str(fault), where=self.source) from None
 
 
     def _rollouts(self) -> RolloutSettings:
@@ -310,7 +315,7 @@
                 self._span("rollouts.back_most", given.back_most),
             )  # fmt: skip
         except ValueError as fault:
-            raise SettingsError(f"{self.source}: rollouts.{fault}") from None
+            raise SettingsError(f"rollouts.{fault}", where=self.source) from None
 
 
 def check(value: Any, source: str) -> Loaded:
@@ -320,7 +325,7 @@
     except msgspec.ValidationError as fault:
         text, _, path = str(fault).partition(" - at `$")
         where = path.rstrip("`").lstrip(".") or "the file"
-        raise SettingsError(f"{source}: {where}: {text}") from None
+        raise SettingsError(text, where=f"{source}: {where}") from None
 
 
 def load(path: Path) -> Loaded:
--- a/ladderhub/server/status.py
+++ b/ladderhub/server/status.py
@@ -76,7 +76,7 @@
         try:
             chosen = [record for record in pool if all(self._matches(record, attr) for attr in request.attrs)]
         except ResourceError as fault:
-            answer(refusal(n.BAD_ATTRIBUTE_VALUE, str(fault)))
+            answer(refusal(fault.code, str(fault)))
             return
         answer(Reply(0, n.R_SELECT, jobs=[record.id for record in chosen]))
 
--- a/ladderhub/server/submitting.py
+++ b/ladderhub/server/submitting.py
@@ -47,7 +47,7 @@
         try:
             self._intake.describe(probe, request.attrs)
         except ResourceError as fault:
-            answer(refusal(n.BAD_RESOURCE_VALUE, str(fault)))
+            answer(refusal(fault.code, str(fault)))
             return
         never = self._intake.check(probe)
         if never:
--- a/ladderhub/signalling/table.py
+++ b/ladderhub/signalling/table.py
@@ -5,13 +5,18 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from ladderhub.errors.base import PROTOCOL, LadderhubError
+
 MESSAGE_MOST = 16 * 1024  # bytes of one message, in either encoding
 ID_DIGITS = 16
 
 
-class SignalError(Exception):
+class SignalError(LadderhubError):
     """What was read is not the protocol.  Where it could be told whose it was, `id` names the task."""
 
+    status, code = 1, PROTOCOL
+    remedy = "look at the program at the other end, named in the log line: its messages are not the protocol"
+
     def __init__(self, text: str, id: str = "") -> None:
         super().__init__(text)
         self.id = id
--- a/ladderhub/translate.py
+++ b/ladderhub/translate.py
@@ -1,7 +1,7 @@
 """The settings as Midshires words them, in the module's terms, and reading of typed fields.
 
 Used by the adapter to the simulator and by the door to the platform, which are given the same object.
-Translation only; standard library only.  Must import `interface` alone.
+Translation only; standard library only.  Must import `interface` and `errors` alone.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 from typing import Any
 
 from ladderhub import interface as api
+from ladderhub.errors.base import BAD_VALUE, LadderhubError
 
 Row = dict[str, Any]
 _MISSING = object()
@@ -22,18 +23,21 @@
 _NS_PER_MS = 1_000_000
 
 
-class WireError(Exception):
-    """The input is not the wire."""
+class FieldError(LadderhubError):
+    """A row of the wire, or of the settings, has a field that can't be read."""
+
+    status, code = 2, BAD_VALUE
+    remedy = "look at the field that is named: the other side words it otherwise than published"
 
 
 def get(row: Row, name: str, kinds: tuple[type, ...], default: Any = _MISSING) -> Any:
     value = row.get(name)
     if value is None:
         if default is _MISSING:
-            raise WireError(f"missing field '{name}'")
+            raise FieldError(f"missing field '{name}'")
         return default
     if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-        raise WireError(f"field '{name}' has the wrong type")
+        raise FieldError(f"field '{name}' has the wrong type")
     return value
 
 
@@ -60,7 +64,7 @@
 
 def choice_of(table: dict[str, Any], name: str, word: Any) -> Any:
     if word not in table:
-        raise WireError(f"field '{name}' holds the unknown value {word!r}")
+        raise FieldError(f"field '{name}' holds the unknown value {word!r}")
     return table[word]
 
 
@@ -68,7 +72,7 @@
     try:
         return kind(value)
     except ValueError:
-        raise WireError(f"field '{name}' holds the unknown code {value}") from None
+        raise FieldError(f"field '{name}' holds the unknown code {value}") from None
 
 
 def _at(values: Any, index: int, default: Any) -> Any:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -238,7 +238,7 @@
     many = [bed.setup() for _ in range(200)]
     owner.say(*(m for asked in many for m in (asked, Message(Kind.RELEASE, asked.id, 16))))
     bed.run(span_ns=S)
-    assert owner.got == [] and not bed.module()._tasks
+    assert owner.got == [] and not bed.module().tasks
     bed.machines[0].heard.clear()
     gone = bed.setup()
     owner.say(gone)
@@ -330,7 +330,7 @@
     bed.run(lambda: bed.machines[0].got(Kind.RELEASE))
     bed.machines[0].conns[0].say(release(asked.id, 31))
     bed.run()
-    assert [m.kind for m in owner.got[1:]] == [Kind.MOVE] and not bed.module()._tasks
+    assert [m.kind for m in owner.got[1:]] == [Kind.MOVE] and not bed.module().tasks
 
 
 def test_an_attempt_out_of_time_is_given_up_before_the_next_and_its_late_answer_is_ended(beds: Any) -> None:
@@ -526,7 +526,7 @@
         return [real.row() | {"name": f"m{at}", "group": at // 6} for at in range(first, first + 1024)]
 
     bed.service.take(decode_event(json.dumps(event(2, *rows(0), full=True)).encode()))
-    assert sum(not machine.shut for machine in bed.module()._machines.values()) == 1024
+    assert sum(not machine.shut for machine in bed.module().fleet.machines.values()) == 1024
     bed.service.take(decode_event(json.dumps(event(3, *rows(1024), full=True)).encode()))
     assert {stand(bed, owner).id for _ in range(20)} == {m.id for m in real.got(Kind.SETUP)}
     assert all(int(offer.machine[1:]) >= 1024 for link in bed.service.links._links.values()
@@ -597,7 +597,7 @@
     note = Message(Kind.NOTE, asked.id, values={Code.NOTE: "cores", Code.FIGURE: figure})
     bed.machines[0].conns[0].say(note)
     bed.run(lambda: [row for row in bed.logged if row["event"] == "machine.spoilt"])
-    assert math.isfinite(bed.module()._class_use[0][0].value)
+    assert math.isfinite(bed.module().ledger.class_use[0][0].value)
     assert bed.service.tasks.find(asked.id) is not None
 
 
@@ -840,11 +840,11 @@
     bed.run(span_ns=S)
     module = bed.module()
     for machine in bed.machines:
-        view, link = module._machines[machine.name], bed.service.links.get(machine.name)
+        view, link = module.fleet.machines[machine.name], bed.service.links.get(machine.name)
         assert link is not None and set(link.standing) == stands[machine.name]
         assert round(view.asked.own[0]) == sum(view.held.values()) == len(stands[machine.name])
         assert not view.line
-    assert sum(map(len, stands.values())) == 6 and len(module._tasks) == 6 and bed.service.tasks.open == 0
+    assert sum(map(len, stands.values())) == 6 and len(module.tasks) == 6 and bed.service.tasks.open == 0
 
 
 def test_a_fault_of_the_module_leaves_no_set_up_without_an_answer(
@@ -932,7 +932,7 @@
 @pytest.mark.parametrize(
     ("changes", "status", "said"),
     [
-        ({"PROXY_CONFIG": ""}, 2, "PROXY_CONFIG is not set"),
+        ({"PROXY_CONFIG": ""}, 2, "PROXY_CONFIG: not set; the path"),
         ({"PROXY_CONFIG": "/nowhere.json"}, 2, "/nowhere.json"),
         ({"PROXY_LISTEN": "here"}, 2, "found 'here'; HOST:PORT is meant"),
         ({"PROXY_LISTEN": "192.0.2.1:1"}, 1, "PROXY_LISTEN"),
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -47,23 +47,26 @@
 
 def test_decisions_know_nothing_of_sockets_and_rooms_nothing_of_their_users() -> None:
     allowed = {
+        "ladderhub.errors": {"ladderhub.errors"},
         "ladderhub.decide": {"ladderhub.interface", "ladderhub.decide"},
         "ladderhub.owner": {"ladderhub.interface", "ladderhub.owner"},
         "ladderhub.rollout": {"ladderhub.interface", "ladderhub.rollout"},
-        "ladderhub.pbs": {"ladderhub.pbs"},
+        "ladderhub.pbs": {"ladderhub.pbs", "ladderhub.errors"},
         "ladderhub.loop": {"ladderhub.loop"},
-        "ladderhub.translate": {"ladderhub.interface"},
+        "ladderhub.translate": {"ladderhub.interface", "ladderhub.errors"},
         "ladderhub.board": set(),
-        "ladderhub.signalling": {"ladderhub.signalling"},
+        "ladderhub.signalling": {"ladderhub.signalling", "ladderhub.errors"},
         "ladderhub.platform": {
             "ladderhub.platform", "ladderhub.signalling", "ladderhub.loop", "ladderhub.board",
-            "ladderhub.translate", "ladderhub.decide", "ladderhub.interface",
+            "ladderhub.translate", "ladderhub.decide", "ladderhub.interface", "ladderhub.errors",
         },
-        "ladderhub.commands": {"ladderhub", "ladderhub.pbs", "ladderhub.commands"},
+        "ladderhub.commands": {"ladderhub", "ladderhub.pbs", "ladderhub.commands", "ladderhub.errors"},
+        "ladderhub.directory": {"ladderhub.directory", "ladderhub.loop", "ladderhub.errors"},
         "ladderhub.node": {"ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory"},
         "ladderhub.server": {
             "ladderhub.server", "ladderhub.loop", "ladderhub.pbs", "ladderhub.owner", "ladderhub.decide",
             "ladderhub.interface", "ladderhub.directory", "ladderhub.rollout", "ladderhub.board",
+            "ladderhub.errors",
         },
     }  # fmt: skip
     for name, used in imports().items():
