--- /dev/null
+++ b/ladderhub/lab/mesh/__init__.py
@@ -0,0 +1,5 @@
+"""Real scheduler processes with a faulty network between them, and the days that are played on it.
+
+`days` are scripts (also played in simulated time by `lab.emulator`); `relay` stands before each scheduler's
+peer address; `fleet` runs the processes; `judge` reads the recording alone.
+"""
--- /dev/null
+++ b/tests/membership/test_parts.py
@@ -0,0 +1,119 @@
+"""Rings, tables and news by themselves: what enumeration can show is enumerated."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import permutations, product
+
+from ladderhub.membership import Heard, MemberSettings, Tick, Views
+from ladderhub.membership.gossip import Gossip, packed, size_of
+from ladderhub.membership.messages import Ack, Entry, Message, Part, Ping, Seek, Status
+from ladderhub.membership.rings import RINGS, Rings
+from ladderhub.membership.table import ENTRIES_MOST, Table, id_of, overrides
+from ladderhub.membership.types import Say
+from ladderhub.peers.wire import VERSION, Frame, encode
+
+S = 1_000_000_000
+
+
+def entry(name: str = "a", life: int = 1, incarnation: int = 0, status: Status = Status.ALIVE) -> Entry:
+    return Entry(name, life, f"10.0.0.{sum(map(ord, name)) % 250}:7000", incarnation, status)
+
+
+def test_watches_are_mutual_and_spread_evenly() -> None:
+    rings = Rings()
+    members = [(f"s{at}", at) for at in range(200)]
+    for member in members:
+        rings.add(member)
+    watched = Counter(each for member in members for each in rings.subjects(member))
+    assert set(watched) == set(members) and 4 <= min(watched.values()) <= max(watched.values()) <= 8
+    mutual = sum(member in rings.observers(each) for member in members for each in rings.subjects(member))
+    assert mutual >= 0.95 * RINGS * len(members)
+    rings.remove(members[7])
+    assert all(members[7] not in rings.subjects(member) for member in members)
+
+
+def test_one_beside_the_rings_has_those_observers_that_it_would_have_inside() -> None:
+    rings = Rings()
+    for at in range(50):
+        rings.add((f"s{at}", at))
+    before = rings.observers(("new", 1))
+    rings.add(("new", 1))
+    assert rings.observers(("new", 1)) == before
+
+
+def test_entries_merge_in_any_order_any_number_of_times() -> None:
+    words = [
+        entry(incarnation=incarnation, status=status) for incarnation, status in product((0, 1), Status)
+    ]
+    ends = set()
+    for order in permutations(words, 4):
+        table = Table()
+        for word in (*order, order[0]):
+            old = table.get(id_of(word))
+            if old is None or overrides(word, old):
+                table.put(0, word)
+        best = max(order, key=lambda each: (each.status is Status.LEFT, each.incarnation, each.status))
+        kept = table.get(("a", 1))
+        assert kept == best
+        again = Table()
+        again.put(0, best)
+        assert (table.digest, table.sums) == (again.digest, again.sums)
+        ends.add(kept)
+    assert len(ends) > 3
+
+
+def test_the_members_are_bounded_whoever_sends_them() -> None:
+    # Guards against a sender that invents members until memory is gone.
+    views = Views(MemberSettings("me", 5, "10.9.9.9:1"), 1)
+    views.handle(S, Tick())
+    for at in range(ENTRIES_MOST // 40 + 30):
+        many = (Entry(f"x{at}-{each}", 1, f"10.1.{at}.{each}:1", 0, Status.ALIVE) for each in range(40))
+        views.handle(S + at, Heard("nobody", 1, 0, Part(tuple(many))))
+    assert len(views.members()) <= ENTRIES_MOST
+    gone = Part(tuple(Entry(f"y{each}", 1, "10.1.1.1:1", 0, Status.GONE) for each in range(40)))
+    views.handle(2 * S, Heard("nobody", 1, 0, gone))
+    assert len(views.desk.table.entries) <= 2 * ENTRIES_MOST
+
+
+def test_every_message_fits_a_datagram_whatever_is_in_it() -> None:
+    long = [
+        Entry("n" * 60 + str(at), (1 << 62) + at, f"255.255.255.{at}:65535", (1 << 31) - 1, Status.GONE)
+        for at in range(100)
+    ]
+    gossip = Gossip()
+    for each in long:
+        gossip.add(each)
+    messages: list[Message] = [Part(group) for group in packed(long)]
+    for _ in range(20):
+        messages.append(Ping((1 << 31) - 1, (1 << 63) - 1, 4096, gossip.take(100, long[0])))
+    for message in [*messages, Seek(1, long[0]), Ack(1, 1, 1, (long[0],))]:
+        assert len(encode(Frame(VERSION, 1 << 31, "n" * 64, 1 << 62, 1 << 30, message))) <= 1200
+    assert sum(map(len, packed(long))) == 100 and all(size_of(each) > 80 for each in long)
+
+
+def test_news_told_least_go_first_and_end() -> None:
+    gossip = Gossip()
+    for at in range(60):
+        gossip.add(entry(f"m{at:02}"))
+    seen: Counter[str] = Counter()
+    while len(gossip):
+        seen.update(each.name for each in gossip.take(16))
+    assert set(seen.values()) == {8}
+    gossip.add(entry("b"))
+    gossip.add(entry("b", incarnation=1))
+    assert [each.incarnation for each in gossip.take(16)] == [1]
+
+
+def test_a_stranger_gets_no_more_said_than_it_says() -> None:
+    # Guards against being used to flood others: each message from a stranger calls for one or two at most.
+    views = Views(MemberSettings("me", 5, "10.9.9.9:1"), 1)
+    views.handle(S, Tick())
+    known = Entry("a", 9, "10.0.0.1:1", 0, Status.ALIVE)
+    views.handle(S, Heard("a", 9, 0, Ping(1, 0, 1, (known,))))
+    said = 0
+    for at in range(200):
+        claim = Entry("a", 3, "10.0.0.2:1", 0, Status.ALIVE)
+        out = views.handle(S + at, Heard("b", 1, 0, Ping(at, 0, 1, (claim,))))
+        said += sum(isinstance(action, Say) for action in out)
+    assert said <= 2 + 200
--- /dev/null
+++ b/tests/peers/test_wire.py
@@ -0,0 +1,60 @@
+"""Datagrams: what is not a message of our cluster is named and dropped, whatever it is."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from ladderhub.membership.messages import Entry, Part, Ping, Status
+from ladderhub.peers.wire import DATAGRAM_MOST, VERSION, Frame, decode, encode, mark_of
+
+MARK = mark_of("north")
+FRAME = Frame(VERSION, MARK, "a", 7, 0, Ping(1, 2, 3, (Entry("a", 7, "127.0.0.1:1", 0, Status.ALIVE),)))
+
+
+def raw(name: str, life: int, *news: list[object]) -> bytes:
+    return msgspec.msgpack.encode([VERSION, MARK, name, life, 0, [1, 1, 1, 1, news]])
+
+
+def test_a_frame_comes_back_as_it_was() -> None:
+    assert decode(encode(FRAME), MARK) == FRAME
+
+
+@pytest.mark.parametrize(
+    ("data", "fault"),
+    [
+        (b"", "spoilt"),
+        (b"x" * (DATAGRAM_MOST + 1), "oversized"),
+        (encode(FRAME)[:-3], "spoilt"),
+        (encode(msgspec.structs.replace(FRAME, cluster=1)), "foreign cluster"),
+        (encode(msgspec.structs.replace(FRAME, version=9)), "other version"),
+        (msgspec.msgpack.encode([9, MARK, "what", "comes", "later"]), "other version"),
+        (raw("a", -7), "spoilt"),
+        (raw("a" * 65, 7), "spoilt"),
+        (raw("a", 7, ["a", 7, "nowhere", 0, 1]), "spoilt"),
+        (raw("a", 7, ["a", 7, "h:1", 0, 7]), "spoilt"),
+    ],
+)  # fmt: skip
+def test_what_is_no_message_is_named(data: bytes, fault: str) -> None:
+    assert decode(data, MARK) == fault
+
+
+def test_spoilt_bytes_never_raise() -> None:
+    rng, good = random.Random(1), encode(FRAME)
+    kinds = set()
+    for _ in range(5_000):
+        data = bytearray(good)
+        for _ in range(rng.randrange(1, 6)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        found = decode(bytes(data[: rng.randrange(len(data) + 1)]), MARK)
+        kinds.add(found if isinstance(found, str) else "frame")
+        assert isinstance(decode(rng.randbytes(rng.randrange(1500)), MARK), str)
+    assert {"spoilt", "foreign cluster"} <= kinds
+
+
+def test_a_message_of_ours_that_would_not_fit_is_our_fault() -> None:
+    entries = tuple(Entry("n" * 64, at, "h" * 50 + ":1", 0, Status.ALIVE) for at in range(20))
+    with pytest.raises(ValueError, match="at most 1200"):
+        encode(Frame(VERSION, MARK, "a", 7, 0, Part(entries)))
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -7,12 +7,19 @@
 import sys
 from graphlib import CycleError, TopologicalSorter
 from pathlib import Path
+from types import ModuleType
+
+import pytest
 
 import ladderhub
 import ladderhub.decide
+import ladderhub.membership
 
 ROOT = Path(ladderhub.__file__).parent
-PURE = tuple(f"ladderhub.{name}" for name in ("decide", "owner", "rollout", "signalling", "translate"))
+PURE = tuple(
+    f"ladderhub.{name}"
+    for name in ("decide", "owner", "rollout", "membership", "signalling", "translate")
+)
 
 
 def imports() -> dict[str, set[str]]:
@@ -51,6 +58,8 @@
         "ladderhub.decide": {"ladderhub.interface", "ladderhub.decide"},
         "ladderhub.owner": {"ladderhub.interface", "ladderhub.owner"},
         "ladderhub.rollout": {"ladderhub.interface", "ladderhub.rollout"},
+        "ladderhub.membership": {"ladderhub.membership"},
+        "ladderhub.peers": {"ladderhub.peers", "ladderhub.membership", "ladderhub.loop", "ladderhub.errors"},
         "ladderhub.pbs": {"ladderhub.pbs", "ladderhub.errors"},
         "ladderhub.loop": {"ladderhub.loop"},
         "ladderhub.translate": {"ladderhub.interface", "ladderhub.errors"},
@@ -86,14 +95,16 @@
                     }  # fmt: skip
 
 
-def test_each_file_of_the_decision_module_uses_only_those_before_it() -> None:
-    text = " ".join((ladderhub.decide.__doc__ or "").split())
+@pytest.mark.parametrize("package", [ladderhub.decide, ladderhub.membership])
+def test_each_file_of_a_decision_package_uses_only_those_before_it(package: ModuleType) -> None:
+    text = " ".join((package.__doc__ or "").split())
     order = text.partition("in this order: ")[2].rstrip(".").split(", ")
-    assert sorted(order) == sorted(p.stem for p in (ROOT / "decide").glob("*.py") if p.stem != "__init__")
+    folder = Path(package.__path__[0])
+    assert sorted(order) == sorted(p.stem for p in folder.glob("*.py") if p.stem != "__init__")
     for name, used in imports().items():
-        if name.startswith("ladderhub.decide."):
+        if name.startswith(f"{package.__name__}."):
             at = order.index(name.rpartition(".")[2])
-            parts = {u.rpartition(".")[2] for u in used if u.startswith("ladderhub.decide.")}
+            parts = {u.rpartition(".")[2] for u in used if u.startswith(f"{package.__name__}.")}
             assert parts <= set(order[:at]), (name, sorted(parts))
 
 
