Seats at fresh nodes are lent by a majority of electors, and follow the fleet

Need: who holds which seats at a fresh node was a number in each settings file; dead schedulers' seats lay idle and a wrong number would pass the safe one. The module hears SeatShare (ordinals, until when) and checks the time itself; without electors nothing changes. The mesh judge checks seats at every instant and the rest between holders. Commands: ladderhub lab check seats, ladderhub lab emulate views.

--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -56,6 +56,42 @@
     _run_day(kind, seed, folder)
 
 
+@lab.command()
+@click.argument("what", type=click.Choice(["views"]))
+@click.option("--schedulers", default=230, show_default=True, type=click.IntRange(4, 4096))
+@click.option("--seconds", default=3600, show_default=True, type=click.IntRange(10), help="Simulated time.")
+@click.option("--loss", default=0.1, show_default=True, type=click.FloatRange(0, 0.9))
+@_SEED
+def emulate(what: str, schedulers: int, seconds: int, loss: float, seed: int) -> None:
+    """Play the pure modules of many schedulers in simulated time: `views` with loss, pauses and crashes."""
+    from ladderhub.lab.emulator.views import hour
+
+    verdict = hour(schedulers, seed, seconds, loss)
+    for line in verdict.lines():
+        click.echo(line)
+    click.echo("judged good" if verdict.good() else "judged bad")
+    sys.exit(0 if verdict.good() else 1)
+
+
+@lab.command()
+@click.argument("what", type=click.Choice(["seats"]))
+@click.option("--depth", default=6, show_default=True, type=click.IntRange(1), help="Steps in which faults come.")
+@click.option("--faults", default=2, show_default=True, type=click.IntRange(0), help="At most so many.")
+@click.option("--random", "schedules", default=10_000, show_default=True, help="Random schedules after it.")
+@_SEED
+def check(what: str, depth: int, faults: int, schedules: int, seed: int) -> None:
+    """Run the decisions on seats under every schedule of few faults, then under many random ones."""
+    from ladderhub.lab.checker.seats import at_random, exhaustive
+
+    found = [exhaustive(depth, faults=faults), at_random(schedules, seed)]
+    for name, each in zip(("exhaustive", "random"), found, strict=True):
+        for line in each.lines():
+            click.echo(f"{name}: {line}")
+    broken = any(each.broken for each in found)
+    click.echo("judged bad" if broken else "judged good")
+    sys.exit(1 if broken else 0)
+
+
 @lab.command()
 @click.option("--day", "name", default="drawn", show_default=True, help="A day by name; `all` for every one.")
 @click.option("--schedulers", default=16, show_default=True, type=click.IntRange(2, 64))
--- a/ladderhub/decide/accounts.py
+++ b/ladderhub/decide/accounts.py
@@ -43,8 +43,7 @@
         """Room by what is asked, which is what machines refuse by."""
         if not self.settings.kinds:
             return True
-        settings = self.settings
-        size = settings.kinds[machine.kind]
+        settings, size = self.settings, self.settings.kinds[machine.kind]
         cores, memory = machine.asked.total[0] + task.asked.cores, machine.asked.total[1] + task.asked.memory
         return cores <= size.cores * settings.admit_cores and memory <= size.memory * settings.admit_memory
 
--- a/ladderhub/decide/estimates.py
+++ b/ladderhub/decide/estimates.py
@@ -77,5 +77,4 @@
         self.warmth.learn(attempt, not was_cold)
         expected = (self.cold if was_cold else self.warm)[klass].value
         if attempt.line_ns:
-            waited = min(1.0, max(0.0, (now - attempt.sent_ns - expected) / attempt.line_ns))
-            self.line_share.add(waited)
+            self.line_share.add(min(1.0, max(0.0, (now - attempt.sent_ns - expected) / attempt.line_ns)))
--- a/ladderhub/decide/records.py
+++ b/ladderhub/decide/records.py
@@ -5,8 +5,7 @@
 
 from ladderhub.interface import MachineEntry, Outcome, Scope, TaskAsked
 
-MS = 1_000_000
-S = 1_000 * MS
+MS, S = 1_000_000, 1_000_000_000
 GUESS_COUNTS = 4  # a first guess counts as so many values: a scheduler that sees little must leave it soon
 MEMORY_SHORT, MEMORY_LONG = 20, 60  # values that an average holds on to: of one thing, of a whole class
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
@@ -37,8 +36,7 @@
     The rest is the gap between the last reading and the own share at the time it speaks of."""
 
     def __init__(self) -> None:
-        self.own = [0.0, 0.0]
-        self.other = [0.0, 0.0]
+        self.own, self.other = [0.0, 0.0], [0.0, 0.0]
         self.total = [0.0, 0.0]  # kept in step with the rest, as is what others have: both are read often
         self.beside = [0.0, 0.0]
         self.seen_ns = -1
@@ -95,6 +93,7 @@
         self.errors = 0  # tasks in a row that first erred here, with none placed between
         self.notes = [(-NOTE_FRESH_NS, 0.0), (-NOTE_FRESH_NS, 0.0)]  # last of poor service, of short memory
         self.sends: deque[int] = deque()
+        self.seats: tuple[tuple[int, ...] | None, int] = (None, 0)  # our share, by ordinals
 
     def rest(self, now: int, what: tuple[int, int] | None, first_ns: int = REST_FIRST_NS) -> None:
         """Nothing of this class and tenant, or at all, for spans that double until one is placed here."""
--- a/ladderhub/decide/rules.py
+++ b/ladderhub/decide/rules.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from ladderhub.decide.records import ANSWER_MARGIN_NS, Attempt, Machine, Task, place_of
-from ladderhub.interface import Effect, Scope, Settings
+from ladderhub.interface import Effect, Scope, SeatShare, Settings
 
 SEATS_MANY = 16  # from so many seats at a fresh machine on, half are more than a scheduler takes in a window
 COLD_WINDOW_SLACK = 1.25  # offers spread on their way: the cold budget's window is taken this much longer
@@ -16,6 +16,8 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.born_ns = -1
+        self.ordinals: tuple[int, ...] = (settings.ordinal,)
+        self.lent_until_ns: int | None = None  # our own ordinal is for good
         self._cold_window = round(settings.cold_window_ns * COLD_WINDOW_SLACK)
         self.fresh_ns = settings.cold_span_ns + self._cold_window  # for so long a machine counts as fresh
         self.spread: dict[str, dict[str | int, int]] = {}  # attempts and open tasks, by service and place
@@ -31,7 +33,7 @@
         """The rules of the service for one machine, where the task may go at all."""
         return (
             not machine.shut and self.settings.classes[task.klass].kind in (-1, machine.kind)
-            and (task.maybe_ran is None or self.may_repeat(now, task, machine))
+            and self.may_repeat(now, task, machine)
             and place_of(machine, self.settings.classes[task.klass].spread) not in self.full_places(task)
             and self.cold_ok(now, machine)
         )  # fmt: skip
@@ -54,10 +56,8 @@
         wide = klass.effect is Effect.KEYED and klass.dedupe_scope is Scope.ALL
         return clean or wide or klass.effect is Effect.SAFE
 
-    # --- spread: attempts and open tasks of a service in one place, each until its outcome ---------------
-
     def full_places(self, task: Task) -> frozenset[str | int]:
-        """Where the task's service may not go."""
+        """Spread: where the service has as many attempts and open tasks as may be."""
         klass, places = self.settings.classes[task.klass], self.spread.get(task.asked.service, {})
         if klass.spread is Scope.NONE:
             return frozenset()
@@ -83,7 +83,8 @@
             if task.attempt is not None:
                 self.count(task, task.attempt)
 
-    # --- fresh machines ----------------------------------------------------------------------------------
+    def share(self, event: SeatShare) -> None:
+        self.ordinals, self.lent_until_ns = tuple(event.ordinals), event.until_ns
 
     def cold_ok(self, now: int, machine: Machine) -> bool:
         """Cold budget: a fresh machine always bears so many offers a window; these are dealt out as seats.
@@ -91,15 +92,21 @@
         Danger: more schedulers than seats.  Who has one follows from ordinal, machine and ready time, so all
         reckon alike and together never pass the number.  A scheduler younger than the machine forgot what it
         sent: where seats are many, half are left to a successor, which takes no others until a window has
-        passed; where they are few it lets the window pass.  Harm: in a fresh fleet tasks wait."""
+        passed; where they are few it lets the window pass.  Seats that are lent (`share`) have rested and end
+        by the clock, also for one that stood still.  Harm: in a fresh fleet tasks wait."""
         if not machine.ready_ns or now - machine.ready_ns > self.fresh_ns:
             machine.sends.clear()
             return True
         while machine.sends and machine.sends[0] < now - self._cold_window:
             machine.sends.popleft()
         count, safe = self.settings.schedulers, int(self.settings.cold_safe_offers)
-        seat = (self.settings.ordinal + zlib.crc32(f"{machine.id} {machine.ready_ns}".encode())) % count
-        seats = safe // count + (seat < safe % count)
+        if machine.seats[0] is not self.ordinals:
+            first = zlib.crc32(f"{machine.id} {machine.ready_ns}".encode())
+            seats = sum(safe // count + ((each + first) % count < safe % count) for each in self.ordinals)
+            machine.seats = (self.ordinals, seats)
+        seats = machine.seats[1]
+        if self.lent_until_ns is not None:
+            return now < self.lent_until_ns and len(machine.sends) < seats
         young = machine.ready_ns < self.born_ns and now < self.born_ns + self._cold_window
         spare = seats // 2 if seats >= SEATS_MANY else 0
         return len(machine.sends) < (spare if young else seats - spare)
--- a/ladderhub/decide/scheduler.py
+++ b/ladderhub/decide/scheduler.py
@@ -12,8 +12,8 @@
 from ladderhub.decide.rules import Rules
 from ladderhub.decide.warmth import Warmth
 from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, MachineList, PeerMessage
-from ladderhub.interface import Refuse, Send, SetTimer, Settings, TaskAsked, TaskNote, TaskOpen
-from ladderhub.interface import TaskPlaced, TaskWithdrawn, TimerFired, Topic
+from ladderhub.interface import ProbeAnswered, Refuse, SeatShare, Send, SetTimer, Settings, TaskAsked
+from ladderhub.interface import TaskNote, TaskOpen, TaskPlaced, TaskWithdrawn, TimerFired, Topic
 
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 SWEEP_TIMER, TELL_TIMER = 0, 1  # a task's own timer bears its number and two
@@ -37,6 +37,7 @@
             TaskAsked: self._on_asked, AttemptEnded: self._on_ended, TaskNote: self._on_news,
             TaskPlaced: self._on_news, MachineList: self._on_list, TimerFired: self._on_timer,
             TaskOpen: self._on_open, TaskWithdrawn: lambda _, event: self._end(event.task),
+            SeatShare: lambda _, event: self.rules.share(event), ProbeAnswered: lambda _, event: None,
             PeerMessage: lambda _, event: self.telling.hear(event, self.fleet.machines.values()),
         }  # fmt: skip
 
@@ -45,9 +46,7 @@
         self._out = []
         if self.rules.born_ns < 0:
             self.rules.born_ns = now_ns
-        hear = self._hear.get(type(event))
-        if hear is not None:
-            hear(now_ns, event)
+        self._hear[type(event)](now_ns, event)
         if self.held and not self._sweep_set:
             self._sweep_set = True
             self._out.append(SetTimer(now_ns + HOLD_STEP_NS, SWEEP_TIMER))
@@ -56,8 +55,6 @@
             self._out.append(SetTimer(now_ns + TELL_NS, TELL_TIMER))
         return self._out
 
-    # --- asking, placing, holding -----------------------------------------------------------------------
-
     def _on_list(self, now: int, event: MachineList) -> None:
         moved, forgotten = self.fleet.follow(now, event)
         if moved:
@@ -84,8 +81,7 @@
         if not self.rules.may_go(now, task):
             self._give_up(task)
         else:
-            machine = self.picking.pick(now, task)
-            if machine is not None:
+            if (machine := self.picking.pick(now, task)) is not None:
                 self.held.pop(task.asked.task, None)
                 self._send(now, task, machine)
             else:
--- a/ladderhub/interface.py
+++ b/ladderhub/interface.py
@@ -321,6 +321,16 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class SeatShare:
+    """From now on this scheduler holds these seats at fresh machines, ordinals below `Settings.schedulers`,
+    in place of its own ordinal, and none of them from `until_ns` on.  Whoever deals them out lets each rest
+    for a cold window between two holders."""
+
+    ordinals: tuple[int, ...]
+    until_ns: int
+
+
 Event = (
     MachineList
     | TaskAsked
@@ -332,6 +342,7 @@
     | TimerFired
     | ProbeAnswered
     | PeerMessage
+    | SeatShare
 )
 
 
--- /dev/null
+++ b/ladderhub/lab/checker/seats.py
@@ -0,0 +1,227 @@
+"""Seats under every schedule of faults up to a bound: no slot has two users within a window.
+
+Three schedulers, each an elector, in steps of a quarter of a lease's round.  In each step an adversary does
+nothing or one thing: loses what goes one way between two, holds it back for a few steps (also past a lease),
+stops a process for some steps, starts it anew, or lets one see itself alone.  A process that goes on after a
+stop may act before it is told anything, so its use is judged before its look."""
+
+from __future__ import annotations
+
+import copy
+import random
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ladderhub.membership.seats import Seats, SeatSettings
+from ladderhub.membership.types import Action, Heard, Say, SeatsHeld, Share
+
+COUNT, SLOTS = 3, 3
+LEASE, WINDOW = 16, 4  # in steps; rounds of one that lacks seats come each step
+ADDRESSES = tuple(f"h{at}:1" for at in range(COUNT))
+BACK = (1, 6, LEASE + 3)  # for how many steps messages are held back, or a process is stopped
+PREPARED = LEASE + 8  # steps without faults at first: electors are silent for a lease
+FOLLOWED = LEASE + WINDOW + 6  # steps watched after the last fault
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """At a step: `lose` or `late` from one to another, `stop`, `anew`, `alone` of one; for `span` steps."""
+
+    step: int
+    what: str
+    who: int
+    other: int = 0
+    span: int = 0
+
+
+def faults_of(step: int) -> Iterator[Fault]:
+    """Every one thing that may be done in a step."""
+    for who in range(COUNT):
+        yield Fault(step, "anew", who)
+        yield Fault(step, "alone", who, span=LEASE)
+        for span in BACK:
+            yield Fault(step, "stop", who, span=span)
+        for other in range(COUNT):
+            if other != who:
+                yield Fault(step, "lose", who, other, 1)
+                for span in BACK:
+                    yield Fault(step, "late", who, other, span)
+
+
+@dataclass
+class _Host:
+    seats: Seats
+    life: int
+    used: tuple[tuple[int, ...], int] = ((), -1)
+    stopped_until: int = -1
+    alone_until: int = -1
+    waiting: list[tuple[int, Heard]] = field(default_factory=list)
+
+
+class World:
+    """The hosts, messages on their way, and who used what when."""
+
+    def __init__(self, make: Callable[[SeatSettings, int, int], Seats] = Seats) -> None:
+        self.now, self.make = 0, make
+        self.hosts = [self._host(at, 1) for at in range(COUNT)]
+        self.on_way: list[tuple[int, int, int, Heard]] = []  # when it comes, from, to
+        self.used: dict[int, dict[int, int]] = {slot: {} for slot in range(SLOTS)}  # slot -> host -> last use
+        self.broken: list[str] = []
+        self.idle = self.looked = 0
+        self._lose: set[tuple[int, int]] = set()
+        self._late: dict[tuple[int, int], int] = {}
+
+    def _host(self, at: int, life: int) -> _Host:
+        settings = SeatSettings(f"h{at}", life, ADDRESSES[at], SLOTS, ADDRESSES, LEASE, WINDOW)
+        return _Host(self.make(settings, at + 7 * life, self.now), life)
+
+    def step(self, faults: list[Fault]) -> None:
+        self._lose, self._late = set(), {}
+        for fault in faults:
+            host = self.hosts[fault.who]
+            if fault.what == "lose":
+                self._lose.add((fault.who, fault.other))
+            elif fault.what == "late":
+                self._late[fault.who, fault.other] = fault.span
+            elif fault.what == "stop":
+                host.stopped_until = self.now + fault.span
+            elif fault.what == "alone":
+                host.alone_until = self.now + fault.span
+            elif fault.what == "anew":
+                self.hosts[fault.who] = self._host(fault.who, host.life + 1)
+        for at, host in enumerate(self.hosts):
+            if host.stopped_until <= self.now:
+                self._use(at, host)
+        for _, source, target, heard in [each for each in self.on_way if each[0] <= self.now]:
+            host = self.hosts[target]
+            if host.stopped_until <= self.now:
+                self._carry(target, host, host.seats.handle(self.now, heard))
+            else:
+                host.waiting.append((source, heard))
+        self.on_way = [each for each in self.on_way if each[0] > self.now]
+        for at, host in enumerate(self.hosts):
+            if host.stopped_until > self.now:
+                continue
+            for _, heard in host.waiting:
+                self._carry(at, host, host.seats.handle(self.now, heard))
+            host.waiting.clear()
+            members, rank = (1, 0) if host.alone_until > self.now else (COUNT, at)
+            self._carry(at, host, host.seats.handle(self.now, Share(members, rank, True)))
+            self._use(at, host)
+        self.looked += SLOTS
+        self.idle += SLOTS - sum(self.now in users.values() for users in self.used.values())
+        self.now += 1
+
+    def _use(self, at: int, host: _Host) -> None:
+        """What the module would do now: use every slot that it was told of, while that lasts."""
+        slots, until = host.used
+        if self.now >= until:
+            return
+        for slot in slots:
+            for other, when in self.used[slot].items():
+                if other != at and self.now - when < WINDOW:
+                    self.broken.append(f"step {self.now}: slot {slot} used by {at}, by {other} at {when}")
+            self.used[slot][at] = self.now
+
+    def _carry(self, at: int, host: _Host, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SeatsHeld):
+                host.used = (action.slots, action.until_ns)
+            elif isinstance(action, Say):
+                target = ADDRESSES.index(action.address)
+                if (at, target) not in self._lose:
+                    heard = Heard(f"h{at}", host.life, 0, action.message)
+                    come = self.now + 1 + self._late.get((at, target), 0)
+                    self.on_way.append((come, at, target, heard))
+
+
+@dataclass
+class Found:
+    schedules: int = 0
+    steps: int = 0
+    seconds: float = 0.0
+    broken: str = ""
+    schedule: tuple[Fault, ...] = ()
+    idle_share: float = 0.0  # of slots and steps, under the faults played
+
+    def lines(self) -> Iterator[str]:
+        yield f"{self.schedules} schedules, {self.steps} steps, {self.seconds:.1f} s"
+        yield f"slots that nobody could use, of all slots and steps: {100 * self.idle_share:.1f} %"
+        if self.broken:
+            yield f"BROKEN: {self.broken} under {self.schedule}"
+        else:
+            yield "no slot had two users within a window"
+
+
+def prepared(make: Callable[[SeatSettings, int, int], Seats] = Seats) -> World:
+    world = World(make)
+    for _ in range(PREPARED):
+        world.step([])
+    world.idle = world.looked = 0
+    return world
+
+
+def _follow(world: World, found: Found, schedule: tuple[Fault, ...], steps: int) -> bool:
+    for _ in range(steps):
+        due = [fault for fault in schedule if fault.step == world.now - PREPARED]
+        world.step(due)
+        found.steps += 1
+        if world.broken:
+            found.broken, found.schedule = world.broken[0], schedule
+            return False
+    return True
+
+
+def exhaustive(depth: int, make: Callable[[SeatSettings, int, int], Seats] = Seats, faults: int = 2) -> Found:
+    """Every schedule of up to `faults` faults in `depth` steps, one fault a step; stops at the first that
+    breaks."""
+    found, begun = Found(), time.perf_counter()
+    idle = looked = 0
+
+    def search(world: World, step: int, left: int, schedule: tuple[Fault, ...]) -> bool:
+        """`world` stands at `step` with the schedule so far played."""
+        nonlocal idle, looked
+        while step < depth:
+            if left:
+                for fault in faults_of(step):
+                    branch = copy.deepcopy(world)
+                    further = (*schedule, fault)
+                    if not _follow(branch, found, further, 1):
+                        return False
+                    if not search(branch, step + 1, left - 1, further):
+                        return False
+            if not _follow(world, found, schedule, 1):
+                return False
+            step += 1
+        found.schedules += 1
+        last = max((fault.step + fault.span for fault in schedule), default=0)
+        if not _follow(world, found, schedule, max(1, min(last, depth + LEASE) + FOLLOWED - depth)):
+            return False
+        idle, looked = idle + world.idle, looked + world.looked
+        return True
+
+    search(prepared(make), 0, faults, ())
+    found.seconds, found.idle_share = time.perf_counter() - begun, idle / max(1, looked)
+    return found
+
+
+def at_random(schedules: int, seed: int, make: Callable[[SeatSettings, int, int], Seats] = Seats) -> Found:
+    """Schedules with many faults, several in a step, drawn from a seed."""
+    found, begun, rng = Found(), time.perf_counter(), random.Random(seed)
+    start = prepared(make)
+    every = list(faults_of(0))
+    idle = looked = 0
+    for _ in range(schedules):
+        span, share = rng.randrange(10, 60), rng.choice((0.1, 0.3, 0.8))
+        schedule = tuple(
+            Fault(step, drawn.what, drawn.who, drawn.other, drawn.span)
+            for step in range(span) for drawn in rng.sample(every, 3) if rng.random() < share
+        )  # fmt: skip
+        world = copy.deepcopy(start)
+        found.schedules += 1
+        if not _follow(world, found, schedule, span + FOLLOWED):
+            break
+        idle, looked = idle + world.idle, looked + world.looked
+    found.seconds, found.idle_share = time.perf_counter() - begun, idle / max(1, looked)
+    return found
--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -29,13 +29,19 @@
     def __init__(self, loop: Loop, folder: Path, count: int, seed: int, nodes: int = 3) -> None:
         self.loop, self.folder, self.count = loop, folder, count
         self.rows: list[Row] = []
+        self.electors = min(5, count) - (min(5, count) + 1) % 2
         self.relay = Relay(loop, seed)
         self._ports = {at: free_port() for at in range(count)}
         self._names = {at: f"sched{at}" for at in range(count)}
         for at, port in self._ports.items():
             self.relay.add(at, ("127.0.0.1", port))
         self._place = dict.fromkeys(range(count), -1)  # slot -> slot whose address it has, -1: its own
-        self.fleet = Fleet(loop, folder, nodes=nodes, schedulers=count, seed=seed, peers=self._peers)
+        self.fleet = Fleet(
+            loop, folder, nodes=nodes, schedulers=count, seed=seed, peers=self._peers,
+            change=lambda settings: settings["log"].update(level="debug"),
+        )  # fmt: skip
+        cold = self.fleet.settings["nodes"]["cold"]
+        self.window_s = 1.25 * float(cold["window"].removesuffix("s"))  # as long as the module counts offers
         self._read: dict[str, int] = {}
         self._stopping: set[int] = set()
 
@@ -45,6 +51,7 @@
         return {
             "listen": f"127.0.0.1:{self._ports[place]}", "seeds": seeds, "cluster": "mesh",
             "advertise": "{}:{}".format(*self.relay.public(place)),
+            "electors": ["{}:{}".format(*self.relay.public(each)) for each in range(self.electors)],
         }  # fmt: skip
 
     # --- the recording ----------------------------------------------------------------------------------
@@ -79,6 +86,9 @@
         elif event == "member":
             told = {key: row[key] for key in ("change", "member", "life", "cause")}
             self.rows.append({"at": at, "what": "told", "slot": slot, **told})
+        elif event == "seats":
+            values = {"slots": row["slots"], "until_ns": row["until_ns"]}
+            self.rows.append({"at": at, "what": "seats", "slot": slot, **values})
         elif row.get("level") == "error" or event in ("trouble", "decision"):
             self.rows.append({"at": at, "what": "trouble", "slot": slot, "text": json.dumps(row)[:400]})
 
@@ -118,7 +128,7 @@
         self.read_logs()
         path = self.folder / "recording.jsonl"
         path.write_text("".join(json.dumps(row) + "\n" for row in self.rows))
-        return judge(self.rows, day)
+        return judge(self.rows, day, self.count, self.window_s)
 
     def do(self, step: Step) -> None:
         who, relay = step.who, self.relay
--- a/ladderhub/lab/mesh/judge.py
+++ b/ladderhub/lab/mesh/judge.py
@@ -2,13 +2,15 @@
 
 A recording is JSON lines with `at` (seconds, wall clock) and `what`: `began` and `over` (slot and name of a
 process), `life` (the number that the process in a slot took), `day` (all views were equal, the faults begin),
-`settled` (the last fault is over), `told` (slot, change, member, life, cause), `trouble` (slot, text)."""
+`settled` (the last fault is over), `told` (slot, change, member, life, cause), `seats` (slot, `slots` of the
+cold budget that may be used from now on, until_ns), `trouble` (slot, text)."""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -24,11 +26,14 @@
     false_gone: list[str] = field(default_factory=list)
     unequal: list[str] = field(default_factory=list)
     troubles: list[str] = field(default_factory=list)
+    doubly_held: list[str] = field(default_factory=list)
+    seats_told: int = 0
+    seats_idle: float = 0.0  # share of seats and time, from the day's begin on, in which nobody could use one
     equal_s: float = -1.0
     told: int = 0
 
     def good(self) -> bool:
-        return not (self.false_gone or self.unequal or self.troubles)
+        return not (self.false_gone or self.unequal or self.troubles or self.doubly_held)
 
     def lines(self) -> Iterator[str]:
         yield f"{self.told} changes told; living members told gone beyond the rule: {len(self.false_gone)}"
@@ -36,7 +41,11 @@
         if not self.unequal:
             yield f"views equal {self.equal_s:.1f} s after the last fault"
         yield from self.unequal[:5]
-        yield from self.troubles[:5]
+        if self.seats_told:
+            idle = 100 * self.seats_idle
+            twice = len(self.doubly_held)
+            yield f"seats with two holders within a window: {twice}, unused {idle:.0f} % of the time"
+        yield from (*self.doubly_held[:5], *self.troubles[:5])
 
 
 def read(path: Path) -> list[Row]:
@@ -79,9 +88,67 @@
         ]
 
 
-def judge(rows: list[Row], day: Day) -> Verdict:
-    """Replay a recording; rows may come in any order."""
+@dataclass(frozen=True, slots=True)
+class _Use:
+    """One process could use one seat from then to then."""
+
+    seat: int
+    begun: float
+    ended: float
+    slot: int
+    birth: int
+
+
+def uses(rows: list[Row]) -> list[_Use]:
+    """Each process's spans of each seat: until it is told otherwise, the lease runs out, or it is over."""
+    found: list[_Use] = []
+    now: dict[int, tuple[dict[int, float], float]] = {}  # slot -> seats with their begin, and until when
+    births: dict[int, int] = {}
+
+    def end(slot: int, at: float, kept: set[int]) -> None:
+        seats, until = now.get(slot, ({}, 0.0))
+        stop = min(at, until)
+        for seat in [each for each in seats if each not in kept or until < at]:
+            found.append(_Use(seat, seats.pop(seat), stop, slot, births[slot]))
+
+    for row in sorted(rows, key=lambda each: float(each["at"])):
+        at, slot = float(row["at"]), row.get("slot", -1)
+        if row["what"] in ("began", "over"):
+            end(slot, at, set())
+            now.pop(slot, None)
+            births[slot] = births.get(slot, 0) + (row["what"] == "began")
+        elif row["what"] == "seats" and slot in births:
+            wanted = set(row["slots"])
+            end(slot, at, wanted)
+            held = now.get(slot, ({}, 0.0))[0]
+            now[slot] = (held | {seat: at for seat in wanted if seat not in held}, row["until_ns"] / 1e9)
+    last = max((float(row["at"]) for row in rows), default=0.0)
+    for slot in list(now):
+        end(slot, last, set())
+    return found
+
+
+def check_seats(verdict: Verdict, rows: list[Row], window_s: float, count: int) -> None:
+    """No seat has two holders within a window: the node still counts what the last one sent."""
+    spans = sorted(uses(rows), key=lambda use: (use.seat, use.begun))
+    verdict.seats_told = sum(row["what"] == "seats" for row in rows)
+    for before, after in pairwise(spans):
+        same = (before.slot, before.birth) == (after.slot, after.birth)
+        if before.seat == after.seat and not same and after.begun - before.ended < window_s:
+            first = f"slot {before.slot} until {before.ended:.2f}"
+            second = f"slot {after.slot} from {after.begun:.2f}"
+            verdict.doubly_held.append(f"seat {after.seat}: {first}, {second}")
+    begun = next((float(row["at"]) for row in rows if row["what"] == "day"), 0.0)
+    last = max(float(row["at"]) for row in rows)
+    used = sum(max(0.0, use.ended - max(begun, use.begun)) for use in spans)
+    verdict.seats_idle = 1 - used / (count * (last - begun)) if last > begun else 0.0
+
+
+def judge(rows: list[Row], day: Day, seats: int = 0, window_s: float = 0.0) -> Verdict:
+    """Replay a recording; rows may come in any order.  `seats`: how many there are, 0 if none are dealt."""
     verdict, replay = Verdict(), Replay()
+    if seats:
+        check_seats(verdict, rows, window_s, seats)
     ended: dict[tuple[str, int], float] = {}
     begun, settled, since = False, -1.0, -1.0
     for row in sorted(rows, key=lambda each: float(each["at"])):
--- a/ladderhub/membership/__init__.py
+++ b/ladderhub/membership/__init__.py
@@ -11,10 +11,14 @@
 entry           a member as one knows it; entries merge in any order, any number of times
 
 Each file uses only those before it in this order: messages, types, rings, table, gossip,
-desk, entries, watching, looking, views.
+desk, entries, watching, looking, views, seats.
 """
 
-from ladderhub.membership.types import Heard, MemberSettings, Say, Stop, Tick, Told, WakeAt
+from ladderhub.membership.seats import Seats, SeatSettings
+from ladderhub.membership.types import Heard, MemberSettings, Say, SeatsHeld, Share, Stop, Tick, Told, WakeAt
 from ladderhub.membership.views import Views
 
-__all__ = ["Heard", "MemberSettings", "Say", "Stop", "Tick", "Told", "Views", "WakeAt"]
+__all__ = [
+    "Heard", "MemberSettings", "Say", "SeatSettings", "Seats", "SeatsHeld", "Share", "Stop", "Tick", "Told",
+    "Views", "WakeAt",
+]  # fmt: skip
--- a/ladderhub/membership/messages.py
+++ b/ladderhub/membership/messages.py
@@ -10,6 +10,7 @@
 NAME_MOST = 64
 NEWS_MOST = 64  # entries in one message
 BUCKETS = 64  # parts of a view that are compared
+SLOTS_MOST = 4096  # over which the safe number at a fresh node may be dealt
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_MOST)]
 Address = Annotated[str, msgspec.Meta(max_length=NAME_MOST, pattern=r"^[^:\s]+:[0-9]{1,5}$")]
@@ -37,6 +38,7 @@
     status: Status
 
 
+Bits = Annotated[bytes, msgspec.Meta(max_length=SLOTS_MOST // 8)]
 News = Annotated[tuple[Entry, ...], msgspec.Meta(max_length=NEWS_MOST)]
 
 
@@ -100,4 +102,29 @@
     holder: Entry
 
 
-Message = Ping | Ack | Seek | Found | Missed | Compare | Part | Taken
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """To an elector: grant me these slots.  Numbers grow within a life; the answer goes to `address`."""
+
+    number: Count
+    slots: Bits
+    address: Address
+
+
+class Granted(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Of the claim of that number these are granted; `free` are those that anybody may have."""
+
+    number: Count
+    slots: Bits
+    free: Bits
+    elector: Address
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """I use these no more: all that I claimed up to that number."""
+
+    number: Count
+    slots: Bits
+
+
+SeatMessage = Claim | Granted | Release
+Message = Ping | Ack | Seek | Found | Missed | Compare | Part | Taken | SeatMessage
--- a/ladderhub/membership/types.py
+++ b/ladderhub/membership/types.py
@@ -97,4 +97,22 @@
     cause: str
 
 
-Action = Say | WakeAt | Told
+@dataclass(frozen=True, slots=True)
+class Share:
+    """For seats: how many members the view has, the how-manieth we are by name, and whether peers confirm it.
+    Told at every look."""
+
+    members: int
+    rank: int
+    sure: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SeatsHeld:
+    """From now on these slots and no others may be used, and none of them from `until_ns` on."""
+
+    slots: tuple[int, ...]
+    until_ns: int
+
+
+Action = Say | WakeAt | Told | SeatsHeld
--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -8,7 +8,8 @@
 from ladderhub.loop import Loop, Timer, parse_address
 from ladderhub.loop.datagram import Datagrams
 from ladderhub.loop.stream import Address
-from ladderhub.membership.types import Action, Event, Heard, Say, Stop, Tick, Told, WakeAt
+from ladderhub.membership.messages import SeatMessage
+from ladderhub.membership.types import Action, Event, Heard, Say, SeatsHeld, Stop, Tick, Told, WakeAt
 from ladderhub.membership.views import Views
 from ladderhub.peers.wire import VERSION, Frame, decode, encode, mark_of
 
@@ -30,6 +31,9 @@
         self._mark = mark_of(cluster)
         self._on_told, self._on_spoilt = on_told, on_spoilt
         self._tell: Callable[[Event], None] = _nobody
+        self.tell_seats: Callable[[Event], None] | None = None  # where seats are dealt out among peers
+        self.on_seats: Callable[[SeatsHeld], None] | None = None
+        self.on_look: Callable[[], None] | None = None
         self._timer: Timer | None = None
         self._places: dict[str, Address] = {}
         self.datagrams = Datagrams(loop, address, self._received)
@@ -45,7 +49,11 @@
         if isinstance(frame, str):
             self.tally.count(frame, "{}:{}".format(*source))
         else:
-            self._tell(Heard(frame.name, frame.life, frame.incarnation, frame.message))
+            heard = Heard(frame.name, frame.life, frame.incarnation, frame.message)
+            if not isinstance(frame.message, SeatMessage):
+                self._tell(heard)
+            elif self.tell_seats is not None:
+                self.tell_seats(heard)
 
     def _tell_spoilt(self) -> None:
         for row in self.tally.due(self.loop.now_ns()):
@@ -65,11 +73,15 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._timer = self.loop.call_at(action.at_ns, self._tell, Tick())
+        elif isinstance(action, SeatsHeld):
+            if self.on_seats is not None:
+                self.on_seats(action)
         else:
             self._on_told(action)
 
     def after(self, event: Event) -> None:
-        return
+        if isinstance(event, Tick) and self.on_look is not None:
+            self.on_look()
 
     def _place(self, text: str) -> Address | None:
         """Addresses come from peers: what is none is not sent to."""
--- a/ladderhub/server/fellowship.py
+++ b/ladderhub/server/fellowship.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
 from ladderhub.errors.tally import Spoilt
-from ladderhub.membership import MemberSettings, Told, Views
-from ladderhub.membership.types import Change
+from ladderhub.interface import SeatShare
+from ladderhub.membership import MemberSettings, Seats, SeatSettings, SeatsHeld, Share, Stop, Told, Views
+from ladderhub.membership.types import Change, Event
 from ladderhub.pbs.batch import Attr
 from ladderhub.peers.carrier import PeerCarrier
 from ladderhub.server.lasting import SpoolError, write_lasting
@@ -17,6 +19,7 @@
 from ladderhub.server.site import Site
 
 SAVE_NS = 5_000_000_000
+WINDOW_SLACK = 1.5  # of the cold window for which a seat rests between two holders; the module takes 1.25
 
 
 class _Past(msgspec.Struct):
@@ -58,6 +61,8 @@
             site.name, self._past.life, places.advertise, places.seeds, known, places.period_ns
         )
         self.views = Views(settings, site.settings.file.seed)
+        self.seats: Seats | None = None
+        self._tell_seats: Callable[[Event | Share], None] | None = None
         self._carrier: PeerCarrier | None = None
         gauge = site.metrics.gauge
         gauge("members", "Schedulers in the view, this one among them", lambda: len(self.views.members()))
@@ -90,10 +95,38 @@
         loop, places = self._site.loop, self._places
         carrier = PeerCarrier(loop, places.listen, places.cluster, self.views, self._told, self._spoilt)
         self._carrier = carrier
+        if places.electors:
+            self._start_seats(carrier)
         self._site.log.info("peers", life=self._past.life, address=places.advertise, seeds=len(places.seeds))
         carrier.join(self._site.board.add(self.views, carrier))
         loop.call_later(SAVE_NS, self._save)
 
+    def _start_seats(self, carrier: PeerCarrier) -> None:
+        """From here on seats are lent, and none is held before electors say so."""
+        site, places, module = self._site, self._places, self._site.settings.module
+        settings = SeatSettings(
+            site.name, self._past.life, places.advertise, module.schedulers, places.electors, places.lease_ns,
+            round(module.cold_window_ns * WINDOW_SLACK),
+        )  # fmt: skip
+        self.seats = Seats(settings, site.settings.file.seed, site.loop.now_ns())
+        site.tell_module(SeatShare((), -1))
+        carrier.on_seats, carrier.on_look = self._held, self._look
+        self._tell_seats = site.board.add(self.seats, carrier)
+        carrier.tell_seats = self._tell_seats
+        site.metrics.gauge("seats_held", "Slots of the cold budget that may be used", self._seats_held)
+
+    def _look(self) -> None:
+        if self._tell_seats is not None:
+            names = sorted(entry.name for entry in self.views.members())
+            self._tell_seats(Share(len(names), names.index(self._site.name), self.sure()))
+
+    def _held(self, held: SeatsHeld) -> None:
+        self._site.tell_module(SeatShare(held.slots, held.until_ns))
+        self._site.log.debug("seats", slots=held.slots, until_ns=held.until_ns)
+
+    def _seats_held(self) -> float:
+        return float(len(self.seats.usable(self._site.loop.now_ns())[0])) if self.seats is not None else 0.0
+
     def stop(self, now: bool) -> None:
         return
 
@@ -102,6 +135,8 @@
 
     def close(self) -> None:
         if self._carrier is not None:
+            if self._tell_seats is not None:
+                self._tell_seats(Stop())
             self._carrier.leave()
 
     def _save(self) -> None:
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -23,6 +23,7 @@
 
 _UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 _SPAN = re.compile(r"(\d+(?:\.\d+)?)(us|ms|s|m|h)")
+SLOTS_MOST = 4096  # as many fit into one datagram of a claim
 _SCOPES = {"none": "none", "node": "machine", "rack": "cell", "zone": "zone", "all": "all"}
 
 
@@ -148,6 +149,8 @@
     advertise: str = ""
     cluster: str = "ladderhub"
     period: str = "1s"
+    electors: list[str] = []  # peer addresses; none: seats stay with `ordinal`
+    lease: str = "8s"
 
 
 class Log(msgspec.Struct, forbid_unknown_fields=True):
@@ -193,6 +196,8 @@
     seeds: tuple[str, ...]
     cluster: str
     period_ns: int
+    electors: tuple[str, ...]
+    lease_ns: int
 
 
 class Loaded:
@@ -349,7 +354,17 @@
         period_ns = self._span("peers.period", given.period)
         if not 50_000_000 <= period_ns <= 60_000_000_000:
             raise self._wrong("peers.period", given.period, "50ms to 60s")
-        return PeerPlaces(listen, advertise, tuple(given.seeds), given.cluster, period_ns)
+        for at, elector in enumerate(given.electors):
+            address_of(elector, f"{self.source}: peers.electors[{at}]")
+        if len(set(given.electors)) != len(given.electors):
+            raise self._wrong("peers.electors", given.electors, "each address once")
+        lease_ns = self._span("peers.lease", given.lease)
+        if given.electors and lease_ns < 4 * period_ns:
+            raise self._wrong("peers.lease", given.lease, "four periods or more")
+        if given.electors and self.file.schedulers > SLOTS_MOST:
+            raise self._wrong("schedulers", self.file.schedulers, f"at most {SLOTS_MOST} with electors")
+        electors = tuple(given.electors)
+        return PeerPlaces(listen, advertise, tuple(given.seeds), given.cluster, period_ns, electors, lease_ns)
 
     def _rollouts(self) -> RolloutSettings:
         given = self.file.rollouts
--- a/tests/decide/test_rules.py
+++ b/tests/decide/test_rules.py
@@ -17,6 +17,7 @@
     Reason,
     Refuse,
     Scope,
+    SeatShare,
     Send,
     Settings,
     Stage,
@@ -311,3 +312,20 @@
     second = bed.sent(bed.end(1, first.machine, Outcome.UNREACHABLE))
     assert second.machine != first.machine
     assert bed.end(1, second.machine, Outcome.UNREACHABLE, attempt=1) == [Refuse(1)]
+
+
+def test_lent_seats_at_fresh_machines_bound_offers_and_end_by_the_clock() -> None:
+    # Guards against a scheduler that stood still and goes on by seats that others have by now.
+    bed = Bed(settings(schedulers=4, ordinal=0, cold_safe_offers=8.0), machines=1)
+    fresh = bed.now - S
+    bed.change("m0", ready_ns=fresh)
+    bed.feed(SeatShare((), -1))
+    assert not [each for each in bed.ask(1) if isinstance(each, Send)]
+    bed.feed(SeatShare((0, 1, 3), bed.now + 2 * S))
+    sent = [each for task in range(2, 20) for each in bed.ask(task, service=f"s{task}")] + bed.wait(30 * MS)
+    assert sum(isinstance(each, Send) for each in sent) == 6
+    bed.feed(SeatShare((2,), bed.now + 3 * S))
+    assert not [each for each in bed.wait(200 * MS) if isinstance(each, Send)]  # the window is full
+    bed.wait(2600 * MS)
+    bed.feed(SeatShare((2,), bed.now - 1))  # ran out while it stood still
+    assert not [each for each in bed.ask(30, service="late") if isinstance(each, Send)]
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -43,7 +43,8 @@
 
 
 def test_real_processes_find_each_other_and_keep_their_views_over_faults(recording: list[Row]) -> None:
-    verdict = judge(recording, DAY)
+    verdict = judge(recording, DAY, COUNT, 2.5)
+    assert verdict.seats_told > 10 and verdict.seats_idle < 0.9
     assert verdict.good() and 0 <= verdict.equal_s <= 10 and verdict.told > 10
     assert any(row["what"] == "told" and "woke" in row["change"] for row in recording)
 
@@ -71,6 +72,14 @@
         rows.append(word | {"change": "gone", "at": settled["at"] + 10.5, "life": 1})
         rows.append(word | {"change": "alive", "at": settled["at"] + 10.6, "life": 1})
         rows.append(word | {"change": "gone", "at": settled["at"] + 11.5, "life": 1})
+    elif kind in ("a seat with two holders", "a seat that did not rest"):
+        told = [row for row in rows if row["what"] == "seats" and row["slots"]]
+        seats = max(told, key=lambda row: row["at"])
+        until = seats["until_ns"] / 1e9
+        other = next(slot for slot in lives if slot != seats["slot"])
+        at = seats["at"] + 0.1 if kind == "a seat with two holders" else until + 1
+        rows.append(seats | {"slot": other, "at": at, "until_ns": seats["until_ns"] + 9 * S})
+        rows.append({"at": until + 9, "what": "later"})
     return rows
 
 
@@ -78,11 +87,12 @@
     "kind",
     [
         "a living member told gone", "one that is over kept", "one that lives missing", "an error in a log",
-        "ends too early", "equal too late",
+        "ends too early", "equal too late", "a seat with two holders", "a seat that did not rest",
     ],
 )  # fmt: skip
 def test_the_judge_of_views_fails_on_a_doctored_recording(recording: list[Row], kind: str) -> None:
-    assert not judge(doctored(recording, kind), DAY).good()
+    verdict = judge(doctored(recording, kind), DAY, COUNT, 2.5)
+    assert not verdict.good() and ("seat" not in kind or verdict.doubly_held)
 
 
 def test_the_relay_cuts_one_direction_of_one_pair_alone() -> None:
