--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -75,7 +75,7 @@
 
 @lab.command()
 @click.argument("what", type=click.Choice(["seats"]))
-@click.option("--depth", default=6, show_default=True, type=click.IntRange(1), help="Steps in which faults come.")
+@click.option("--depth", default=6, show_default=True, type=click.IntRange(1), help="Steps with faults.")
 @click.option("--faults", default=2, show_default=True, type=click.IntRange(0), help="At most so many.")
 @click.option("--random", "schedules", default=10_000, show_default=True, help="Random schedules after it.")
 @_SEED
