--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -99,6 +99,12 @@
             replay.take(row)
         return not replay.otherwise()
 
+    def seated(self) -> bool:
+        """Every seat has a holder: faults are to meet leases that stand."""
+        self.read_logs()
+        told = {row["slot"]: row["slots"] for row in self.rows if row["what"] == "seats"}
+        return sorted(seat for seats in told.values() for seat in seats) == list(range(self.count))
+
     # --- playing ----------------------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -107,6 +113,8 @@
         self.fleet.start()
         if not self._wait(self.together, COME_NS):
             raise RuntimeError(f"the schedulers did not come together; see {self.folder}")
+        if not self._wait(self.seated, COME_NS):
+            raise RuntimeError(f"not every seat found a holder; see {self.folder}")
 
     def _wait(self, done: Any, most_ns: int) -> bool:
         until = self.loop.now_ns() + most_ns
--- a/ladderhub/membership/messages.py
+++ b/ladderhub/membership/messages.py
@@ -38,7 +38,7 @@
     status: Status
 
 
-Bits = Annotated[bytes, msgspec.Meta(max_length=SLOTS_MOST // 8)]
+Bits = Annotated[bytes, msgspec.Meta(max_length=SLOTS_MOST // 8 + 1)]
 News = Annotated[tuple[Entry, ...], msgspec.Meta(max_length=NEWS_MOST)]
 
 
@@ -103,15 +103,17 @@
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """To an elector: grant me these slots.  Numbers grow within a life; the answer goes to `address`."""
+    """To an elector: grant me these slots.  Numbers grow within a life; the answer goes to `address`, and
+    tells of free slots to one that lacks some."""
 
     number: Count
     slots: Bits
     address: Address
+    lacking: bool
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """Of the claim of that number these are granted; `free` are those that anybody may have."""
+    """Of the claim of that number these are granted; `free`, where asked for, anybody may have."""
 
     number: Count
     slots: Bits
--- a/ladderhub/membership/seats.py
+++ b/ladderhub/membership/seats.py
@@ -68,8 +68,10 @@
             given = self._grants.get(slot)
             number = max(claim.number, given[2]) if given is not None and given[0] == holder else claim.number
             self._grants[slot] = (holder, until, number)
-        free = {slot for slot in range(count) if self._free(now, slot, ("", 0))}
-        return Granted(claim.number, bits_of(granted, count), bits_of(free, count), self.settings.address)
+        free = b""
+        if claim.lacking:
+            free = bits_of({slot for slot in range(count) if self._free(now, slot, ("", 0))}, count)
+        return Granted(claim.number, bits_of(granted, count), free, self.settings.address)
 
     def release(self, holder: Id, release: Release) -> None:
         """Late word of a release must not undo a later claim."""
@@ -155,10 +157,13 @@
             self._claim(now)
         self._publish(now)
 
+    def _most(self) -> int:
+        """Our part of the slots, rounded up."""
+        return -(-self.settings.slots // max(1, self._share.members))
+
     def _balance(self) -> None:
         """As many as the others have: give up what is more, ask for what is less."""
-        slots, share = self.settings.slots, self._share
-        most = -(-slots // max(1, share.members))
+        slots, share, most = self.settings.slots, self._share, self._most()
         vain = {slot for slot, rounds in self._trying.items() if rounds >= TRIES}
         more = max(0, len(self._until) - most)
         latest = sorted(self._until, key=lambda slot: (self._since[slot], slot), reverse=True)
@@ -185,7 +190,8 @@
         self._number += 1
         self._rounds[self._number] = _Round(now, wanted)
         self._rounds.pop(self._number - ROUNDS_KEPT, None)
-        claim = Claim(self._number, bits_of(wanted, self.settings.slots), self.settings.address)
+        bits, lacking = bits_of(wanted, self.settings.slots), len(self._until) < self._most()
+        claim = Claim(self._number, bits, self.settings.address, lacking)
         for elector in self.settings.electors:
             if elector != self.settings.address:
                 self._out.append(Say(elector, claim))
@@ -232,7 +238,8 @@
         asked = self._rounds.get(granted.number)
         if asked is None or granted.elector not in self.settings.electors:
             return
-        self._free[granted.elector] = slots_of(granted.free, self.settings.slots)
+        if granted.free:
+            self._free[granted.elector] = slots_of(granted.free, self.settings.slots)
         asked.granted[granted.elector] = slots_of(granted.slots, self.settings.slots) & asked.wanted
         until = asked.begun_ns + self._usable_ns
         if until <= now:
@@ -245,10 +252,20 @@
                 self._trying.pop(slot, None)
 
 
+_FEW, _MANY = 1, 0  # two bytes a slot, or a bit: a holder among a thousand has one slot, one alone has all
+
+
 def bits_of(slots: set[int], count: int) -> bytes:
-    return sum(1 << slot for slot in slots).to_bytes((count + 7) // 8, "big")
+    """Slots in few bytes, whichever way is shorter; at least one byte, also for none."""
+    if 2 * len(slots) < (count + 7) // 8:
+        return bytes((_FEW,)) + b"".join(slot.to_bytes(2, "big") for slot in sorted(slots))
+    return bytes((_MANY,)) + sum(1 << slot for slot in slots).to_bytes((count + 7) // 8, "big")
 
 
 def slots_of(bits: bytes, count: int) -> set[int]:
-    number = int.from_bytes(bits, "big")
+    """The slots below `count`; what makes no sense is left out."""
+    if bits[:1] == bytes((_FEW,)):
+        few = (int.from_bytes(bits[at : at + 2], "big") for at in range(1, len(bits), 2))
+        return {slot for slot in few if slot < count}
+    number = int.from_bytes(bits[1:], "big")
     return {slot for slot in range(count) if number >> slot & 1} if number else set()
--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -162,7 +162,7 @@
         try:
             found = wanted(resources)
         except ResourceError as fault:
-            return refusal(fault.code, str(fault))
+            return refusal(n.BAD_RESOURCE_VALUE, str(fault))
         if key in self.jobs:
             return refusal(n.JOB_EXISTS)
         if key in self._done:
--- a/tests/membership/test_seats.py
+++ b/tests/membership/test_seats.py
@@ -10,6 +10,7 @@
 from ladderhub.membership import Heard, Seats, SeatSettings, SeatsHeld, Share, Stop
 from ladderhub.membership.messages import Claim, Granted
 from ladderhub.membership.seats import Elector, bits_of, slots_of
+from ladderhub.peers.wire import VERSION, Frame, encode
 
 
 def test_no_schedule_of_few_faults_gives_a_seat_two_holders() -> None:
@@ -126,9 +127,22 @@
 
 
 def test_slots_and_their_bits_are_one_to_one() -> None:
-    for wanted in (set(), {0}, {6}, {0, 3, 6}, set(range(7))):
-        assert slots_of(bits_of(wanted, 7), 7) == wanted
-    assert slots_of(b"\xff" * 600, 7) == set(range(7))
+    for count in (7, 1024, 4096):
+        for wanted in (set(), {0}, {6}, {0, 3, 6}, {count - 1}, set(range(count)), set(range(0, count, 2))):
+            assert slots_of(bits_of(wanted, count), count) == wanted
+    for nonsense in (b"\x00" + b"\xff" * 600, b"\x01" + b"\xff" * 601, b"\x07\x01", b"\x01\x00"):
+        assert slots_of(nonsense, 7) <= set(range(7))
+
+
+def test_seat_messages_are_small_in_a_large_fleet_and_fit_a_datagram_in_any() -> None:
+    def size(message: Claim | Granted, name: str = "sched100") -> int:
+        return len(encode(Frame(VERSION, 1 << 31, name, 1 << 61, 0, message)))
+
+    one = {count: bits_of({count - 1}, count) for count in (64, 1024)}
+    small, large = (size(Claim(9999, one[count], "10.0.0.1:15010", False)) for count in one)
+    assert large <= small + 2  # what a member sends does not grow with the fleet
+    half = bits_of(set(range(0, 4096, 2)), 4096)
+    assert size(Granted((1 << 31) - 1, half, half, "h" * 58 + ":65535"), "n" * 64) <= 1200
 
 
 @pytest.mark.parametrize(
@@ -143,5 +157,5 @@
 
 def test_an_elector_is_silent_for_a_lease_after_its_start() -> None:
     elector = Elector(SeatSettings("a", 1, "a:1", 3, ("a:1",), 80, 10), 1000)
-    assert elector.claim(1079, ("b", 1), Claim(1, bits_of({0}, 3), "b:1")) is None
-    assert elector.claim(1080, ("b", 1), Claim(1, bits_of({0}, 3), "b:1")) is not None
+    assert elector.claim(1079, ("b", 1), Claim(1, bits_of({0}, 3), "b:1", True)) is None
+    assert elector.claim(1080, ("b", 1), Claim(1, bits_of({0}, 3), "b:1", True)) is not None
