Emulator: seats are lent in the simulated hour too, and judged as on real processes

Need: the price of seats that rest was known at 16 processes alone. Change: hosts of the emulator hold and lend seats; the judge of the mesh looks at them.

--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -60,13 +60,14 @@
 @click.argument("what", type=click.Choice(["views"]))
 @click.option("--schedulers", default=230, show_default=True, type=click.IntRange(4, 4096))
 @click.option("--seconds", default=3600, show_default=True, type=click.IntRange(10), help="Simulated time.")
+@click.option("--seats", is_flag=True, help="Lend seats too, by five electors.")
 @click.option("--loss", default=0.1, show_default=True, type=click.FloatRange(0, 0.9))
 @_SEED
-def emulate(what: str, schedulers: int, seconds: int, loss: float, seed: int) -> None:
+def emulate(what: str, schedulers: int, seconds: int, seats: bool, loss: float, seed: int) -> None:
     """Play the pure modules of many schedulers in simulated time: `views` with loss, pauses and crashes."""
     from ladderhub.lab.emulator.views import hour
 
-    verdict = hour(schedulers, seed, seconds, loss)
+    verdict = hour(schedulers, seed, seconds, loss, seats)
     for line in verdict.lines():
         click.echo(line)
     click.echo("judged good" if verdict.good() else "judged bad")
--- a/ladderhub/lab/emulator/views.py
+++ b/ladderhub/lab/emulator/views.py
@@ -7,15 +7,21 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from ladderhub.lab.emulator.net import MS, Faults, Net, S
-from ladderhub.membership import Heard, MemberSettings, Say, Stop, Tick, Told, Views, WakeAt
+from ladderhub.lab.mesh.judge import Row, check_seats
+from ladderhub.lab.mesh.judge import Verdict as Seen
+from ladderhub.membership import Heard, MemberSettings, Say, Seats, SeatSettings, SeatsHeld, Share, Stop, Tick
+from ladderhub.membership import Told, Views, WakeAt
+from ladderhub.membership.messages import SeatMessage
 from ladderhub.membership.rings import Id
 from ladderhub.membership.types import Action, Change, Event
 from ladderhub.peers.wire import VERSION, Frame, encode
 
 PAUSE_EVERY_NS = 600 * S  # on average, of each member
 CRASH_EVERY_NS = 60 * S  # of the whole fleet
+LEASE_NS, WINDOW_NS = 8 * S, 2500 * MS  # of seats; the module counts offers for so long
 
 
 def address_of(at: int) -> str:
@@ -33,6 +39,12 @@
         self.name, self.address, self.life = name, address, life
         settings = MemberSettings(self.name, life, self.address, seeds, known)
         self.views = Views(settings, fleet.seed * 1_000_003 + life % 1_000_003)
+        self.seats: Seats | None = None
+        if fleet.electors:
+            rest = WINDOW_NS * 3 // 2
+            dealt = SeatSettings(name, life, address, fleet.count, fleet.electors, LEASE_NS, rest)
+            self.seats = Seats(dealt, life % 1_000_003, self.net.now)
+            fleet.note("began", at)
         self.alive, self.paused_ns = True, -1
         self._due = 0
         self.net.open(self.address, self.receive)
@@ -47,7 +59,15 @@
             self.feed(Heard(frame.name, frame.life, frame.incarnation, frame.message))
 
     def feed(self, event: Event) -> None:
-        self.carry(self.views.handle(self.net.now, event))
+        now = self.net.now
+        if isinstance(event, Heard) and isinstance(event.message, SeatMessage):
+            if self.seats is not None:
+                self.carry(self.seats.handle(now, event))
+            return
+        self.carry(self.views.handle(now, event))
+        if self.seats is not None and isinstance(event, Tick):
+            names = sorted(entry.name for entry in self.views.members())
+            self.carry(self.seats.handle(now, Share(len(names), names.index(self.name), self.views.sure)))
 
     def carry(self, actions: list[Action]) -> None:
         for action in actions:
@@ -58,7 +78,9 @@
             elif isinstance(action, WakeAt):
                 self._due = action.at_ns
                 self.net.at(action.at_ns, self._wake, action.at_ns)
-            elif isinstance(action, Told):
+            elif isinstance(action, SeatsHeld):
+                self.fleet.note("seats", self.at, slots=action.slots, until_ns=action.until_ns)
+            else:
                 self.fleet.heard(self, action)
 
     def _wake(self, due: int) -> None:
@@ -71,6 +93,7 @@
 
     def kill(self) -> None:
         self.alive = False
+        self.fleet.note("over", self.at)
         self.net.close(self.address, self.receive)
 
     def feed_stop(self) -> None:
@@ -101,13 +124,15 @@
     differing: int = 0  # members whose view at the end is not the truth
     crashes: int = 0
     pauses: int = 0
+    doubly_held: list[str] = field(default_factory=list)
+    seats_idle: float | None = None
 
     def p99_s(self) -> float:
         ordered = sorted(self.latencies_ns)
         return ordered[min(len(ordered) - 1, len(ordered) * 99 // 100)] / S if ordered else 0.0
 
     def good(self) -> bool:
-        return not self.false_gone and not self.differing and not self.unheard
+        return not (self.false_gone or self.differing or self.unheard or self.doubly_held)
 
     def lines(self) -> Iterator[str]:
         yield f"{self.members} members, {self.crashes} crashes, {self.pauses} pauses"
@@ -116,6 +141,10 @@
         yield f"a crash is known to all living: p99 {self.p99_s():.2f} s, not told: {self.unheard}"
         yield f"{self.bytes_s:.0f} bytes and {self.messages_s:.1f} messages a second sent by a member"
         yield f"views that are not the truth at the end: {self.differing}"
+        if self.seats_idle is not None:
+            twice, idle = len(self.doubly_held), 100 * self.seats_idle
+            yield f"seats with two holders within a window: {twice}, unused {idle:.2f} % of the time"
+            yield from self.doubly_held[:5]
 
 
 class Fleet:
@@ -125,8 +154,12 @@
     longer to reckon than an hour of sixty-four."""
 
     def __init__(
-        self, count: int, seed: int, faults: Faults | None = None, seeds: int = 3, warm: bool = False
-    ) -> None:
+        self, count: int, seed: int, faults: Faults | None = None, seeds: int = 3, warm: bool = False,
+        electors: int = 0,
+    ) -> None:  # fmt: skip
+        """`electors`: the first so many lend seats, one for each of `count`; 0 for none."""
+        self.count, self.electors = count, tuple(map(address_of, range(electors)))
+        self.rows: list[Row] = []
         self.seed, self.net = seed, Net(seed, faults)
         self.random = self.net.random
         self.verdict = Verdict(count)
@@ -164,6 +197,11 @@
         self.every.append(host)
         return host
 
+    def note(self, what: str, slot: int, **values: Any) -> None:
+        """For the judge of seats."""
+        if self.electors:
+            self.rows.append({"at": self.net.now / S, "what": what, "slot": slot, **values})
+
     def kill(self, at: int) -> None:
         host = self.hosts.pop(at)
         host.kill()
@@ -211,13 +249,17 @@
         return verdict
 
 
-def hour(members: int, seed: int, seconds: int = 3600, loss: float = 0.1) -> Verdict:
+def hour(members: int, seed: int, seconds: int = 3600, loss: float = 0.1, seats: bool = False) -> Verdict:
     """A simulated hour: loss, pauses up to 3 s, now and then a crash that is started again later."""
-    fleet = Fleet(members, seed, Faults(loss=loss, delay_ns=(MS // 2, 20 * MS)), warm=True)
+    faults = Faults(loss=loss, delay_ns=(MS // 2, 20 * MS))
+    fleet = Fleet(members, seed, faults, warm=True, electors=min(5, members) if seats else 0)
     net, random = fleet.net, fleet.random
     net.run(net.now + 20 * S)
     fleet.settle(60 * S)
+    if seats:
+        net.run(net.now + 30 * S)  # electors are silent for a lease after their start
     begun, sent = net.now, (net.sent, net.sent_bytes)
+    fleet.note("day", -1)
 
     def pause() -> None:
         at = random.choice(sorted(fleet.hosts))
@@ -239,4 +281,8 @@
     fleet.verdict.bytes_s = (net.sent_bytes - sent[1]) * S / spent / members
     fleet.verdict.messages_s = (net.sent - sent[0]) * S / spent / members
     fleet.settle(20 * S)
+    if seats:
+        seen = Seen()
+        check_seats(seen, fleet.rows, WINDOW_NS / S, members)
+        fleet.verdict.doubly_held, fleet.verdict.seats_idle = seen.doubly_held, seen.seats_idle
     return fleet.close()
--- a/ladderhub/lab/mesh/days.py
+++ b/ladderhub/lab/mesh/days.py
@@ -113,20 +113,13 @@
     return Day("ring", "each hears its neighbour alone", steps, 13)
 
 
-def _mute(count: int, rng: random.Random) -> Day:
+def _one_sided(count: int, rng: random.Random, deaf: bool = False) -> Day:
     a = rng.randrange(count)
-    lost = frozenset((a, b) for b in range(count) if b != a)
+    lost = frozenset((b, a) if deaf else (a, b) for b in range(count) if b != a)
     steps = [Step(1, "cut", value=lost), Step(14, "cut", value=frozenset())]
     rule: Allowed = lambda observer, subject: subject == a  # noqa: E731
-    return Day("mute", "one hears all and is heard by nobody", steps, 14, rule)
-
-
-def _deaf(count: int, rng: random.Random) -> Day:
-    a = rng.randrange(count)
-    lost = frozenset((b, a) for b in range(count) if b != a)
-    steps = [Step(1, "cut", value=lost), Step(14, "cut", value=frozenset())]
-    rule: Allowed = lambda observer, subject: subject == a  # noqa: E731
-    return Day("deaf", "one is heard by all and hears nobody", steps, 14, rule)
+    about = "one is heard by all and hears nobody" if deaf else "one hears all and is heard by nobody"
+    return Day("deaf" if deaf else "mute", about, steps, 14, rule)
 
 
 def _halves(count: int, rng: random.Random, lost_memory: bool = False) -> Day:
@@ -217,7 +210,7 @@
 
 def _drawn(count: int, rng: random.Random) -> Day:
     """A mixture; what it may say follows from what is done."""
-    parts: list[Callable[[int, random.Random], Day]] = [_restart, _pauses, _loss, _mute, _halves, _storm]
+    parts: list[Callable[[int, random.Random], Day]] = [_restart, _pauses, _loss, _one_sided, _halves, _storm]
     chosen = rng.sample(parts, 2)
     days = [make(count, rng) for make in chosen]
     steps = sorted((step for day in days for step in day.steps), key=lambda step: step.at_s)
@@ -232,7 +225,8 @@
 
 DAYS: dict[str, Callable[[int, random.Random], Day]] = {
     "pauses": _pauses, "long-pause": _long_pause, "crowded": _storm_of_pauses, "loss": _loss,
-    "one-way": _one_way, "reaches-one": _reaches_one, "ring": _ring, "mute": _mute, "deaf": _deaf,
+    "one-way": _one_way, "reaches-one": _reaches_one, "ring": _ring, "mute": _one_sided,
+    "deaf": lambda count, rng: _one_sided(count, rng, deaf=True),
     "alone": _alone, "halves": _halves,
     "halves-anew": lambda count, rng: _halves(count, rng, lost_memory=True),
     "restart": _restart, "twin": _twin, "usurp": _usurp, "clock-back": _clock_back, "late-word": _late_word,
--- a/tests/membership/test_days.py
+++ b/tests/membership/test_days.py
@@ -95,8 +95,9 @@
 
 
 def test_a_small_hour_costs_a_member_as_much_in_a_larger_fleet() -> None:
-    small, large = hour(12, 1, seconds=90), hour(48, 1, seconds=90)
+    small, large = hour(12, 1, seconds=90, seats=True), hour(48, 1, seconds=90, seats=True)
     for verdict in (small, large):
         assert verdict.good() and verdict.crashes, list(verdict.lines())
+        assert verdict.seats_idle is not None and verdict.seats_idle < 0.1
         assert verdict.p99_s() < 8 and verdict.bytes_s < 2000
     assert large.bytes_s < 1.2 * small.bytes_s
