A peers address that is taken is told by field; nothing is saved after the daemon's close

Cause: a socket fault at the start said «Address already in use» and no field; the saving of peers' addresses went on by timer after close, where a next life in the same folder could have begun. Change: PeerError with its remedy; the timer ends with the part.

--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from ladderhub.errors.base import SYSTEM, LadderhubError
 from ladderhub.errors.tally import Spoilt, Tally
 from ladderhub.loop import Loop, Timer, parse_address
 from ladderhub.loop.datagram import Datagrams
@@ -16,11 +17,18 @@
 TELL_NS = 1_000_000_000
 
 
+class PeerError(LadderhubError):
+    """The address for peers can't be had."""
+
+    status, code = 1, SYSTEM
+    remedy = "look who holds that UDP port on this host, or give `peers.listen` another address"
+
+
 class PeerCarrier:
     """One scheduler's end among its peers.
 
     `on_told` hears of each change of the view, `on_spoilt` once a second of what came and was no message.
-    OSError where the address can't be had."""
+    `PeerError` where the address can't be had."""
 
     def __init__(
         self, loop: Loop, address: Address, cluster: str, views: Views, on_told: Callable[[Told], None],
@@ -36,7 +44,11 @@
         self.on_look: Callable[[], None] | None = None
         self._timer: Timer | None = None
         self._places: dict[str, Address] = {}
-        self.datagrams = Datagrams(loop, address, self._received)
+        try:
+            self.datagrams = Datagrams(loop, address, self._received)
+        except OSError as fault:
+            where = "peers.listen: {}:{}".format(*address)
+            raise PeerError(str(fault.strerror or fault), where=where) from None
         self._tells = loop.call_later(TELL_NS, self._tell_spoilt)
 
     def join(self, tell: Callable[[Event], None]) -> None:
--- a/ladderhub/server/fellowship.py
+++ b/ladderhub/server/fellowship.py
@@ -64,6 +64,7 @@
         self.seats: Seats | None = None
         self._tell_seats: Callable[[Event | Share], None] | None = None
         self._carrier: PeerCarrier | None = None
+        self._closed = False
         gauge = site.metrics.gauge
         gauge("members", "Schedulers in the view, this one among them", lambda: len(self.views.members()))
         gauge("members_suspected", "Of those it watches", lambda: len(self.views.suspected()))
@@ -134,6 +135,7 @@
         return 0
 
     def close(self) -> None:
+        self._closed = True
         if self._carrier is not None:
             if self._tell_seats is not None:
                 self._tell_seats(Stop())
@@ -141,6 +143,8 @@
 
     def _save(self) -> None:
         """Where peers are is worth a file: after a restart of all it is how a fleet comes together again."""
+        if self._closed:
+            return
         peers = self.views.addresses()
         if peers and peers != self._past.peers:
             self._past.peers = peers
--- a/tests/peers/test_fellowship.py
+++ b/tests/peers/test_fellowship.py
@@ -13,6 +13,7 @@
 from ladderhub.lab.fleet import SETTINGS
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Request
+from ladderhub.peers.carrier import PeerError
 from ladderhub.peers.wire import mark_of
 from ladderhub.server.daemon import Daemon
 from ladderhub.server.fellowship import Fellowship, Past
@@ -95,6 +96,14 @@
         Past(tmp_path)
 
 
+def test_an_address_for_peers_that_is_taken_is_told_by_field(world: World) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        place = f"127.0.0.1:{sock.getsockname()[1]}"
+        with pytest.raises(PeerError, match=f"peers.listen: {place}: Address already in use"):
+            start(world, "alpha", place, [place])
+
+
 def test_without_electors_the_module_keeps_its_ordinal(world: World) -> None:
     place = free_udp()
     daemon, fellowship = start(world, "alpha", place, [place])
