--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -64,14 +64,16 @@
 
 
 def free_port() -> int:
-    """A port of 127.0.0.1 that nobody listens at, outside the range that connections take theirs from."""
+    """A port of 127.0.0.1, for streams and datagrams, that nobody has, outside the range that connections
+    take theirs from."""
     while True:
         port = random.SystemRandom().randrange(11_000, 32_000)
         if port in _GIVEN:
             continue
-        with socket.socket() as sock:
+        with socket.socket() as sock, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
             try:
                 sock.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
             except OSError:
                 continue
         _GIVEN.add(port)
--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -17,12 +17,17 @@
 
 COME_NS = 40 * S  # in which all have to come together before the day
 AFTER_NS = 12 * S  # watched after the last fault
+TRIES = 3  # beginnings of a day whose ports others took
 NOISE = (
     b"", b"\x00", b"\xff" * 60, b"x" * 1900, b"\x96\x01\xce\x00\x00\x00\x01\xa1a\x01\x00\x94\x01\x01\x01\x01",
     b"\x96" + b"\xdf\xff\xff\xff\xff" * 20, b"[1,2,3]", b"\x96\x01" + b"\x9f" * 900,
 )  # fmt: skip
 
 
+class PortTaken(RuntimeError):
+    """Somebody else took a port between its choice and its use: the day says nothing, and is begun anew."""
+
+
 class Mesh:
     """`count` schedulers, a few nodes, a directory.  Slots of the day are the schedulers' numbers."""
 
@@ -108,13 +113,20 @@
     # --- playing ----------------------------------------------------------------------------------------
 
     def start(self) -> None:
+        """RuntimeError where the fleet does not come together, PortTaken where that was a port's fault."""
         for at in range(self.count):
             self.note("began", slot=at, name=self._names[at])
-        self.fleet.start()
-        if not self._wait(self.together, COME_NS):
-            raise RuntimeError(f"the schedulers did not come together; see {self.folder}")
-        if not self._wait(self.seated, COME_NS):
-            raise RuntimeError(f"not every seat found a holder; see {self.folder}")
+        try:
+            self.fleet.start()
+            if not self._wait(self.together, COME_NS):
+                raise RuntimeError(f"the schedulers did not come together; see {self.folder}")
+            if not self._wait(self.seated, COME_NS):
+                raise RuntimeError(f"not every seat found a holder; see {self.folder}")
+        except RuntimeError as fault:
+            self.read_logs()
+            if any("Address already in use" in row.get("text", "") for row in self.rows):
+                raise PortTaken(str(fault)) from None
+            raise
 
     def _wait(self, done: Any, most_ns: int) -> bool:
         until = self.loop.now_ns() + most_ns
@@ -204,6 +216,16 @@
 
 def run_day(day: Day, folder: Path, count: int, seed: int) -> Verdict:
     """One day on a fleet of its own; RuntimeError where the fleet does not come up."""
+    for attempt in range(TRIES - 1):
+        try:
+            return _run_day(day, folder / f"try-{attempt}", count, seed)
+        except PortTaken:
+            continue
+    return _run_day(day, folder / "try-last", count, seed)
+
+
+def _run_day(day: Day, folder: Path, count: int, seed: int) -> Verdict:
+    folder.mkdir(parents=True, exist_ok=True)
     troubles: list[str] = []
     loop = Loop(trouble=lambda where, fault: troubles.append(f"{where}: {fault!r}"))
     mesh = Mesh(loop, folder, count, seed)
