--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from ladderhub.errors.base import SYSTEM, LadderhubError
 from ladderhub.lab.emulator.net import MS, Faults, S
 from ladderhub.lab.fleet import Fleet, free_port
 from ladderhub.lab.mesh.days import Day, Step
@@ -24,9 +25,12 @@
 )  # fmt: skip
 
 
-class PortTaken(RuntimeError):
+class PortTaken(LadderhubError):
     """Somebody else took a port between its choice and its use: the day says nothing, and is begun anew."""
 
+    status, code = 1, SYSTEM
+    remedy = "begin the day again with fewer days side by side: it says nothing of the schedulers"
+
 
 class Mesh:
     """`count` schedulers, a few nodes, a directory.  Slots of the day are the schedulers' numbers."""
