--- a/ladderhub/lab/checker/seats.py
+++ b/ladderhub/lab/checker/seats.py
@@ -17,7 +17,7 @@
 from ladderhub.membership.types import Action, Heard, Say, SeatsHeld, Share
 
 COUNT, SLOTS = 3, 3
-LEASE, WINDOW = 16, 4  # in steps; rounds of one that lacks seats come each step
+LEASE, COLD, WINDOW = 16, 3, 4  # in steps; the module counts offers for WINDOW, a quarter over COLD
 ADDRESSES = tuple(f"h{at}:1" for at in range(COUNT))
 BACK = (1, 6, LEASE + 3)  # for how many steps messages are held back, or a process is stopped
 PREPARED = LEASE + 8  # steps without faults at first: electors are silent for a lease
@@ -73,7 +73,7 @@
         self._late: dict[tuple[int, int], int] = {}
 
     def _host(self, at: int, life: int) -> _Host:
-        settings = SeatSettings(f"h{at}", life, ADDRESSES[at], SLOTS, ADDRESSES, LEASE, WINDOW)
+        settings = SeatSettings(f"h{at}", life, ADDRESSES[at], SLOTS, ADDRESSES, LEASE, COLD)
         return _Host(self.make(settings, at + 7 * life, self.now), life)
 
     def step(self, faults: list[Fault]) -> None:
--- a/ladderhub/lab/emulator/views.py
+++ b/ladderhub/lab/emulator/views.py
@@ -21,7 +21,7 @@
 
 PAUSE_EVERY_NS = 600 * S  # on average, of each member
 CRASH_EVERY_NS = 60 * S  # of the whole fleet
-LEASE_NS, WINDOW_NS = 8 * S, 2500 * MS  # of seats; the module counts offers for so long
+LEASE_NS, WINDOW_NS = 8 * S, 2 * S  # of seats; the module counts offers for a quarter longer than the window
 
 
 def address_of(at: int) -> str:
@@ -41,8 +41,7 @@
         self.views = Views(settings, fleet.seed * 1_000_003 + life % 1_000_003)
         self.seats: Seats | None = None
         if fleet.electors:
-            rest = WINDOW_NS * 3 // 2
-            dealt = SeatSettings(name, life, address, fleet.count, fleet.electors, LEASE_NS, rest)
+            dealt = SeatSettings(name, life, address, fleet.count, fleet.electors, LEASE_NS, WINDOW_NS)
             self.seats = Seats(dealt, life % 1_000_003, self.net.now)
             fleet.note("began", at)
         self.alive, self.paused_ns = True, -1
@@ -283,6 +282,6 @@
     fleet.settle(20 * S)
     if seats:
         seen = Seen()
-        check_seats(seen, fleet.rows, WINDOW_NS / S, members)
+        check_seats(seen, fleet.rows, 1.25 * WINDOW_NS / S, members)
         fleet.verdict.doubly_held, fleet.verdict.seats_idle = seen.doubly_held, seen.seats_idle
     return fleet.close()
--- a/ladderhub/membership/seats.py
+++ b/ladderhub/membership/seats.py
@@ -19,6 +19,7 @@
 from ladderhub.membership.rings import Id
 from ladderhub.membership.types import Action, Heard, Say, SeatsHeld, Share, Stop
 
+REST_WINDOWS = 1.5  # cold windows that a slot rests between two holders; the module counts offers for 1.25
 DRIFT = 0.05  # of a lease that a holder leaves unused: clocks need not run alike
 RENEWALS, QUICK = 4, 4  # rounds in a lease, and so many times more while we lack seats
 ROUNDS_KEPT = 8
@@ -28,7 +29,7 @@
 @dataclass(frozen=True, slots=True)
 class SeatSettings:
     """`slots`: over how many the safe number is dealt.  `electors`: addresses, the same on all schedulers.
-    `window_ns`: how long offers count at a node."""
+    `window_ns`: the cold window, for which offers count at a node."""
 
     name: str
     life: int
@@ -99,6 +100,7 @@
         self._random = random.Random(seed)
         self._majority = len(settings.electors) // 2 + 1
         self._usable_ns = round(settings.lease_ns * (1 - DRIFT))
+        self._rest_ns = round(settings.window_ns * REST_WINDOWS)
         self._share = Share(1, 0, True)
         self._number = 0
         self._rounds: dict[int, _Round] = {}
@@ -129,7 +131,7 @@
 
     def usable(self, now: int) -> tuple[tuple[int, ...], int]:
         """Slots that may be used, and until when all of them may."""
-        rested = now - self.settings.window_ns
+        rested = now - self._rest_ns
         slots = tuple(
             slot for slot in self.held(now)
             if self._since[slot] <= rested and self._until[slot] - self._usable_ns >= self._trust_from
--- a/ladderhub/server/fellowship.py
+++ b/ladderhub/server/fellowship.py
@@ -19,7 +19,6 @@
 from ladderhub.server.site import Site
 
 SAVE_NS = 5_000_000_000
-WINDOW_SLACK = 1.5  # of the cold window for which a seat rests between two holders; the module takes 1.25
 
 
 class _Past(msgspec.Struct):
@@ -107,7 +106,7 @@
         site, places, module = self._site, self._places, self._site.settings.module
         settings = SeatSettings(
             site.name, self._past.life, places.advertise, module.schedulers, places.electors, places.lease_ns,
-            round(module.cold_window_ns * WINDOW_SLACK),
+            module.cold_window_ns,
         )  # fmt: skip
         self.seats = Seats(settings, site.settings.file.seed, site.loop.now_ns())
         site.tell_module(SeatShare((), -1))
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -23,7 +23,6 @@
 
 _UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 _SPAN = re.compile(r"(\d+(?:\.\d+)?)(us|ms|s|m|h)")
-SLOTS_MOST = 4096  # as many fit into one datagram of a claim
 _SCOPES = {"none": "none", "node": "machine", "rack": "cell", "zone": "zone", "all": "all"}
 
 
@@ -354,6 +353,8 @@
         period_ns = self._span("peers.period", given.period)
         if not 50_000_000 <= period_ns <= 60_000_000_000:
             raise self._wrong("peers.period", given.period, "50ms to 60s")
+        from ladderhub.membership.messages import SLOTS_MOST  # not loaded where there are no peers
+
         for at, elector in enumerate(given.electors):
             address_of(elector, f"{self.source}: peers.electors[{at}]")
         if len(set(given.electors)) != len(given.electors):
