Mesh: names that nothing used are gone

Need: read once more, the change held a set that was only filled, a field of rows that nobody writes and a bound that nobody asks. Change: removed; no check or bound is loosened.

--- a/ladderhub/lab/mesh/days.py
+++ b/ladderhub/lab/mesh/days.py
@@ -15,7 +15,6 @@
 Pairs = frozenset[tuple[int, int]]
 Allowed = Callable[[int, int], bool]
 OK_S = 3.0  # a pause as long as this costs nobody its place
-GONE_S = 8.0  # by then one that is over, or cut off, has been told gone
 
 
 @dataclass(frozen=True, slots=True)
--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -52,7 +52,6 @@
         cold = self.fleet.settings["nodes"]["cold"]
         self.window_s = 1.25 * float(cold["window"].removesuffix("s"))  # as long as the module counts offers
         self._read: dict[str, int] = {}
-        self._stopping: set[int] = set()
 
     def _peers(self, at: int, name: str) -> dict[str, Any]:
         place = self._place[at] if self._place[at] >= 0 else at
@@ -162,7 +161,6 @@
             self._signal(who, signal.SIGKILL)
             self.note("over", slot=who)
         elif step.what == "leave":
-            self._stopping.add(who)
             self._signal(who, signal.SIGTERM)
             self.note("over", slot=who)
         elif step.what == "pause":
--- a/ladderhub/lab/mesh/judge.py
+++ b/ladderhub/lab/mesh/judge.py
@@ -182,7 +182,7 @@
 def _check(verdict: Verdict, replay: Replay, row: Row, day: Day) -> None:
     member = (row["member"], row["life"])
     subject = next((slot for slot, lives in replay.living.items() if lives == member), None)
-    if subject is None or subject in day.out or (row["change"] == "left" and row.get("leaving")):
+    if subject is None or subject in day.out:
         return
     if not day.may_go(row["slot"], subject):
         verdict.false_gone.append(f"slot {row['slot']} says {member[0]} is {row['change']}: {row['cause']}")
