--- a/ladderhub/decide/__init__.py
+++ b/ladderhub/decide/__init__.py
@@ -1,9 +1,8 @@
 """Every decision of a ladderhub scheduler; its types, events and actions stand in `ladderhub/interface.py`.
 
-The path of a task: `scheduler` takes it, sets the timer for its answer and asks `picking`, which
-strikes out machines (`rules`, `accounts`) and takes the lowest time to start (`estimates`, `warmth`).
-`Scheduler._send` is the door for all offers, `_give_up` for refusals and failures.  `estimates` learns from
-starts, `ends` from ends.  `fleet` follows the machine list; `records` holds state.
+The path of a task: `scheduler` takes it and asks `picking`, which strikes out machines (`rules`, `accounts`)
+and takes the lowest time to start (`estimates`, `warmth`).  `Scheduler._send` is the door for all offers,
+`_give_up` for final answers.  `estimates` learns from starts, `ends` from ends; `fleet` follows the list.
 
 Imports `ladderhub.interface` and the standard library alone; each file only those above it in this order:
 records, accounts, warmth, fleet, rules, estimates, picking, ends, scheduler.
--- a/ladderhub/decide/accounts.py
+++ b/ladderhub/decide/accounts.py
@@ -67,11 +67,9 @@
         self.class_use[asked.klass][at].add(ratio)
         if not self.settings.reports_count_use:
             self.use_share[at].add(ratio)
-        change = [0.0, 0.0]
-        change[at] = note.level - attempt.use[at]
-        attempt.use[at] = note.level
+        change, attempt.use[at] = note.level - attempt.use[at], note.level
         if attempt.is_current():
-            attempt.machine.used.add(now, change[0], change[1])
+            attempt.machine.used.add(now, change * (at == 0), change * (at == 1))
 
     def read_report(self, now: int, machine: Machine, report: LoadReport) -> None:
         if report.cores_free is None or report.memory_free is None or not self.settings.kinds:
--- a/ladderhub/decide/estimates.py
+++ b/ladderhub/decide/estimates.py
@@ -23,8 +23,7 @@
         self.line_share = Mean(1.0)  # how much of a line is really waited: starts run side by side
 
     def crowding(self, fill: float, task: Task) -> float:
-        """What crowding is worth avoiding, as time to start: a cold start's length where use reaches the calm
-        level, since from there every task on the machine is served worse; nothing while use is easy."""
+        """What crowding is worth avoiding: a cold start where use is at the calm level; if easy, nothing."""
         return self.cold[task.klass].value * (max(0.0, fill - EASY) / (1 - EASY)) ** 2
 
     def line(self, now: int, machine: Machine) -> float:
@@ -51,11 +50,11 @@
     def timeout(self, now: int, task: Task, attempt: Attempt) -> int | None:
         """Unsafe tasks and last attempts are given all the time there is: giving up leaves only failure."""
         unsafe = self.settings.classes[task.klass].effect is Effect.UNSAFE
-        if unsafe or task.sent >= self.settings.max_attempts:
+        if unsafe or task.spent >= self.settings.max_attempts:
             return None
         if self.settings.first_at_running:
-            cold = self.cold[task.klass].value
-            span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * (attempt.line_ns + cold)))
+            own = attempt.line_ns + self.cold[task.klass].value
+            span = max(TIMEOUT_LEAST_NS, round(TIMEOUT_TIMES * own))
         else:
             span = max(ACCEPT_LEAST_NS, round(ACCEPT_TIMES * self.accept.value))
         return span if now + span < task.deadline_ns - ANSWER_MARGIN_NS else None
--- a/ladderhub/decide/fleet.py
+++ b/ladderhub/decide/fleet.py
@@ -22,8 +22,8 @@
     def serving(self, kind: int) -> list[Machine]:
         """Machines that the list has serving, of one kind or (-1) of all."""
         if kind not in self._takers:
-            machines = self.machines.values()
-            self._takers[kind] = [each for each in machines if not each.shut and kind in (-1, each.kind)]
+            found = (each for each in self.machines.values() if not each.shut and kind in (-1, each.kind))
+            self._takers[kind] = list(found)
         return self._takers[kind]
 
     def homes_of(self, task: Task) -> dict[str, int]:
@@ -61,10 +61,8 @@
                     machine.shut, machine.gone_ns = True, now
                     self._forget_list()
         # Machines long gone are forgotten; not at once: tasks there may yet be handed over and must count.
-        forgotten = [
-            each.id for each in self.machines.values()
-            if each.gone_ns is not None and now - each.gone_ns > FORGET_NS and not each.held
-        ]  # fmt: skip
+        gone = [each for each in self.machines.values() if each.gone_ns is not None and not each.held]
+        forgotten = [each.id for each in gone if now - (each.gone_ns or 0) > FORGET_NS]
         for name in forgotten:
             del self.machines[name]
         return moved, forgotten
--- a/ladderhub/decide/picking.py
+++ b/ladderhub/decide/picking.py
@@ -26,10 +26,8 @@
     def pick(self, now: int, task: Task) -> Machine | None:
         settings, service = self.settings, task.asked.service
         homes, serving = self.fleet.homes_of(task), self.fleet.serving(settings.classes[task.klass].kind)
-        known = {
-            each.id: each for each in serving
-            if service in each.held or service in each.kept or each.id in homes
-        }  # fmt: skip
+        warm = (each for each in serving if service in each.held or service in each.kept or each.id in homes)
+        known = {each.id: each for each in warm}
         near: list[Weighed] = []
         band = self._weigh(now, task, known.values(), float("inf"), near)
         # Elsewhere a start takes a cold one's time at least: no need to look where a better one is known.
--- a/ladderhub/decide/records.py
+++ b/ladderhub/decide/records.py
@@ -10,7 +10,7 @@
 MEMORY_SHORT, MEMORY_LONG = 20, 60  # values that an average holds on to: of one thing, of a whole class
 NOTE_FRESH_NS = 3 * S  # a note on pressure speaks for this long
 VIEW_LAG_NS = 600 * MS  # usual age of a list's free figures or a load report when it comes
-ANSWER_MARGIN_NS = 40 * MS  # the final answer leaves this long before the deadline
+ANSWER_MARGIN_NS = 40 * MS  # an answer leaves this long before its deadline, a repeat before its window's end
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NEVER_SENT})
 KEPT_MOST = 16  # kept programs remembered for each machine; deeper ones have nearly always gone
 REST_FIRST_NS, REST_ODD_NS = 600 * MS, 6 * S  # first rest after turning work away; where no reason came
@@ -148,7 +148,7 @@
         self.asked, self.klass = asked, asked.klass
         self.what = (asked.klass, asked.tenant)
         self.deadline_ns = now + asked.budget_ns
-        self.sent = 0
+        self.sent = self.spent = 0  # offers, and those of them that count against the most
         self.attempt: Attempt | None = None
         self.placed = self.ended = False
         self.maybe_ran: tuple[Machine, int] | None = None  # first attempt that may have run
--- a/ladderhub/decide/rules.py
+++ b/ladderhub/decide/rules.py
@@ -24,19 +24,25 @@
 
     def may_go(self, now: int, task: Task) -> bool:
         """May the task have a further attempt at all?"""
-        return (
-            not task.ended and task.attempt is None and task.sent < self.settings.max_attempts
-            and now < task.deadline_ns - ANSWER_MARGIN_NS and self.may_repeat(now, task)
-        )  # fmt: skip
+        free = not task.ended and task.attempt is None and task.spent < self.settings.max_attempts
+        return free and now < task.deadline_ns - ANSWER_MARGIN_NS and self.may_repeat(now, task)
 
     def may_send(self, now: int, task: Task, machine: Machine) -> bool:
         """The rules of the service for one machine, where the task may go at all."""
-        return (
-            not machine.shut and self.settings.classes[task.klass].kind in (-1, machine.kind)
-            and self.may_repeat(now, task, machine)
-            and place_of(machine, self.settings.classes[task.klass].spread) not in self.full_places(task)
-            and self.cold_ok(now, machine)
-        )  # fmt: skip
+        klass, full = self.settings.classes[task.klass], self.full_places(task)
+        fits = not machine.shut and klass.kind in (-1, machine.kind) and self.may_repeat(now, task, machine)
+        return fits and place_of(machine, klass.spread) not in full and self.cold_ok(now, machine)
+
+    def may_leave(self, now: int, task: Task, attempt: Attempt) -> bool:
+        """The rules again, as an offer leaves that was decided a while ago; it counts as sent now."""
+        klass, machine = self.settings.classes[task.klass], attempt.machine
+        if attempt.sent_ns in machine.sends:
+            machine.sends.remove(attempt.sent_ns)
+        crowded = self.spread[task.asked.service][attempt.place] > klass.spread_most
+        may = not machine.shut and now < task.deadline_ns - ANSWER_MARGIN_NS and self.cold_ok(now, machine)
+        may = may and self.may_repeat(now, task, machine) and not (crowded and klass.spread is not Scope.NONE)
+        machine.sends.extend([now] * may)
+        return may
 
     def may_repeat(self, now: int, task: Task, machine: Machine | None = None) -> bool:
         """Effects: a task that may have run goes again only as its class allows."""
@@ -46,9 +52,8 @@
         if klass.effect is Effect.UNSAFE:
             return False
         first, since = task.maybe_ran
-        return now < since + klass.dedupe_window_ns and (
-            machine is None or place_of(machine, klass.dedupe_scope) == place_of(first, klass.dedupe_scope)
-        )
+        near = machine is None or place_of(machine, klass.dedupe_scope) == place_of(first, klass.dedupe_scope)
+        return near and now < since + klass.dedupe_window_ns - ANSWER_MARGIN_NS
 
     def may_refuse(self, task: Task) -> bool:
         """Is it true to say that nothing which forbids a repeat ran?"""
@@ -87,13 +92,12 @@
         self.ordinals, self.lent_until_ns = tuple(event.ordinals), event.until_ns
 
     def cold_ok(self, now: int, machine: Machine) -> bool:
-        """Cold budget: a fresh machine always bears so many offers a window; these are dealt out as seats.
+        """Cold budget: a fresh machine always bears so many offers a window; these are dealt out as seats, by
+        ordinal, machine and ready time: all reckon alike and together never pass the number.
 
-        Danger: more schedulers than seats.  Who has one follows from ordinal, machine and ready time, so all
-        reckon alike and together never pass the number.  A scheduler younger than the machine forgot what it
-        sent: where seats are many, half are left to a successor, which takes no others until a window has
-        passed; where they are few it lets the window pass.  Seats that are lent (`share`) have rested and end
-        by the clock, also for one that stood still.  Harm: in a fresh fleet tasks wait."""
+        Danger: a scheduler younger than the machine forgot what it sent.  Where seats are many, half are left
+        to a successor, which takes no others until a window has passed; where few, it lets the window pass.
+        Lent seats have rested, and end by the clock.  Harm: in a fresh fleet tasks wait."""
         if not machine.ready_ns or now - machine.ready_ns > self.fresh_ns:
             machine.sends.clear()
             return True
--- a/ladderhub/decide/scheduler.py
+++ b/ladderhub/decide/scheduler.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ladderhub import interface as api
 from ladderhub.decide.accounts import TELL_NS, Ledger, Telling
 from ladderhub.decide.ends import learn_end
 from ladderhub.decide.estimates import Estimates
@@ -11,9 +12,6 @@
 from ladderhub.decide.records import ANSWER_MARGIN_NS, MS, NEVER_RAN, Attempt, Machine, Task
 from ladderhub.decide.rules import Rules
 from ladderhub.decide.warmth import Warmth
-from ladderhub.interface import Abort, Action, AttemptEnded, Effect, Event, Fail, MachineList, PeerMessage
-from ladderhub.interface import ProbeAnswered, Refuse, SeatShare, Send, SetTimer, Settings, TaskAsked
-from ladderhub.interface import TaskNote, TaskOpen, TaskPlaced, TaskWithdrawn, TimerFired, Topic
 
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
 SWEEP_TIMER, TELL_TIMER = 0, 1  # a task's own timer bears its number and two
@@ -22,7 +20,7 @@
 class Scheduler:
     """Decides for one scheduler.  Feed it events in order; carry out its actions in order."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self.tasks: dict[int, Task] = {}
         self.held: dict[int, Task] = {}  # those that wait for a machine
@@ -32,16 +30,17 @@
         self.estimates = Estimates(settings, self.warmth)
         self.picking = Picking(settings, seed, self.fleet, self.ledger, self.rules, self.estimates)
         self._sweep_set = self._tell_set = False
-        self._out: list[Action] = []
+        self._out: list[api.Action] = []
         self._hear: dict[type, Callable[[int, Any], None]] = {
-            TaskAsked: self._on_asked, AttemptEnded: self._on_ended, TaskNote: self._on_news,
-            TaskPlaced: self._on_news, MachineList: self._on_list, TimerFired: self._on_timer,
-            TaskOpen: self._on_open, TaskWithdrawn: lambda _, event: self._end(event.task),
-            SeatShare: lambda _, event: self.rules.share(event), ProbeAnswered: lambda _, event: None,
-            PeerMessage: lambda _, event: self.telling.hear(event, self.fleet.machines.values()),
+            api.TaskAsked: self._on_asked, api.AttemptEnded: self._on_ended, api.TaskNote: self._on_news,
+            api.TaskPlaced: self._on_news, api.MachineList: self._on_list, api.TimerFired: self._on_timer,
+            api.TaskOpen: self._on_open, api.TaskWithdrawn: lambda _, event: self._end(event.task),
+            api.SeatShare: lambda _, event: self.rules.share(event), api.ProbeAnswered: lambda _, event: None,
+            api.AttemptLeaving: self._on_leaving, api.AnswerDue: self._on_due,
+            api.PeerMessage: lambda _, event: self.telling.hear(event, self.fleet.machines.values()),
         }  # fmt: skip
 
-    def handle(self, now_ns: int, event: Event) -> list[Action]:
+    def handle(self, now_ns: int, event: api.Event) -> list[api.Action]:
         """Take one event and give the actions it calls for.  Probes, each paid for, are not used."""
         self._out = []
         if self.rules.born_ns < 0:
@@ -49,27 +48,27 @@
         self._hear[type(event)](now_ns, event)
         if self.held and not self._sweep_set:
             self._sweep_set = True
-            self._out.append(SetTimer(now_ns + HOLD_STEP_NS, SWEEP_TIMER))
+            self._out.append(api.SetTimer(now_ns + HOLD_STEP_NS, SWEEP_TIMER))
         if self.telling.changed and self.telling.allowed and not self._tell_set:
             self._tell_set = True
-            self._out.append(SetTimer(now_ns + TELL_NS, TELL_TIMER))
+            self._out.append(api.SetTimer(now_ns + TELL_NS, TELL_TIMER))
         return self._out
 
-    def _on_list(self, now: int, event: MachineList) -> None:
+    def _on_list(self, now: int, event: api.MachineList) -> None:
         moved, forgotten = self.fleet.follow(now, event)
         if moved:
             self.rules.recount(self.tasks.values())
         for name in forgotten:
             self.telling.changed.pop(name, None)
 
-    def _on_asked(self, now: int, asked: TaskAsked) -> None:
+    def _on_asked(self, now: int, asked: api.TaskAsked) -> None:
         if asked.task in self.tasks:
             return
         task = self.tasks[asked.task] = Task(asked, now)
-        self._out.append(SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 2))
+        self._out.append(api.SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 2))
         self._place(now, task)
 
-    def _on_open(self, now: int, event: TaskOpen) -> None:
+    def _on_open(self, now: int, event: api.TaskOpen) -> None:
         task = self.tasks[event.asked.task] = Task(event.asked, now)
         task.sent, task.placed = 1, True
         task.attempt = attempt = Attempt(0, self.fleet.unlisted(event.machine), now)
@@ -80,12 +79,11 @@
         """Send the task, or hold it, or give up where no further attempt can be allowed."""
         if not self.rules.may_go(now, task):
             self._give_up(task)
+        elif (machine := self.picking.pick(now, task)) is not None:
+            self.held.pop(task.asked.task, None)
+            self._send(now, task, machine)
         else:
-            if (machine := self.picking.pick(now, task)) is not None:
-                self.held.pop(task.asked.task, None)
-                self._send(now, task, machine)
-            else:
-                self.held[task.asked.task] = task
+            self.held[task.asked.task] = task
 
     def _sweep(self, now: int) -> None:
         """Look again at the tasks that wait: the highest class first, the oldest first within it."""
@@ -103,7 +101,7 @@
                 if not task.struck and task.maybe_ran is None and not self.rules.full_places(task):
                     found.append((cores, memory))
 
-    def _on_timer(self, now: int, event: TimerFired) -> None:
+    def _on_timer(self, now: int, event: api.TimerFired) -> None:
         task = self.tasks.get(event.timer - 2)
         if event.timer == SWEEP_TIMER:
             self._sweep_set = False
@@ -114,8 +112,6 @@
         elif task is not None and now >= task.deadline_ns - ANSWER_MARGIN_NS:
             self._give_up(task)
 
-    # --- the doors: every offer and every final answer --------------------------------------------------
-
     def _send(self, now: int, task: Task, machine: Machine) -> None:
         if not (self.rules.may_go(now, task) and self.rules.may_send(now, task, machine)):
             return
@@ -127,21 +123,21 @@
             attempt.depth = machine.depth_of(service)
             attempt.level = self.fleet.homes_of(task).get(machine.id)
         attempt.own_ns = round(self.estimates.own_figure(now, task, machine, attempt.level))
-        task.sent += 1
+        task.sent, task.spent = task.sent + 1, task.spent + 1
         if machine.ready_ns:
             machine.sends.append(now)
         machine.line[task.asked.task] = attempt
         self._charge(now, task, attempt)
-        self._out.append(Send(task.asked.task, machine.id, self.estimates.timeout(now, task, attempt)))
+        self._out.append(api.Send(task.asked.task, machine.id, self.estimates.timeout(now, task, attempt)))
 
     def _give_up(self, task: Task) -> None:
         """The one final answer of a task that was not placed: refused where that is true, else failed."""
         if task.ended or task.placed:
             return
-        self._out.append((Refuse if self.rules.may_refuse(task) else Fail)(task.asked.task))
-        unsafe = self.settings.classes[task.klass].effect is Effect.UNSAFE
+        self._out.append((api.Refuse if self.rules.may_refuse(task) else api.Fail)(task.asked.task))
+        unsafe = self.settings.classes[task.klass].effect is api.Effect.UNSAFE
         if task.attempt is not None and self.settings.may_abort and not unsafe:
-            self._out.append(Abort(task.asked.task, task.attempt.number))
+            self._out.append(api.Abort(task.asked.task, task.attempt.number))
         self._end(task.asked.task)
 
     def _end(self, number: int) -> None:
@@ -153,40 +149,52 @@
             if task.attempt is None:
                 del self.tasks[number]
 
-    # --- what comes back --------------------------------------------------------------------------------
-
-    def _on_news(self, now: int, event: TaskPlaced | TaskNote) -> None:
+    def _told(self, event: Any) -> tuple[Task, Attempt] | None:
+        """The task and the attempt that the event tells of, while that attempt is out."""
         task = self.tasks.get(event.task)
         attempt = task.attempt if task is not None else None
-        if task is None or attempt is None or attempt.number != event.attempt:
+        return (task, attempt) if task and attempt and attempt.number == event.attempt else None
+
+    def _on_leaving(self, now: int, event: api.AttemptLeaving) -> None:
+        told = self._told(event)
+        if told is not None and not self.rules.may_leave(now, *told):
+            self._out.append(api.Abort(event.task, event.attempt))
+
+    def _on_due(self, now: int, event: api.AnswerDue) -> None:
+        self._give_up(self.tasks[event.task])
+
+    def _on_news(self, now: int, event: api.TaskPlaced | api.TaskNote) -> None:
+        if (told := self._told(event)) is None:
             return
-        if isinstance(event, TaskPlaced):
+        task, attempt = told
+        if isinstance(event, api.TaskPlaced):
             task.placed = True
             attempt.machine.rests, attempt.machine.errors = {}, 0
             self.estimates.accept.add(now - attempt.sent_ns)
             if self.settings.first_at_running:
                 self.estimates.started(now, task, attempt)
-        elif event.topic is Topic.RUNNING:
+        elif event.topic is api.Topic.RUNNING:
             self.estimates.started(now, task, attempt)
-        elif event.topic is Topic.SERVICE_LEVEL:
+        elif event.topic is api.Topic.SERVICE_LEVEL:
             attempt.machine.notes[0] = (now, max(0.0, 1 - event.level))
-        elif event.topic is Topic.MACHINE_MEMORY:
+        elif event.topic is api.Topic.MACHINE_MEMORY:
             attempt.machine.notes[1] = (now, event.level)
         else:
             self.ledger.learn_use(now, task, attempt, event)
 
-    def _on_ended(self, now: int, event: AttemptEnded) -> None:
+    def _on_ended(self, now: int, event: api.AttemptEnded) -> None:
         machines = self.fleet.machines
         if event.report is not None and event.machine in machines:
             self.ledger.read_report(now, machines[event.machine], event.report)
-        task = self.tasks.get(event.task)
-        attempt = task.attempt if task is not None else None
-        if task is None or attempt is None or attempt.number != event.attempt:
+        if (told := self._told(event)) is None:
             return
+        task, attempt = told
         learn_end(self.settings, now, task, attempt, event)
         self._release(now, task, attempt)
         if event.outcome not in NEVER_RAN and task.maybe_ran is None:
             task.maybe_ran = (attempt.machine, attempt.sent_ns)
+        reached = event.outcome not in NEVER_RAN or event.outcome is api.Outcome.REFUSED
+        task.spent -= not (reached or self.settings.unreached_count)
         task.attempt = None
         if event.concluded or task.ended or task.placed:
             self._end(event.task)
--- a/ladderhub/decide/warmth.py
+++ b/ladderhub/decide/warmth.py
@@ -26,14 +26,12 @@
     def homes_of(self, task: Task, serving: Callable[[int], list[Machine]]) -> dict[str, int]:
         """Homes of the task's service: machines by an order that every scheduler reckons alike.
 
-        Danger: warmth that others made can't be seen, and schedulers that each see little start every program
-        cold, everywhere.  By one order they warm the same few machines, in each zone where crossing
-        is priced.  Harm: the order knows nothing of load, which is left to the price of crowding."""
+        Danger: warmth that others made can't be seen, and many start every program everywhere cold.
+        Harm: the order knows nothing of load, which is left to the price of crowding."""
         if self.settings.schedulers == 1:
             return {}
         kind, priced = self.settings.classes[task.klass].kind, self.settings.price_cross_zone > 0
-        found = self.homes_kept.get((task.asked.service, kind))
-        if found is not None:
+        if (found := self.homes_kept.get((task.asked.service, kind))) is not None:
             return found
         machines = serving(kind)
         number = zlib.crc32(task.asked.service.encode()) + 1
--- a/ladderhub/interface.py
+++ b/ladderhub/interface.py
@@ -133,6 +133,7 @@
     zone: int = 0
     tick_ns: int = 1_000_000
     max_attempts: int = 1
+    unreached_count: bool = True  # an offer that reached no machine is one of the attempts
     admit_cores: float = 1.0
     admit_memory: float = 1.0
     first_at_running: bool = False
@@ -275,6 +276,22 @@
     level: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptLeaving:
+    """The offer leaves only now, some time after its `Send`: a connection had to come up first.  An `Abort`
+    in return keeps it from leaving; without one it counts as sent at this moment."""
+
+    task: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerDue:
+    """The final answer is wanted now, whatever time the task has left: its carrier is about to end."""
+
+    task: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """The one outcome of an attempt.  `concluded`: the task needs no further answer."""
@@ -337,6 +354,8 @@
     | TaskOpen
     | TaskPlaced
     | TaskNote
+    | AttemptLeaving
+    | AnswerDue
     | AttemptEnded
     | TaskWithdrawn
     | TimerFired
--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -13,6 +13,7 @@
 WRITE_HIGH = 256 * 1024  # above this the reader of requests is paused: back-pressure
 WRITE_MOST = 16 * 1024 * 1024  # above this the peer does not read: the connection is given up
 ACCEPT_MOST = 64
+BACKLOG = 1024  # callers that may wait to be accepted
 ACCEPT_REST_NS = 100_000_000
 Address = tuple[str, int]
 
@@ -110,10 +111,31 @@
 
     def unread(self) -> bool:
         """Whether bytes of the peer wait here that no callback has been given yet."""
+        return bool(self._peek())
+
+    def ended(self) -> bool:
+        """Whether the peer has closed or reset, and nothing that it said before is left to read."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """The next byte that waits; None where there is none yet, and nothing where none will come."""
+        if self.closed:
+            return b""
         try:
-            return bool(self._socket().recv(1, socket.MSG_PEEK))
+            return self._socket().recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return None
         except OSError:
-            return False
+            return b""
+
+    def read_now(self, most: int) -> None:
+        """Hand over what has come, up to about so many bytes, without waiting for the loop's turn and also
+        while reading is paused; the end of the peer too, where that comes next."""
+        while most > 0 and self.connected and not self.closed and not self._closing:
+            taken = self._read()
+            if not taken:
+                return
+            most -= taken
 
     def unsent(self) -> bool:
         """Whether bytes wait for the peer to take them."""
@@ -174,12 +196,6 @@
                 return
             if events & WRITE:
                 self._flush()
-            if events & READ and not self.closed:
-                data = self._socket().recv(self._read_most)
-                if data:
-                    self.handler.on_data(self, data)
-                else:
-                    self.abort(None)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as fault:
@@ -187,6 +203,26 @@
         except Exception as fault:  # the fault of one connection's handler ends that connection alone
             self.loop.trouble("connection", fault)
             self.abort(fault)
+        if events & READ and not self.closed:
+            self._read()
+
+    def _read(self) -> int:
+        """Hand over what has come, a portion at most; how many bytes that were."""
+        try:
+            data = self._socket().recv(self._read_most)
+            if data:
+                self.handler.on_data(self, data)
+            else:
+                self.abort(None)
+            return len(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError as fault:
+            self.abort(fault)
+        except Exception as fault:  # the fault of one connection's handler ends that connection alone
+            self.loop.trouble("connection", fault)
+            self.abort(fault)
+        return 0
 
     def _flush(self) -> None:
         while self._out:
@@ -259,7 +295,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             self.sock.bind(address)
-            self.sock.listen(1024)
+            self.sock.listen(BACKLOG)
         except OSError:
             self.sock.close()
             raise
@@ -272,21 +308,34 @@
             self.loop.watch(self.sock.fileno(), READ, self._ready)
 
     def _ready(self, _: int) -> None:
+        self._accept_some()
+
+    def _accept_some(self) -> bool:
+        """Accept a round of callers; whether there may be more."""
         for _each in range(ACCEPT_MOST):
             try:
                 sock, _address = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
+            except ConnectionAbortedError:
+                continue
+            except BlockingIOError:
+                return False
             except OSError as fault:
                 self.loop.trouble("accept", fault)
                 self.loop.watch(self.sock.fileno(), 0, self._ready)
                 self.loop.call_later(ACCEPT_REST_NS, self._open)
-                return
+                return False
             try:
                 self._accept(sock)
             except Exception as fault:
                 self.loop.trouble("accept", fault)
                 sock.close()
+        return True
+
+    def accept_waiting(self) -> None:
+        """Accept all that connected so far: closing over them would reset what they have sent."""
+        for _ in range(BACKLOG // ACCEPT_MOST):
+            if self.sock.fileno() < 0 or not self._accept_some():
+                return
 
     def close(self) -> None:
         if self.sock.fileno() >= 0:
--- a/ladderhub/platform/config.py
+++ b/ladderhub/platform/config.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +20,7 @@
 from ladderhub.translate import FieldError, part_of, read_settings
 
 MS = 1_000_000
+NEVER_NS = 1 << 62
 OWN_DESCRIPTORS = 12  # listener, selector, wake-up, standard streams, journal, a file
 SOCKETS_LEAST = 4 * OWN_DESCRIPTORS  # a quarter then goes to machines, half to owners
 
@@ -66,6 +67,7 @@
     known: tuple[JournalEvent, ...]
     pos: int
     connect_ns: int
+    idle_ns: int  # machines close connections that were left idle for so long
     dials_cost: bool  # new connections to machines are paid for
 
 
@@ -97,6 +99,8 @@
         limits, prices = part_of(file.settings, "ceilings"), part_of(file.settings, "prices")
     except (FieldError, ValueError, TypeError, AttributeError) as fault:
         raise ConfigError(str(fault), where=f"{path}: settings") from None
+    # On sockets a dial that came to nothing is no attempt: nobody has seen the set-up.
+    settings = replace(settings, unreached_count=False)
     if file.limits.sockets < SOCKETS_LEAST:
         where, meant = f"{path}: limits.sockets", f"at least {SOCKETS_LEAST}"
         raise ConfigError(f"found {file.limits.sockets}", where=where, meant=meant)
@@ -112,6 +116,7 @@
         pos=file.known.pos,
         dials_cost=bool(prices.get("handshake")),
         connect_ns=int(limits.get("dial-timeout-ns") or 250 * MS),
+        idle_ns=int(limits.get("conn-idle-ns") or NEVER_NS),
     )
 
 
--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -31,6 +31,10 @@
 class Hearer(Protocol):
     """Who hears of offers; each offer's end is told once."""
 
+    def may_leave(self, offer: Offer) -> bool:
+        """Asked as its bytes would leave, since a dial may lie behind it: is it still wanted, and allowed?
+        Where it is not, it has been given up when this returns."""
+
     def on_answer(self, offer: Offer, description: str) -> None: ...
 
     def on_release(self, offer: Offer, cause: int | None, note: str | None) -> None:
@@ -81,6 +85,7 @@
         self.leaving = False
         self.let_go = False  # closed for room: its machine is visited later
         self.proof: Timer | None = None  # runs while a test must pass before set-ups are written
+        self.used_ns = link.loop.now_ns()  # when a set-up last began or ended on it
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.link.heard()
@@ -102,6 +107,13 @@
             self.stream is not None and self.stream.connected and not self.stream.closed and not self.leaving
         )
 
+    def writable(self) -> bool:
+        """Whether a set-up may be written on it now.
+
+        Danger: what the peer does not take would lie in the stream's buffer and leave later, when it may be
+        forbidden."""
+        return self.proof is None and self.live() and self.stream is not None and not self.stream.unsent()
+
     def idle(self) -> bool:
         """Nothing is open on it, and nothing has come that was not read yet."""
         return not self.open and self.live() and not self.reader.pending()
--- a/ladderhub/platform/follower.py
+++ b/ladderhub/platform/follower.py
@@ -66,7 +66,7 @@
         self.loop, self._report, self._address, self.pos = loop, report, address, pos
         self.connect_ns, self._on_event = connect_ns, on_event
         self._conn: _Conn | None = None
-        self._old: _Conn | None = None  # to an address that was changed; what it still tells counts
+        self._old: list[_Conn] = []  # to addresses that were changed; what they still tell counts
         self.caught_up = False  # what was told during the start has been taken
         self.on_caught_up: Callable[[], None] = lambda: None
         report.gauges["journal"] = lambda: self.pos
@@ -83,11 +83,13 @@
             self._conn = _Conn(self, self._address)
 
     def move(self, address: Address) -> None:
-        """The service has another address; the old connection is read until it ends."""
+        """The service has another address; the old connection is read until it ends or falls silent."""
         if address == self._address:
             return
         self._address = address
-        self._old, self._conn = self._conn, None
+        if self._conn is not None:
+            self._old.append(self._conn)
+            self._conn = None
         self._dial()
 
     def catch_up(self) -> None:
@@ -104,8 +106,8 @@
             self._on_event(event)
 
     def closed(self, conn: _Conn, fault: BaseException | None) -> None:
-        if conn is self._old:
-            self._old = None
+        if conn in self._old:
+            self._old.remove(conn)
         if conn is self._conn:
             self._conn = None
             self._report.line("journal.closed", why=repr(fault)[:80], pos=self.pos)
@@ -114,6 +116,6 @@
 
     def _look(self) -> None:
         self.loop.call_later(LOOK_NS, self._look)
-        conn = self._conn
-        if conn is not None and self.loop.now_ns() - conn.heard_ns > SILENT_NS:
-            conn.stream.abort(TimeoutError("silent"))
+        for conn in [*self._old, *([self._conn] if self._conn is not None else [])]:
+            if self.loop.now_ns() - conn.heard_ns > SILENT_NS:
+                conn.stream.abort(TimeoutError("silent"))
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -34,7 +34,9 @@
     report: Report
     hearer: Hearer
     connect_ns: int
+    idle_ns: int
     most: Callable[[], int]
+    spare: Callable[[], int]
     share: bool
     count: int
 
@@ -66,10 +68,16 @@
         """The machine said something: it is there."""
         self.heard_ns, self.missed = self.loop.now_ns(), False
 
+    def move(self, address: Address) -> None:
+        """It is elsewhere now: nothing new goes over connections to where it was."""
+        self.address = address
+        for conn in self.conns:
+            conn.clean = False
+
     # --- set-ups ------------------------------------------------------------------------------------------
 
     def send(self, offer: Offer) -> None:
-        loop = self.links.loop
+        loop = self.loop
         offer.timer = loop.call_at(offer.until_ns, self._overdue, offer)
         conn = self._unused()
         quiet = loop.now_ns() - self.heard_ns > TEST_NS
@@ -86,23 +94,30 @@
         if conn is None:
             live = [each for each in self.conns if each.live() and not each.reader.pending()]
             if not live:
-                self.links.report.line("machine.no_descriptor", machine=self.name)
+                self.report.line("machine.no_descriptor", machine=self.name)
                 loop.call_soon(self._unreached, offer)
                 return
             conn = min(live, key=lambda each: len(each.open))
         offer.conn = conn
         conn.open[offer.id] = offer
-        self._write_waiting(conn)
+        self._write_waiting(conn, offer)
 
     def _unused(self) -> Conn | None:
+        # Danger: the machine closes a connection left idle, and what is written across that may have run.
         for conn in reversed(self.conns):
-            if conn.clean and conn.idle() and conn.proof is None:
+            fit = conn.clean and conn.idle() and conn.proof is None and not self._stale(conn)
+            if fit and conn.stream is not None and not conn.stream.ended():
                 return conn
         return None
 
+    def _stale(self, conn: Conn) -> bool:
+        """Left unused for nearly as long as the machine leaves one open."""
+        idle_ns = self.links.idle_ns
+        return self.loop.now_ns() - conn.used_ns >= max(idle_ns - TEST_NS, idle_ns // 2)
+
     def _shared(self) -> Conn | None:
         """A connection, up or coming up, with none but set-ups on it that may be lost with others."""
-        heard = self.links.loop.now_ns() - self.heard_ns <= TEST_NS
+        heard = self.loop.now_ns() - self.heard_ns <= TEST_NS
         fit: list[Conn] = []
         for conn in self.conns:
             waits = not conn.live() or conn.proof is not None  # nothing is written yet
@@ -119,12 +134,12 @@
             conn.stream.abort(TimeoutError("silent"))
 
     def dial(self, why: str) -> Conn:
-        self.links.report.count(f"dial.{why}")
+        self.report.count(f"dial.{why}")
         conn = Conn(self)
         self.conns.append(conn)
         self.links.count += 1
         conn.stream = connect(
-            self.links.loop, self.address, conn, self.links.connect_ns, lambda _: self._connected(conn)
+            self.loop, self.address, conn, self.links.connect_ns, lambda _: self._connected(conn)
         )
         conn.stream.on_drained = lambda: self._write_waiting(conn)
         return conn
@@ -139,18 +154,20 @@
             self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
         self._write_waiting(conn)
 
-    def _write_waiting(self, conn: Conn) -> None:
-        """Write what may leave now.
-
-        Danger: what the peer does not take would lie in the stream's buffer and leave after its machine was
-        announced as leaving.  So a set-up is written only where nothing waits there."""
-        for offer in [each for each in conn.open.values() if not each.written]:
-            if conn.stream is None or conn.stream.unsent() or conn.proof is not None or not conn.live():
+    def _write_waiting(self, conn: Conn, only: Offer | None = None) -> None:
+        """Write what may leave now; with `only`, no other set-up than this."""
+        for offer in [only] if only is not None else list(conn.open.values()):
+            if not conn.writable():
                 return
-            self._write(conn, offer)
+            # What is heard when it is asked for may end it, or others, or write them.
+            waits = conn.open.get(offer.id) is offer and not offer.written
+            if waits and self.links.hearer.may_leave(offer) and conn.writable():
+                self._write(conn, offer)
 
     def _write(self, conn: Conn, offer: Offer) -> None:
-        left_ms = (offer.until_ns - self.links.loop.now_ns()) // 1_000_000
+        if conn.open.get(offer.id) is not offer or offer.written:
+            return
+        left_ms = (offer.until_ns - self.loop.now_ns()) // 1_000_000
         if self.shut or left_ms <= 0:
             self._end(offer)
             self.links.hearer.on_unsent(offer)
@@ -158,6 +175,7 @@
         offer.setup.values[Code.WAIT] = str(left_ms)
         offer.leg.step(Step.SETUP)
         offer.written = True
+        conn.used_ns = self.loop.now_ns()
         self._put(conn, offer.setup)
 
     def _put(self, conn: Conn, message: Message) -> None:
@@ -171,6 +189,7 @@
         conn = offer.conn
         if conn is not None and conn.open.get(offer.id) is offer:
             del conn.open[offer.id]
+            conn.used_ns = self.loop.now_ns()
 
     def _unreached(self, offer: Offer) -> None:
         if offer.leg.state is State.IDLE and offer.timer is not None and offer.timer.call is not None:
@@ -210,9 +229,9 @@
         offer.leg.step(Step.HANDED)
         offer.stood = offer.written = True
         if not self.standing:
-            self.heard_ns = self.links.loop.now_ns()
+            self.heard_ns = self.loop.now_ns()
         self.standing[offer.id] = offer
-        self.links.loop.call_soon(self.keep_line)
+        self.loop.call_soon(self.keep_line)
 
     def release(self, offer: Offer, cause: int) -> None:
         """Cut a task that stands; its release by the machine still comes."""
@@ -238,20 +257,20 @@
     def test(self, now: int) -> None:
         """Each second: is the machine still there, while something of ours is?"""
         for conn in self.conns:
-            if not conn.clean and not conn.open:
+            if not conn.open and (not conn.clean or (self._stale(conn) and not self.needs(conn))):
                 conn.leave()
         if not self.standing:
             return
         silent_ns = now - self.heard_ns
         if silent_ns > SILENT_NS:
-            self.links.report.line("machine.silent", machine=self.name, tasks=len(self.standing))
+            self.report.line("machine.silent", machine=self.name, tasks=len(self.standing))
             self.lose("silent")
         elif not self.conns:
             if silent_ns >= VISIT_NS:
                 # Danger: without a visit its ends are told too late, and it would pass for silent.  So the
-                # bound is passed where no other can be let go: the owners' share is more than they may hold.
-                self.links.make_room()
-                self.dial("visit")
+                # bound is passed where no other can be let go, but not into what journal and log need.
+                if self.links.make_room() or self.links.spare() > 0:
+                    self.dial("visit")
             else:
                 self.keep_line()
         elif silent_ns > 2 * TEST_NS:
@@ -322,7 +341,7 @@
         """An answer that no open set-up waits for: one given up must not stand; others are not ours."""
         if message.id in self.late and message.id not in self.standing:
             self._put(conn, Message(Kind.RELEASE, message.id, Cause.NORMAL))
-        self.links.report.count("machine.stray_answer")
+        self.report.count("machine.stray_answer")
 
     def closed(self, conn: Conn, fault: BaseException | None) -> None:
         self.conns.remove(conn)
@@ -333,9 +352,9 @@
         up = stream is not None and stream.connected
         if not up:
             self.missed = True
-            self.links.report.line("machine.unreached", machine=self.name, why=repr(fault)[:80])
+            self.report.line("machine.unreached", machine=self.name, why=repr(fault)[:80])
         elif conn.open:
-            self.links.report.line(
+            self.report.line(
                 "machine.closed", machine=self.name, why=repr(fault)[:80], open=len(conn.open)
             )
         unsent = [offer for offer in conn.open.values() if not offer.written]
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -27,15 +27,17 @@
 
 class Links:
     """The links to all machines, by name: an address may pass from a machine that is gone to a new one.
-    `most`: how many connections there may be now.  `share`: connections are paid for, so set-ups that may be
-    repeated share one."""
+    `most`: how many connections there may be now; `spare`: how many more there is room for at all.
+    `idle_ns`: machines close connections that were left idle for so long.  `share`: connections are paid for,
+    so set-ups that may be repeated share one."""
 
     def __init__(
-        self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, most: Callable[[], int],
-        share: bool = False,
+        self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, idle_ns: int,
+        most: Callable[[], int], spare: Callable[[], int], share: bool = False,
     ) -> None:  # fmt: skip
         self.loop, self.report, self.hearer = loop, report, hearer
-        self.connect_ns, self.most, self.share = connect_ns, most, share
+        self.connect_ns, self.idle_ns, self.share = connect_ns, idle_ns, share
+        self.most, self.spare = most, spare
         self.count = 0
         self._links: dict[str, Link] = {}
         self._up: dict[Conn, None] = {}  # connections by the time they came up, oldest first
@@ -82,7 +84,8 @@
             if gone:
                 return
             link = self._links[name] = Link(self, name, address)
-        link.address = address
+        if address != link.address:
+            link.move(address)
         link.shut, link.gone = not serving, gone
         if not serving:
             link.unsend()
@@ -95,6 +98,17 @@
             if name not in listed:
                 self.place(name, link.address, False, True)
 
+    def unsent(self) -> int:
+        """Connections with bytes that their machine has not taken yet."""
+        return sum(conn.stream is not None and conn.stream.unsent() for conn in self._up)
+
+    def close(self) -> None:
+        """Nothing more is said to machines, or heard of them."""
+        for conn in list(self._up):
+            if conn.stream is not None:
+                conn.let_go = True
+                conn.stream.abort(None)
+
     def forget(self, link: Link) -> None:
         if self._links.get(link.name) is link:
             del self._links[link.name]
@@ -109,7 +123,7 @@
     def hold(self, offer: Offer) -> None:
         """Look after a task that stands; where the list knows no such machine it ended with that machine."""
         link = self._links.get(offer.machine)
-        if link is None:
+        if link is None or link.gone:
             self.report.line("adopted.nowhere", machine=offer.machine)
             self.loop.call_soon(self.hearer.on_broken, offer, "not on the list")
         else:
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-import math
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 from enum import IntEnum
@@ -15,8 +15,9 @@
 from ladderhub.loop import Listener, Loop, Stream
 from ladderhub.loop.stream import Address
 from ladderhub.platform.link import OVER_NS
+from ladderhub.platform.reading import read_setup
 from ladderhub.platform.report import Report
-from ladderhub.platform.tasks import Asked, OwnerLine, Task, Tasks
+from ladderhub.platform.tasks import OwnerLine, Task, Tasks
 from ladderhub.platform.words import Names
 from ladderhub.signalling import Cause, Kind, LineReader, Message, SignalError, State, encode_line
 from ladderhub.signalling.table import MESSAGE_MOST, TEST_FAILED, TEST_PASSED
@@ -33,52 +34,7 @@
 # A release of what stood is owed within 1 s.  Its owner says that it heard it, else it is told elsewhere.
 AGAIN_NS = 200 * MS
 PORTION = MESSAGE_MOST  # bytes of one connection that are read at a time
-
-
-def read_setup(message: Message, names: Names, settings: api.Settings) -> Asked:
-    """A set-up's fields, checked; SignalError says which one makes no sense."""
-    fields, id = message.fields, message.id
-    klass_name, tenant = str(fields.get("class", "")), str(fields.get("tenant", ""))
-    if klass_name not in names.classes:
-        raise SignalError(f"class: {klass_name[:40]!r} is none", id)
-    if names.tenants and tenant not in names.tenants:
-        raise SignalError(f"tenant: {tenant[:40]!r} is none", id)
-    extras = _parts(str(fields.get("extras", "")))
-    klass = names.classes[klass_name]
-    most_cores = max((kind.cores for kind in settings.kinds), default=math.inf) * settings.admit_cores
-    most_memory = max((kind.memory for kind in settings.kinds), default=math.inf) * settings.admit_memory
-    key, service = str(fields.get("key", "")), extras.get("service", "")
-    if not key or len(key.encode()) > 255:
-        raise SignalError("key: the name of the task is meant", id)
-    if not service:
-        raise SignalError("extras: service: the service of the task is meant", id)
-    if not message.description:
-        raise SignalError("a set-up must have a description", id)
-    machine = extras.get("at", "")
-    # A task that stands already has no time to wait; a new one is not waited for beyond its class's deadline.
-    most_ms = settings.classes[klass].deadline_ns / MS
-    left = 0.0 if machine else _number(fields.get("left"), "left", most_ms, id)
-    return Asked(
-        id=id, klass=klass, klass_name=klass_name, tenant=names.tenants.get(tenant, 0), key=key,
-        service=service,
-        cores=_number(extras.get("cores"), "extras: cores", most_cores, id),
-        memory=_number(extras.get("memory"), "extras: memory", most_memory, id),
-        left_ns=round(left * MS), description=message.description, machine=machine,
-    )  # fmt: skip
-
-
-def _parts(text: str) -> dict[str, str]:
-    return {name: value for name, _, value in (part.partition(":") for part in text.split(";"))}
-
-
-def _number(value: str | int | float | None, where: str, most: float, id: str) -> float:
-    try:
-        number = float(value if value is not None else "")
-    except (ValueError, OverflowError):
-        raise SignalError(f"{where}: {str(value)[:40]!r} is not a number", id) from None
-    if not 0 < number <= most:
-        raise SignalError(f"{where}: {number} is out of range", id)
-    return number
+LOOK_MOST = 64 * PORTION  # and that are read before a task of its owner is sent on
 
 
 class Trust(IntEnum):
@@ -103,6 +59,7 @@
         self._unread_ns = door.loop.unseen_since_ns()
         self.read_ns = self.since_ns  # what was read last had come by then at the earliest
         self.open: dict[str, Task] = {}
+        self._inbox: deque[Message | SignalError] = deque()  # read, and not yet acted on
         self.alive = True  # False once it is closed or about to be
         self.reader = LineReader()
         self.stream = Stream(door.loop, sock, self, read_most=PORTION)
@@ -113,13 +70,8 @@
         self.read_ns = self._unread_ns or self.door.loop.unseen_since_ns()
         self._unread_ns = self.read_ns if len(data) >= PORTION else 0
         found, end = self.reader.feed(data)
-        for each in found:
-            if not self.alive:
-                self._fail(each)
-            elif isinstance(each, SignalError):
-                self.turn_away(each)
-            else:
-                self.door.hear(self, each)
+        self._inbox.extend(found)
+        self._act()
         if not self.alive:
             if end is not None:
                 stream.close()
@@ -131,6 +83,24 @@
         elif found or not self.partial_ns:
             self.partial_ns = self.heard_ns
 
+    def _act(self) -> None:
+        while self._inbox:
+            each = self._inbox.popleft()
+            if not self.alive:
+                self._fail(each)
+            elif isinstance(each, SignalError):
+                self.turn_away(each)
+            else:
+                self.door.hear(self, each)
+
+    def look(self) -> None:
+        """Act on all that has come.
+
+        Danger: behind bytes not read yet lies that the owner takes its set-up back, or its end; what is sent
+        on after that is for nobody.  So this is done before each attempt, also where reading is paused."""
+        self._act()
+        self.stream.read_now(LOOK_MOST)
+
     def turn_away(self, fault: SignalError) -> None:
         """A message that can't be used: its sender is told, and its connection closed."""
         self.door.report.line("owner.turned_away", peer=self.peer, why=str(fault)[:120])
@@ -153,6 +123,7 @@
         for id in list(self.open):
             self._write(Message(Kind.RELEASE, id, Cause.BROKEN))
         self._ended(why)
+        self.door.closing(self)
         if linger_ns:
             self.door.loop.call_later(linger_ns, self.stream.close)
         else:
@@ -160,6 +131,7 @@
 
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
         self._ended(repr(fault)[:80])
+        self.door.closed(self)
 
     def _ended(self, why: str) -> None:
         if not self.alive:
@@ -208,6 +180,7 @@
         self.loop, self.report, self.tasks = loop, report, tasks
         self._names, self._settings, self._most = names, settings, most
         self._conns: dict[OwnerConn, None] = {}
+        self._closing: dict[OwnerConn, None] = {}  # those that are about to be closed
         self._listener: Listener | None = None
         self.on_accepted: Callable[[], None] = lambda: None
         # A list may be older than the start, and whoever passes a test gets set-ups at once.
@@ -230,8 +203,8 @@
         return self._listener.address
 
     def count(self) -> int:
-        """Connections open now."""
-        return len(self._conns)
+        """Connections that hold a descriptor."""
+        return len(self._conns) + len(self._closing)
 
     def pass_tests(self) -> None:
         """From now on tests are answered, those that wait first."""
@@ -243,22 +216,51 @@
     def _pong(self, conn: OwnerConn, id: str) -> None:
         conn.put(Message(Kind.PONG, id, TEST_FAILED if self.stopping else TEST_PASSED))
 
+    def stop(self) -> None:
+        """From now on tests are failed, those that wait first."""
+        self.stopping = True
+        self.pass_tests()
+
     def settle(self) -> None:
-        """Take nothing more, and let go of each connection on which nothing is open."""
-        self.settling = True
+        """Take what has come so far, on connections not accepted yet too, and nothing more."""
         if self._listener is not None:
+            self._listener.accept_waiting()
             self._listener.close()
-        for conn in [each for each in self._conns if each.idle()]:
+        for conn in list(self._conns):
+            conn.look()
+        self.settling = True
+
+    def owes(self) -> dict[str, int]:
+        """What owners have not got yet, or we have not read of theirs, in numbers; ends only where there is
+        anybody to tell them to."""
+        conns = [*self._conns, *self._closing]
+        return {
+            "ends": len(self._unheard) if self._conns else 0,
+            "unsent": sum(conn.stream.unsent() for conn in conns),
+            "unread": sum(conn.stream.unread() for conn in conns),
+        }
+
+    def close(self) -> None:
+        for conn in [*self._conns, *self._closing]:
             conn.shut("stopping")
+            conn.stream.close()
 
     def forget(self, conn: OwnerConn) -> None:
         self._conns.pop(conn, None)
 
+    def closing(self, conn: OwnerConn) -> None:
+        """Nothing more is taken from it, but what was written may not have left yet."""
+        if not conn.stream.closed:
+            self._closing[conn] = None
+
+    def closed(self, conn: OwnerConn) -> None:
+        self._closing.pop(conn, None)
+
     # --- connections --------------------------------------------------------------------------------------
 
     def _accept(self, sock: socket.socket) -> None:
-        if len(self._conns) >= self._most and not self._make_room():
-            self.report.line("owner.no_room", connections=len(self._conns))
+        if self.count() >= self._most and not self._make_room():
+            self.report.line("owner.no_room", connections=self.count())
             sock.close()
             return
         self._conns[OwnerConn(self, sock)] = None
@@ -355,16 +357,20 @@
                 conn.put(Message(Kind.RELEASE, message.id, Cause.PROTOCOL))
         elif asked.machine:
             self.tasks.adopt(conn, asked)
-        elif self.settling:
+        elif self.settling or message.fields.get("idem"):
+            # The second: no parameter of the machines' encoding is published for this key, and without it
+            # they would not know a repeat.  Nothing ran, so its owner may come again.
+            self.report.count("refused.settling" if self.settling else "refused.idem")
             conn.put(Message(Kind.RELEASE, message.id, Cause.BUSY))
         else:
             self.report.count("setups")
             # Danger: the owner counts from when it sent, not from when a busy scheduler read it.  Harm: of a
             # set-up that came late in the time between two looks a little is taken too much.
             lain_ns = self.loop.now_ns() - conn.read_ns
-            task = self.tasks.ask(conn, replace(asked, left_ns=max(1, asked.left_ns - lain_ns)))
-            if task.leg.state is State.SET_UP:
-                conn.open[message.id] = task
+            task = self.tasks.take(conn, replace(asked, left_ns=max(1, asked.left_ns - lain_ns)))
+            # Danger: the owner may go while its task is being placed, and its close must find the task.
+            conn.open[message.id] = task
+            self.tasks.place(task)
 
     def _release(self, conn: OwnerConn, message: Message) -> None:
         task = self.tasks.find(message.id)
--- /dev/null
+++ b/ladderhub/platform/reading.py
@@ -0,0 +1,61 @@
+"""What an owner's set-up asks for, read and checked.
+
+Only what can't be a set-up is turned away here; everything else is the module's to decide.
+"""
+
+from __future__ import annotations
+
+import math
+
+from ladderhub import interface as api
+from ladderhub.platform.tasks import Asked
+from ladderhub.platform.words import Names
+from ladderhub.signalling import Message, SignalError
+
+MS = 1_000_000
+
+
+def read_setup(message: Message, names: Names, settings: api.Settings) -> Asked:
+    """A set-up's fields, checked; SignalError says which one makes no sense."""
+    fields, id = message.fields, message.id
+    klass_name, tenant = str(fields.get("class", "")), str(fields.get("tenant", ""))
+    if klass_name not in names.classes:
+        raise SignalError(f"class: {klass_name[:40]!r} is none", id)
+    if names.tenants and tenant not in names.tenants:
+        raise SignalError(f"tenant: {tenant[:40]!r} is none", id)
+    extras = _parts(str(fields.get("extras", "")))
+    klass = names.classes[klass_name]
+    most_cores = max((kind.cores for kind in settings.kinds), default=math.inf) * settings.admit_cores
+    most_memory = max((kind.memory for kind in settings.kinds), default=math.inf) * settings.admit_memory
+    key, service = str(fields.get("key", "")), extras.get("service", "")
+    if not key or len(key.encode()) > 255:
+        raise SignalError("key: the name of the task is meant", id)
+    if not service:
+        raise SignalError("extras: service: the service of the task is meant", id)
+    if not message.description:
+        raise SignalError("a set-up must have a description", id)
+    machine = extras.get("at", "")
+    # A task that stands already has no time to wait; a new one is not waited for beyond its class's deadline.
+    most_ms = settings.classes[klass].deadline_ns / MS
+    left = 0.0 if machine else _number(fields.get("left"), "left", most_ms, id)
+    return Asked(
+        id=id, klass=klass, klass_name=klass_name, tenant=names.tenants.get(tenant, 0), key=key,
+        service=service,
+        cores=_number(extras.get("cores"), "extras: cores", most_cores, id),
+        memory=_number(extras.get("memory"), "extras: memory", most_memory, id),
+        left_ns=round(left * MS), description=message.description, machine=machine,
+    )  # fmt: skip
+
+
+def _parts(text: str) -> dict[str, str]:
+    return {name: value for name, _, value in (part.partition(":") for part in text.split(";"))}
+
+
+def _number(value: str | int | float | None, where: str, most: float, id: str) -> float:
+    try:
+        number = float(value if value is not None else "")
+    except (ValueError, OverflowError):
+        raise SignalError(f"{where}: {str(value)[:40]!r} is not a number", id) from None
+    if not 0 < number <= most:
+        raise SignalError(f"{where}: {number} is out of range", id)
+    return number
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import os
 import resource
@@ -26,9 +27,16 @@
 MS = 1_000_000
 S = 1_000 * MS
 # After SIGTERM connections come for 0.2 to 0.4 s and set-ups on open ones for 0.2 s more; what comes within
-# 0.7 s is owed an answer.
+# 0.7 s is owed an answer.  SIGKILL comes no sooner than the longest deadline after that, or 3 s where that is
+# longer.  What is open a little before that time is answered, so that the answers have left by then.
 STILL_COMING_NS = 700 * MS
+STOP_MOST_NS = 3 * S
+STOP_EARLY_NS = 200 * MS
 LOOK_NS = 50 * MS
+# The port may be held by a predecessor that is still ending, and a file be read while it is being written.
+AGAIN_NS = 100 * MS
+BIND_MOST_NS = 20 * S
+RELOAD_MOST_NS = 2 * S
 OWNERS_SHARE = 2  # owners hold a third of the descriptors at most; half leaves room for strangers
 
 
@@ -44,8 +52,10 @@
         # of those a connection to a machine is let go.
         spare = config.sockets - OWN_DESCRIPTORS - ACCEPT_MOST
         self.links = Links(
-            loop, report, self.tasks, config.connect_ns, lambda: max(machines, spare - self.door.count()),
-            config.dials_cost,
+            loop, report, self.tasks, config.connect_ns, config.idle_ns,
+            most=lambda: max(machines, spare - self.door.count()),
+            spare=lambda: machines + owners - self.door.count() - self.links.count,
+            share=config.dials_cost,
         )  # fmt: skip
         self.tasks.join(self.links)
         self.door = OwnerDoor(loop, report, self.tasks, config.names, config.settings, owners)
@@ -54,8 +64,9 @@
         )
         self.door.on_accepted = self.links.trim
         self.follower.on_caught_up = self.door.pass_tests
-        self._stop_ns = self._late_ms = self._second_ns = 0
+        self._until_ns = self._late_ms = self._second_ns = 0
         self._cpu_s, self._quiet = 0.0, False
+        self.failed: OSError | None = None  # why the loop was ended, where that was no stop
         report.gauges |= {
             "machines": lambda: self.links.count,
             "descriptors": lambda: self.links.count + self.door.count() + OWN_DESCRIPTORS,
@@ -70,7 +81,32 @@
         for event in self._config.known:
             self.take(event)
         self.follower.start()
-        self.door.start(self._config.listen)
+        self._bind_until_ns = self._loop.now_ns() + BIND_MOST_NS
+        try:
+            self.door.start(self._config.listen)
+        except OSError as fault:
+            if fault.errno != errno.EADDRINUSE:
+                raise
+            self._report.line("listen.taken", listen=self._config.listen)
+            self._loop.call_later(AGAIN_NS, self._bind_again)
+        else:
+            self._ready()
+
+    def _bind_again(self) -> None:
+        if self._until_ns:
+            return
+        try:
+            self.door.start(self._config.listen)
+        except OSError as fault:
+            if self._loop.now_ns() >= self._bind_until_ns:
+                self.failed = fault
+                self._loop.stop()
+            else:
+                self._loop.call_later(AGAIN_NS, self._bind_again)
+        else:
+            self._ready()
+
+    def _ready(self) -> None:
         self._second_ns = self._loop.now_ns() + S
         self._loop.call_at(self._second_ns, self._second)
         self._report.line("ready", name=self._config.name, listen=self._config.listen, pos=self._config.pos)
@@ -113,10 +149,17 @@
 
     def reload(self) -> None:
         """SIGHUP: read the file again.  Whatever is wrong with it, the old one stays in force."""
+        self._reload(self._loop.now_ns() + RELOAD_MOST_NS, told=False)
+
+    def _reload(self, until_ns: int, told: bool) -> None:
         try:
             fresh = load(os.environ)
         except ConfigError as fault:
-            self._report.line("reload.refused", why=str(fault)[:200])
+            # It may have been read while it was being written; who wrote it need not signal again.
+            if not told:
+                self._report.line("reload.refused", why=str(fault)[:200])
+            if self._loop.now_ns() < until_ns:
+                self._loop.call_later(AGAIN_NS, self._reload, until_ns, True)
             return
         # Only the journal's address can change in service; whatever else differs waits for the next start.
         fixed = ("name", "listen", "sockets", "settings")
@@ -126,20 +169,34 @@
 
     def stop(self) -> None:
         """SIGTERM: serve while set-ups may come, answer what is open, end.  A second call changes nothing."""
-        if not self._stop_ns:
-            self._stop_ns = self._loop.now_ns()
-            self.door.stopping = True
+        if not self._until_ns:
+            longest = max(klass.deadline_ns for klass in self._config.settings.classes)
+            most = STILL_COMING_NS + min(longest, STOP_MOST_NS) - STOP_EARLY_NS
+            self._until_ns = self._loop.now_ns() + most
+            self.door.stop()
             self._report.line("stopping", open=self.tasks.open)
-            self._loop.call_later(STILL_COMING_NS, self._look_settled)
+            self._loop.call_later(STILL_COMING_NS, self._settle)
 
-    def _look_settled(self) -> None:
+    def _settle(self) -> None:
         self.door.settle()
-        if self.tasks.open or not self._quiet:
+        self._look_settled()
+
+    def _look_settled(self) -> None:
+        """End once nothing is owed any more, or when there is no more time."""
+        now = self._loop.now_ns()
+        if now >= self._until_ns:
+            self.tasks.answer_now()
+        owed = {"answers": self.tasks.open} | self.door.owes() | {"to_machines": self.links.unsent()}
+        if now < self._until_ns + STOP_EARLY_NS // 2 and (any(owed.values()) or not self._quiet):
             # One look more after the last answer: closing over what its owner says to it would reset it.
-            self._quiet = not self.tasks.open
+            self._quiet = not any(owed.values())
             self._loop.call_later(LOOK_NS, self._look_settled)
             return
-        self._report.line("stopped")
+        # Machines first: an end that is heard after the owners' connections are closed could not be told, and
+        # the machine would not tell it again.
+        self.links.close()
+        self.door.close()
+        self._report.line("stopped", **owed)
         self._loop.stop()
 
     # --- figures ------------------------------------------------------------------------------------------
@@ -188,5 +245,8 @@
     gc.collect()
     gc.freeze()
     loop.run()
+    if service[0].failed is not None:
+        print(f"ladderhub: PROXY_LISTEN: {service[0].failed}", file=sys.stderr)
+        sys.exit(1)
     sys.exit(0)
 
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -31,6 +31,9 @@
 
     def put(self, message: Message) -> None: ...
 
+    def look(self) -> None:
+        """Take what has come from the owner and was not read yet: it may have gone, or want no answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class Asked:
@@ -52,7 +55,7 @@
 class Task:
     """One set-up of an owner, from its arrival until its last attempt has ended."""
 
-    __slots__ = ("asked", "backstop", "leg", "line", "number", "offer", "sent", "until_ns")
+    __slots__ = ("asked", "backstop", "leg", "line", "number", "offer", "sent", "until_ns", "withdrawing")
 
     def __init__(self, number: int, asked: Asked, line: OwnerLine, until_ns: int) -> None:
         self.number, self.asked, self.line, self.until_ns = number, asked, line, until_ns
@@ -60,6 +63,7 @@
         self.offer: Offer | None = None
         self.sent = 0
         self.backstop: Timer | None = None
+        self.withdrawing = False  # the module has not heard yet that no answer is owed
 
 
 class _Timed:
@@ -90,6 +94,7 @@
         self._tell = Board(loop.now_ns, self._fault).add(self._timed, self)
         self._by_number: dict[int, Task] = {}
         self._by_id: dict[str, Task] = {}  # open and standing
+        self._sending: Offer | None = None  # the one whose `Send` is being carried out
         self._count = 0
         self.open = 0
         self._links: Links
@@ -104,21 +109,25 @@
 
     def _fault(self, event: object, fault: Exception) -> None:
         self._report.trouble(f"decision on {type(event).__name__}", fault)
+        self._heard(event)
 
     # --- what owners say ----------------------------------------------------------------------------------
 
     def find(self, id: str) -> Task | None:
         return self._by_id.get(id)
 
-    def ask(self, line: OwnerLine, asked: Asked) -> Task:
-        """Take a set-up; its answer is owed from here on."""
+    def take(self, line: OwnerLine, asked: Asked) -> Task:
+        """Take a set-up; its answer is owed from here on.  `place` is due once its line knows of it."""
         task = self._new(line, asked)
         task.leg.step(Step.SETUP)
         self.open += 1
         task.backstop = self._loop.call_at(task.until_ns, self._no_answer, task)
-        self._tell(self._asked_event(task))
         return task
 
+    def place(self, task: Task) -> None:
+        """Have it placed."""
+        self._tell(self._asked_event(task))
+
     def adopt(self, line: OwnerLine, asked: Asked) -> None:
         """A task that stands already and is now this scheduler's to look after."""
         task = self._new(line, asked)
@@ -146,11 +155,13 @@
         if task.leg.state is not State.SET_UP:
             return
         self._report.count("owner.gave_up")
+        task.withdrawing = True
         self._settle(task, Step.RELEASE)
         self._withdraw(task)
 
     def _withdraw(self, task: Task) -> None:
         """No answer is owed any more."""
+        task.withdrawing = True
         self._tell(api.TaskWithdrawn(task.number))
         if task.offer is not None:
             self._cancel(task.offer)
@@ -176,9 +187,16 @@
             self._drop(task)
 
     def _drop(self, task: Task) -> None:
-        if task.leg.state is State.OVER and task.offer is None:
+        # Danger: until the module has heard of the end, an action decided before may still name the task.
+        if task.leg.state is State.OVER and task.offer is None and not task.withdrawing:
             self._by_number.pop(task.number, None)
 
+    def answer_now(self) -> None:
+        """The process is about to end: each set-up that waits gets its answer, by the module's word."""
+        for task in [each for each in self._by_id.values() if each.leg.state is State.SET_UP]:
+            self._tell(api.AnswerDue(task.number))
+            self._no_answer(task)
+
     def _no_answer(self, task: Task) -> None:
         """The module let the deadline pass, which only a fault of its own can bring about."""
         if task.leg.state is State.SET_UP:
@@ -216,7 +234,14 @@
                 self._report.line("not_carried_out", action=type(action).__name__)
 
     def after(self, event: api.Event) -> None:
-        return
+        self._heard(event)
+
+    def _heard(self, event: object) -> None:
+        """The module has heard this event, or failed over it."""
+        if isinstance(event, api.TaskWithdrawn) and event.task in self._by_number:
+            task = self._by_number[event.task]
+            task.withdrawing = False
+            self._drop(task)
 
     def _final(self, number: int, cause: int, fields: dict[str, str | int | float], what: str) -> None:
         task = self._by_number.get(number)
@@ -244,9 +269,23 @@
 
     def _send(self, now: int, task: Task, machine: str, timeout: int | None) -> None:
         until = task.until_ns if timeout is None else min(task.until_ns, now + timeout)
-        task.offer = self._offer(task, machine, until)
+        task.offer = self._sending = offer = self._offer(task, machine, until)
         self._report.count("attempts")
-        self._links.send(task.offer)
+        if task.leg.state is State.SET_UP:
+            self._links.send(offer)
+        else:  # given up while this was being decided
+            self._ended(offer, api.Outcome.NEVER_SENT)
+        self._sending = None
+
+    def may_leave(self, offer: Offer) -> bool:
+        task = self._task_of(offer)
+        if task is None:
+            return False
+        task.line.look()
+        if self._task_of(offer) is task and offer is not self._sending:
+            # Decided a while ago: whatever forbids an attempt may have come about since.
+            self._tell(api.AttemptLeaving(offer.number, offer.attempt))
+        return self._task_of(offer) is task
 
     def _cancel(self, offer: Offer) -> None:
         """Give an attempt up at its machine."""
