--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -2,6 +2,9 @@
 
 Outside CI.  Starts the process with a configuration of so many machines, ends it by SIGTERM after its first
 second, and prints the processor time of the whole life and the resident memory that it reports.
+
+`python benchmarks/start.py --together N [MACHINES]` starts N on one processor at once, with the journal down, and
+prints the time from the first start until each passes its first test.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
@@ -73,6 +77,38 @@
     return 1000 * (after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime), resident
 
 
+def together(count: int, machines: int, folder: Path) -> list[float]:
+    """Seconds from the first start until each has passed a test, in order."""
+    os.sched_setaffinity(0, {min(os.sched_getaffinity(0))})
+    free = [socket.create_server(("127.0.0.1", 0)) for _ in range(count + 1)]
+    journal, *addresses = [each.getsockname() for each in free]
+    for each in free:
+        each.close()
+    children, begun = [], time.monotonic()
+    for at, address in enumerate(addresses):
+        path, listen = folder / f"{at}.json", "{}:{}".format(*address)
+        path.write_text(json.dumps(configuration(machines, listen, "{}:{}".format(*journal))))
+        environment = os.environ | {"PROXY_CONFIG": str(path), "PROXY_LISTEN": listen, "PROXY_NAME": f"n{at}"}
+        argv = [sys.executable, "-m", "ladderhub", "platform"]
+        children.append(subprocess.Popen(argv, cwd=ROOT, stderr=subprocess.DEVNULL, env=environment))
+    passed: list[float] = []
+    waiting = list(addresses)
+    while waiting and time.monotonic() - begun < 60:
+        for address in list(waiting):
+            try:
+                with socket.create_connection(address, timeout=5) as sock:
+                    sock.sendall(b'{"type":"ping","id":"0000000000000000","cause":0}\n')
+                    if b'"pong"' in sock.recv(200):
+                        passed.append(time.monotonic() - begun)
+                        waiting.remove(address)
+            except OSError:
+                time.sleep(0.005)
+    for child in children:
+        child.terminate()
+        child.wait()
+    return passed
+
+
 def main(sizes: list[int]) -> None:
     with tempfile.TemporaryDirectory() as folder:
         for machines in sizes or [100, 400, 1024]:
@@ -83,4 +119,10 @@
 
 
 if __name__ == "__main__":
-    main([int(word) for word in sys.argv[1:]])
+    if sys.argv[1:2] == ["--together"]:
+        count, machines = int(sys.argv[2]), int(sys.argv[3]) if len(sys.argv) > 3 else 400
+        with tempfile.TemporaryDirectory() as found:
+            times = together(count, machines, Path(found))
+        print(f"{len(times)} of {count} ready, s: median {times[len(times) // 2]:.2f}, most {times[-1]:.2f}")
+    else:
+        main([int(word) for word in sys.argv[1:]])
