--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -3,7 +3,7 @@
 Outside CI.  Starts the process with a configuration of so many machines, ends it by SIGTERM after its first
 second, and prints the processor time of the whole life and the resident memory that it reports.
 
-`python benchmarks/start.py --together N [MACHINES]` starts N on one processor at once, with the journal down, and
+`python benchmarks/start.py --together N [MACHINES]` starts N on one processor at once, the journal down, and
 prints the time from the first start until each passes its first test.
 """
 
