--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -180,7 +180,7 @@
         self.loop, self.report, self.tasks = loop, report, tasks
         self._names, self._settings, self._most = names, settings, most
         self._conns: dict[OwnerConn, None] = {}
-        self._closing: dict[OwnerConn, None] = {}  # those that are about to be closed
+        self._closing: dict[OwnerConn, int] = {}  # those that are about to be closed, and since when
         self._listener: Listener | None = None
         self.on_accepted: Callable[[], None] = lambda: None
         # A list may be older than the start, and whoever passes a test gets set-ups at once.
@@ -251,7 +251,7 @@
     def closing(self, conn: OwnerConn) -> None:
         """Nothing more is taken from it, but what was written may not have left yet."""
         if not conn.stream.closed:
-            self._closing[conn] = None
+            self._closing[conn] = self.loop.now_ns()
 
     def closed(self, conn: OwnerConn) -> None:
         self._closing.pop(conn, None)
@@ -286,6 +286,9 @@
             if over > 2 * SWEEP_NS or (over > 0 and not conn.stream.unread()):
                 self.report.count("owner.silent")
                 conn.shut("silent")
+        for conn, since in list(self._closing.items()):
+            if now - since > SILENT_NS:  # it does not read what it was sent, and holds a descriptor
+                conn.stream.abort(BufferError("the peer does not read"))
         for id, each in list(self._unheard.items()):
             if now > each.until_ns:
                 self.report.line("owner.unheard", task=id)
--- a/tests/platform/test_owners.py
+++ b/tests/platform/test_owners.py
@@ -253,3 +253,19 @@
     bed.run()
     assert [(m.kind, m.id, m.cause) for m in owner.got] == [(Kind.RELEASE, asked.id, 42)]
     assert not bed.machines[0].got(Kind.SETUP) and bed.service.tasks.find(at.id) is not None
+
+
+def test_a_caller_that_reads_nothing_keeps_no_descriptor_once_it_is_closed(beds: Any) -> None:
+    # Guards against callers that are closed and never take what was written: each held a descriptor for good.
+    bed = beds(yes)
+    bad = Owner(bed)
+    bed.run()
+    (conn,) = bed.service.door._conns
+    bad.stream.pause(True)
+    while not conn.stream.unsent():
+        conn.stream.write(encode_line(Message(Kind.PROGRESS, "0" * 16)) * 1000)
+    bad.say(b"noise\n")
+    bed.run(span_ns=2 * S)
+    assert bed.service.door.count() == 1
+    bed.run(span_ns=S)
+    assert bed.service.door.count() == 0 and conn.stream.closed
