Interface: a package of settings, events and actions, under the same name

No behaviour changes: the same types from the same import path, now in three files. tests/test_light.py names the package's files among those that a start loads. tests/decide, tests/platform, light, structure, benchlink and owner: 344 passed.

--- a/ladderhub/decide/__init__.py
+++ b/ladderhub/decide/__init__.py
@@ -1,4 +1,4 @@
-"""Every decision of a ladderhub scheduler; its types, events and actions stand in `ladderhub/interface.py`.
+"""Every decision of a ladderhub scheduler; its types, events and actions stand in `ladderhub/interface/`.
 
 The path of a task: `scheduler` takes it and asks `picking`, which strikes out machines (`rules`, `accounts`)
 and takes the lowest time to start (`estimates`, `warmth`).  `Scheduler._send` is the door for all offers,
--- a/tests/test_light.py
+++ b/tests/test_light.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
-PACKAGES = {f"ladderhub{part}" for part in ("", ".decide", ".errors", ".loop", ".platform", ".signalling")}
+PARTS = ("", ".decide", ".errors", ".interface", ".loop", ".platform", ".signalling")
+PACKAGES = {f"ladderhub{part}" for part in PARTS}
 OFF = (
     "membership", "peers", "capacity", "revision", "server", "owner", "rollout", "node", "lab", "cli", "pbs",
 )  # fmt: skip
@@ -25,13 +26,11 @@
     """The files that the deploy file names as the real scheduler, but for those that only other doors need,
     and the two that these build on."""
     named = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    paths = [ROOT / path for path in (*named["policy"], *named["node"])]
+    paths = [ROOT / path for path in (*named["policy"], *named["node"], "ladderhub/interface")]
     files = {file for path in paths for file in (path.rglob("*.py") if path.is_dir() else [path])}
     parts = [file.relative_to(ROOT).with_suffix("").parts for file in files]
     modules = {".".join(each).removesuffix(".__init__") for each in parts}
-    return (modules - {"ladderhub.loop.datagram", "ladderhub.loop.http"}) | {
-        "ladderhub.interface", "ladderhub.errors.base",
-    }  # fmt: skip
+    return (modules - {"ladderhub.loop.datagram", "ladderhub.loop.http"}) | {"ladderhub.errors.base"}
 
 
 def test_the_platforms_scheduler_loads_none_of_the_fleets_parts_and_starts_small() -> None:
