--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Protocol
 
 from ladderhub.loop import Loop, Stream, Timer
@@ -125,3 +126,8 @@
             self.leaving = True
             self.stream.finish()
             self.link.loop.call_later(LEAVE_NS, self.stream.abort, None)
+
+
+def refused(fault: BaseException | None) -> bool:
+    """Whether a connection did not come up since nobody listens there."""
+    return isinstance(fault, OSError) and fault.errno == errno.ECONNREFUSED
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import errno
 import math
 from collections.abc import Callable
 from typing import Protocol
 
 from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address, connect
-from ladderhub.platform.conn import Conn, Hearer, Offer
+from ladderhub.platform.conn import Conn, Hearer, Offer, refused
 from ladderhub.platform.report import Report
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
 from ladderhub.signalling.table import TEST_ASKED
@@ -23,9 +22,7 @@
 SILENT_NS = OVER_NS - 2 * TEST_NS
 # A machine without a line is visited when half of that time has passed: enough tries are left to hear it.
 VISIT_NS = SILENT_NS // 2
-# A machine's close of an idle connection may cross a set-up for so long: the time that the protocol gives one
-# that crosses a close of ours.
-CROSSING_NS = 50_000_000
+CROSSING_NS = 50_000_000  # a close may cross a set-up for so long, by the protocol
 LATE_MOST = 256  # set-ups given up that are remembered for each machine, for an answer that crosses
 NO_ID = "0" * 16
 
@@ -51,6 +48,8 @@
 
     def forget(self, link: Link) -> None: ...
 
+    def on_early(self, machine: str, message: Message) -> None: ...
+
 
 class Link:
     """All that goes to one machine."""
@@ -326,9 +325,9 @@
                 offer.leg.step(Step.RELEASE)
                 hearer.on_release(offer, message.cause, message.values.get(Code.NOTE))
             elif message.id in self.standing:
-                offer = self.standing.pop(message.id)
-                offer.leg.step(Step.RELEASE)
-                hearer.on_release(offer, message.cause, message.values.get(Code.NOTE))
+                self.hear_end(message.id, message.cause, message.values.get(Code.NOTE))
+            elif message.id not in self.late:
+                self.links.on_early(self.name, message)
         elif message.kind is Kind.NOTE:
             offer = self.standing.get(message.id) or offer
             if offer is not None:
@@ -342,6 +341,13 @@
         elif message.kind is Kind.PING:
             self._put(conn, Message(Kind.PONG, message.id, 1))
 
+    def hear_end(self, id: str, cause: int | None, note: str | None) -> None:
+        """A task that stood here has ended."""
+        offer = self.standing.pop(id, None)
+        if offer is not None:
+            offer.leg.step(Step.RELEASE)
+            self.links.hearer.on_release(offer, cause, note)
+
     def _hear_stray(self, conn: Conn, message: Message) -> None:
         """An answer that no open set-up waits for: one given up must not stand; others are not ours."""
         if message.id in self.late and message.id not in self.standing:
@@ -376,7 +382,7 @@
             else:
                 offer.leg.step(Step.RELEASE)
                 self.links.hearer.on_broken(offer, repr(fault)[:80])
-        if not up and _refused(fault) and self.standing and not self.conns:
+        if not up and refused(fault) and self.standing and not self.conns:
             # Nobody listens there: the process is dead, and its tasks with it.
             self.lose("refused")
         if up and not conn.let_go:
@@ -391,7 +397,3 @@
                 conn.leave()
         if not self.conns and not self.standing:
             self.links.forget(self)
-
-
-def _refused(fault: BaseException | None) -> bool:
-    return isinstance(fault, OSError) and fault.errno == errno.ECONNREFUSED
--- a/tests/platform/test_owners.py
+++ b/tests/platform/test_owners.py
@@ -269,3 +269,21 @@
     assert bed.service.door.count() == 1
     bed.run(span_ns=S)
     assert bed.service.door.count() == 0 and conn.stream.closed
+
+
+def test_an_end_that_comes_before_its_task_is_handed_over_is_told_once(beds: Any) -> None:
+    # Guards against a task held for good: its machine told the end on the connection that another handing
+    # over had opened, nobody knew the task then, and the machine need not tell it again.
+    bed = beds(yes)
+    owner, machine = Owner(bed), bed.machines[0]
+    first, second = bed.at(machine), bed.at(machine)
+    owner.say(first)
+    bed.run(lambda: machine.conns)
+    bed.run()
+    machine.conns[0].say(release(second.id, 16))
+    bed.run()
+    owner.say(second)
+    bed.run(lambda: owner.said(Kind.RELEASE))
+    bed.run(span_ns=S)
+    assert [(m.id, m.cause) for m in owner.said(Kind.RELEASE)] == [(second.id, 16)]
+    assert list(bed.service.links.get("m0").standing) == [first.id]
