--- a/ladderhub/benchlink.py
+++ b/ladderhub/benchlink.py
@@ -48,7 +48,6 @@
 _NS_PER_MS = 1_000_000
 
 
-
 def _entry(row: Row) -> api.MachineEntry:
     return api.MachineEntry(
         machine=str_of(row, "machine"),
--- a/ladderhub/interface/actions.py
+++ b/ladderhub/interface/actions.py
@@ -93,17 +93,4 @@
     text: str
 
 
-Action = (
-    Send
-    | Abort
-    | Refuse
-    | Fail
-    | Move
-    | SetTimer
-    | Probe
-    | CloseIdle
-    | Tell
-    | Follow
-    | Fetch
-    | Log
-)
+Action = Send | Abort | Refuse | Fail | Move | SetTimer | Probe | CloseIdle | Tell | Follow | Fetch | Log
--- a/ladderhub/platform/follower.py
+++ b/ladderhub/platform/follower.py
@@ -30,9 +30,7 @@
         self.reader = JournalReader(follower.pos)
         self.heard_ns = follower.loop.now_ns()
         self.told = False
-        self.stream = connect(
-            follower.loop, address, self, follower.connect_ns, self._connected, first=True
-        )
+        self.stream = connect(follower.loop, address, self, follower.connect_ns, self._connected, first=True)
 
     def _connected(self, stream: Stream) -> None:
         self.reader.pos = self.follower.pos
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -365,9 +365,7 @@
             self.missed = True
             self.report.line("machine.unreached", machine=self.name, why=repr(fault)[:80])
         elif conn.open:
-            self.report.line(
-                "machine.closed", machine=self.name, why=repr(fault)[:80], open=len(conn.open)
-            )
+            self.report.line("machine.closed", machine=self.name, why=repr(fault)[:80], open=len(conn.open))
         unsent = [offer for offer in conn.open.values() if not offer.written]
         if up and unsent and not self.shut and self.links.make_room():
             # It waited for a test on a connection that was dead; only a new one tells whether the machine is.
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -12,6 +12,7 @@
 those of no use, then lines to machines with standing tasks, in turn.  Such a machine tells what ended on the
 next connection that is opened, so it is visited in time.  Only where all are in use do set-ups share.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -59,9 +59,7 @@
         )  # fmt: skip
         self.tasks.join(self.links)
         self.door = OwnerDoor(loop, report, self.tasks, config.names, config.settings, owners)
-        self.follower = Follower(
-            loop, report, config.journal, config.pos, config.connect_ns, self.take
-        )
+        self.follower = Follower(loop, report, config.journal, config.pos, config.connect_ns, self.take)
         self.door.on_accepted = self.links.trim
         self.follower.on_caught_up = self.door.pass_tests
         self.tasks.look_at_list = self.follower.look
@@ -250,4 +248,3 @@
         print(f"ladderhub: PROXY_LISTEN: {service[0].failed}", file=sys.stderr)
         sys.exit(1)
     sys.exit(0)
-
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -373,4 +373,3 @@
 
     def tell_list(self, event: api.MachineList) -> None:
         self._tell(event)
-
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -335,7 +335,6 @@
         except ValueError as fault:
             raise SettingsError(str(fault), where=self.source) from None
 
-
     def _peers(self) -> PeerPlaces:
         given = self.file.peers
         assert given is not None
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -43,9 +43,7 @@
 
 
 def test_entries_merge_in_any_order_any_number_of_times() -> None:
-    words = [
-        entry(incarnation=incarnation, status=status) for incarnation, status in product((0, 1), Status)
-    ]
+    words = [entry(incarnation=incarnation, status=status) for incarnation, status in product((0, 1), Status)]
     ends = set()
     for order in permutations(words, 4):
         table = Table()
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -121,5 +121,3 @@
     bed.service.tasks._tell(TimerFired(SWEEP_TIMER))
     bed.run(lambda: [m for m in other.said(Kind.ANSWER) if m.id == last.id], span_ns=0)
     assert [m.id for m in bed.machines[0].got(Kind.SETUP)] == [full.id, last.id]
-
-
--- a/tests/platform/test_setups.py
+++ b/tests/platform/test_setups.py
@@ -14,7 +14,6 @@
 from tests.platform.bed import event, never, release, stand, yes
 
 
-
 def test_a_set_up_goes_on_unchanged_and_its_answer_comes_back_unchanged(beds: Any) -> None:
     bed = beds(yes)
     owner = Owner(bed)
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -17,8 +17,7 @@
 
 ROOT = Path(ladderhub.__file__).parent
 PURE = tuple(
-    f"ladderhub.{name}"
-    for name in ("decide", "owner", "rollout", "membership", "signalling", "translate")
+    f"ladderhub.{name}" for name in ("decide", "owner", "rollout", "membership", "signalling", "translate")
 )
 
 
