Revisions: messages, settings, events, actions and outcomes of the new package

A change of the configuration takes a restart of each scheduler today. The package `ladderhub/revision/` will decide it as numbered revisions; this is what it says and hears, so that the daemon's part and the commands can be written against it. The structure tests hold its borders and the order of its files.

--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -14,10 +14,12 @@
 import ladderhub
 import ladderhub.decide
 import ladderhub.membership
+import ladderhub.revision
 
 ROOT = Path(ladderhub.__file__).parent
 PURE = tuple(
-    f"ladderhub.{name}" for name in ("decide", "owner", "rollout", "membership", "signalling", "translate")
+    f"ladderhub.{name}"
+    for name in ("decide", "owner", "rollout", "membership", "revision", "signalling", "translate")
 )
 
 
@@ -58,7 +60,10 @@
         "ladderhub.owner": {"ladderhub.interface", "ladderhub.owner"},
         "ladderhub.rollout": {"ladderhub.interface", "ladderhub.rollout"},
         "ladderhub.membership": {"ladderhub.membership"},
-        "ladderhub.peers": {"ladderhub.peers", "ladderhub.membership", "ladderhub.loop", "ladderhub.errors"},
+        "ladderhub.revision": {"ladderhub.revision"},
+        "ladderhub.peers": {
+            "ladderhub.peers", "ladderhub.membership", "ladderhub.revision", "ladderhub.loop", "ladderhub.errors",
+        },
         "ladderhub.pbs": {"ladderhub.pbs", "ladderhub.errors"},
         "ladderhub.loop": {"ladderhub.loop"},
         "ladderhub.translate": {"ladderhub.interface", "ladderhub.errors"},
@@ -74,7 +79,7 @@
         "ladderhub.server": {
             "ladderhub.server", "ladderhub.loop", "ladderhub.pbs", "ladderhub.owner", "ladderhub.decide",
             "ladderhub.interface", "ladderhub.directory", "ladderhub.rollout", "ladderhub.board",
-            "ladderhub.errors", "ladderhub.membership", "ladderhub.peers",
+            "ladderhub.errors", "ladderhub.membership", "ladderhub.peers", "ladderhub.revision",
         },
     }  # fmt: skip
     for name, used in imports().items():
@@ -94,7 +99,7 @@
                     }  # fmt: skip
 
 
-@pytest.mark.parametrize("package", [ladderhub.decide, ladderhub.membership])
+@pytest.mark.parametrize("package", [ladderhub.decide, ladderhub.membership, ladderhub.revision])
 def test_each_file_of_a_decision_package_uses_only_those_before_it(package: ModuleType) -> None:
     text = " ".join((package.__doc__ or "").split())
     order = text.partition("in this order: ")[2].rstrip(".").split(", ")
