Revisions: the decisions, by Paxos among fixed voters, spread by push and by comparison of heads

A change of the configuration takes a restart of each scheduler. The new package decides it: one Paxos decision a number, votes on disk before their answers, a check by every member before the ballot, headers in a chain, bodies fetched by digest in pieces, decisions held after a start or a pause. A voter that has lost its record asks the others and skips the numbers on which it may have voted; one that holds an acceptance of which nothing more is heard finishes it.

--- a/ladderhub/revision/__init__.py
+++ b/ladderhub/revision/__init__.py
@@ -19,5 +19,19 @@
 to a peer; `status(now_ns)` is for whoever asks; `is_stale(now_ns)` says, without an event, that this
 scheduler has stood still and must not decide before its next `Tick`.
 
-Each file uses only those before it in this order: messages, types.
+Each file uses only those before it in this order: messages, types, content, record, context,
+ledger, voter, bodies, ballots, opinions, requests, proposer, sync, confirm, activation, revisions.
 """
+
+from ladderhub.revision.record import SpoiltRecord, decode_record, encode_record
+from ladderhub.revision.revisions import Revisions
+from ladderhub.revision.types import (
+    Activate, Answer, Apply, BodyChecked, CheckBody, HeadSeen, Hold, MembersChanged, MessageReceived, Notice,
+    Record, Resume, Revision, RevisionSettings, Send, Status, Store, Tell, Tick, WakeAt,
+)  # fmt: skip
+
+__all__ = [
+    "Activate", "Answer", "Apply", "BodyChecked", "CheckBody", "HeadSeen", "Hold", "MembersChanged",
+    "MessageReceived", "Notice", "Record", "Resume", "Revision", "RevisionSettings", "Revisions", "Send",
+    "SpoiltRecord", "Status", "Store", "Tell", "Tick", "WakeAt", "decode_record", "encode_record",
+]  # fmt: skip
--- a/ladderhub/revision/messages.py
+++ b/ladderhub/revision/messages.py
@@ -65,17 +65,17 @@
 
 
 class HeadIs(msgspec.Struct, frozen=True, array_like=True, tag=17):
-    """The answer.  `voter`: the address of the one that answers; `voted`: the highest number that it has
-    promised or accepted anything for, or knows to be chosen."""
+    """The answer.  `sender`: its own address; `voted`: of a voter the highest number that it has voted on or
+    knows to be chosen, None where it has lost its record of that, or is no voter."""
 
     nonce: Word64
-    voter: Address
+    sender: Address
     number: Count
-    voted: Count
+    voted: Count | None
 
 
 class FetchHeaders(msgspec.Struct, frozen=True, array_like=True, tag=18):
-    """Tell me the chosen headers from this number on."""
+    """Tell me the chosen headers from this number on; 0: the newest alone."""
 
     start: Count
     reply_to: Address
--- a/ladderhub/revision/types.py
+++ b/ladderhub/revision/types.py
@@ -260,6 +260,7 @@
     ACTIVE = "active"
     CANNOT_TAKE = "cannot act by the chosen revision"
     FILE_DIFFERS = "the settings file is not what is in force"
+    FILE_REFUSED = "a member cannot act by the settings file, so it is not the first revision"
     CONFLICT = "two chosen revisions of one number"
     SKIPPED = "revisions skipped while catching up"
     BEHIND = "going on by a revision that may be old"
