--- /dev/null
+++ b/benchmarks/load_of_site.py
@@ -0,0 +1,138 @@
+"""The load that the benchmarks of placement put on an emulated site: tasks by seeded chance, at a rate."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ladderhub import interface as api
+from ladderhub.lab.emulator.net import MS, S
+from ladderhub.lab.emulator.placement import Site, Work
+
+PLAN = Path(__file__).parents[1] / "ladderhub" / "lab" / "scale" / "plan.jsonnet"
+URGENT, ORDINARY = 0, 1
+SIZES, SIZE_WEIGHTS = (0.5, 1.0, 2.0), (4, 4, 2)  # cores that tasks ask for: one on average
+MEMORY_A_CORE = 2.0
+FILLING_S = 5.0  # in which a site is filled to the number of tasks that should run
+SETTLING_S = 5.0
+
+
+def read_plan(path: Path) -> dict[str, float]:
+    """The plan's figures by dotted names, and its budgets by the figure they bound; none without a file."""
+    if not path.exists():
+        return {}
+    import _jsonnet
+
+    plan = json.loads(_jsonnet.evaluate_file(str(path)))
+    budgets = {each["figure"]: each["limit"] for each in plan["budgets"]}
+    return dict(_flat(plan, "")) | budgets
+
+
+def _flat(tree: dict[str, Any], prefix: str) -> Iterator[tuple[str, float]]:
+    for name, value in tree.items():
+        if isinstance(value, dict):
+            yield from _flat(value, f"{prefix}{name}.")
+        elif isinstance(value, int | float):
+            yield f"{prefix}{name}", value
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """An option whose value the plan gives under `key`, in units of `scale`."""
+
+    key: str
+    about: str
+    scale: float = 1.0
+
+
+NODES = Figure("size.nodes", "nodes")
+STARTS = Figure("size.starts_per_s", "starts a second at the peak")
+RUNNING = Figure("size.running", "tasks running at the peak")
+TEAMS = Figure("size.teams", "teams with quotas")
+SCHEDULERS = Figure("real_schedulers", "schedulers")
+WITHIN = Figure("starts.urgent.p99_ms", "bound of an urgent start, in seconds", 0.001)
+FAILED = Figure("churn.failed_per_day", "nodes that fail on a day")
+REPLACED = Figure("churn.replaced_per_day", "nodes replaced on a day")
+RESTARTED = Figure("churn.restarted_per_day", "nodes restarted on a day")
+
+
+def add_figures(parser: argparse.ArgumentParser, figures: dict[str, Figure]) -> None:
+    """An option for each figure; the plan file gives what is not said."""
+    plan = read_plan(PLAN)
+    for option, figure in figures.items():
+        value = plan[figure.key] * figure.scale if figure.key in plan else None
+        parser.add_argument(
+            f"--{option}", type=float, default=value, required=value is None,
+            help=f"{figure.about} (plan: {figure.key})",
+        )  # fmt: skip
+
+
+def classes(deadline_s: float) -> tuple[api.TaskClass, ...]:
+    """Urgent work goes first wherever tasks wait; else the two are alike."""
+    deadline = round(deadline_s * S)
+    return (
+        api.TaskClass(api.Effect.SAFE, 800 * MS, deadline, priority=2),
+        api.TaskClass(api.Effect.SAFE, 800 * MS, deadline),
+    )
+
+
+@dataclass
+class Load:
+    """Tasks of `teams` teams at `rate` a second, a share of them urgent, that live `life_s` on average."""
+
+    site: Site
+    rate: float
+    life_s: float
+    teams: int
+    seed: int
+    urgent: float = 0.1
+    deadline_s: float = 6.0
+    services_of_team: int = 2
+    weights: list[float] = field(default_factory=list)  # of teams; empty: all alike
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+
+    def work(self) -> Work:
+        dice = self.random
+        if self.weights:
+            team = dice.choices(range(self.teams), cum_weights=self.weights)[0]
+        else:
+            team = dice.randrange(self.teams)
+        klass = URGENT if dice.random() < self.urgent else ORDINARY
+        service = f"t{team}-{dice.randrange(self.services_of_team)}"
+        cores = dice.choices(SIZES, SIZE_WEIGHTS)[0]
+        life_ns = round(dice.expovariate(1 / self.life_s) * S)
+        return Work(klass, team, service, cores, cores * MEMORY_A_CORE, life_ns, round(self.deadline_s * S))
+
+    def ask(self) -> None:
+        self.site.ask(self.random.choice(self.site.schedulers), self.work())
+
+    def fill(self, tasks: int) -> None:
+        """Have so many tasks asked for within a few seconds; as lives have no memory, all is steady then."""
+        net = self.site.net
+        for at in range(tasks):
+            net.at(net.now + round(FILLING_S * S * at / tasks), self.ask)
+        net.run(net.now + round(FILLING_S * S))
+
+    def run(self, seconds: float) -> None:
+        """Poisson arrivals for so long."""
+        net = self.site.net
+        end, at = net.now + round(seconds * S), net.now
+        while True:
+            at += round(self.random.expovariate(self.rate) * S)
+            if at >= end:
+                break
+            net.at(at, self.ask)
+        net.run(end)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """The value below which that share lies; nan of none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))] if ordered else float("nan")
--- /dev/null
+++ b/benchmarks/teams.py
@@ -0,0 +1,197 @@
+"""What many teams cost the decision module, and how urgent work starts among them.  Outside CI.
+
+    python benchmarks/teams.py cost       # processor time and memory by number of teams
+    python benchmarks/teams.py urgent     # starts at the peak and in an overload, by class and by team
+
+Schedulers and nodes are the real decisions in simulated time (`lab.emulator.placement`).  In `cost` only the
+module's own processor time is measured.  In `urgent --charged` that time is charged: a scheduler takes its
+events in turn as one core would; without it decisions take no time, and a play is the same for its seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import accumulate
+from types import FunctionType, ModuleType
+
+from load_of_site import NODES, ORDINARY, RUNNING, SCHEDULERS, SETTLING_S, STARTS, TEAMS, URGENT, WITHIN
+from load_of_site import Load, add_figures, classes, percentile
+
+from ladderhub import interface as api
+from ladderhub.lab.emulator.net import S
+from ladderhub.lab.emulator.placement import Record, Site, SiteSettings
+
+SHARES = (0, 1 / 8, 1 / 4, 1 / 2, 1)  # of the plan's teams; the first is one team, the last is predicted
+
+
+def deep_size(root: object) -> int:
+    """Bytes of all that hangs on an object, but for code and modules."""
+    seen: set[int] = set()
+    waiting, total = [root], 0
+    while waiting:
+        each = waiting.pop()
+        if id(each) in seen or isinstance(each, type | FunctionType | ModuleType):
+            continue
+        seen.add(id(each))
+        total += sys.getsizeof(each)
+        waiting += gc.get_referents(each)
+    return total
+
+
+def build(args: argparse.Namespace, teams: int, seed: int, charged: bool = False) -> Site:
+    tenant = api.Tenant(1 / teams, args.starts / teams, args.nodes * args.cores / teams)
+    settings = SiteSettings(
+        nodes=int(args.nodes), schedulers=int(args.schedulers), classes=classes(args.deadline),
+        tenants=(tenant,) * teams, cores=args.cores, memory=4 * args.cores, charged=charged,
+    )  # fmt: skip
+    return Site(settings, seed)
+
+
+def load_on(args: argparse.Namespace, site: Site, teams: int, times: float, seed: int) -> Load:
+    """The peak's load, or so many times that: what is above it comes from a share of the teams alone."""
+    greedy = max(1, round(args.greedy * teams))
+    extra = (times - 1) * teams / greedy
+    weights = list(accumulate(1 + extra if team < greedy else 1.0 for team in range(teams)))
+    life_s = args.running / args.starts
+    return Load(site, args.starts * times, life_s, teams, seed, args.urgent, args.deadline, weights=weights)
+
+
+# --- cost -------------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    teams: int
+    us_a_task: float
+    us_a_sweep: float
+    sweeps_s: float
+    kilobytes: float
+    nodes_full: float
+
+
+def cost_of(args: argparse.Namespace, teams: int, times: float) -> Cost:
+    site = build(args, teams, args.seed)
+    load = load_on(args, site, teams, times, args.seed)
+    load.fill(round(args.running))
+    load.run(SETTLING_S)
+    before = [(place.spent.total_ns(), place.spent.count["TaskAsked"]) for place in site.schedulers]
+    sweeps = [(place.spent.ns["Sweep"], place.spent.count["Sweep"]) for place in site.schedulers]
+    load.run(args.seconds)
+    spent = sum(p.spent.total_ns() - b[0] for p, b in zip(site.schedulers, before, strict=True))
+    asked = sum(p.spent.count["TaskAsked"] - b[1] for p, b in zip(site.schedulers, before, strict=True))
+    sweep_ns = sum(p.spent.ns["Sweep"] - b[0] for p, b in zip(site.schedulers, sweeps, strict=True))
+    swept = sum(p.spent.count["Sweep"] - b[1] for p, b in zip(site.schedulers, sweeps, strict=True))
+    return Cost(
+        teams, spent / asked / 1000, sweep_ns / swept / 1000 if swept else 0.0,
+        swept / args.seconds / len(site.schedulers), deep_size(site.schedulers[0].module) / 1000, site.full(),
+    )  # fmt: skip
+
+
+def line_through(points: Iterable[tuple[float, float]]) -> tuple[float, float, float]:
+    """Base, slope and the greatest residual of a line by least squares."""
+    xs, ys = zip(*points, strict=True)
+    middle_x, middle_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    spread = sum((x - middle_x) ** 2 for x in xs)
+    slope = sum((x - middle_x) * (y - middle_y) for x, y in zip(xs, ys, strict=True)) / spread
+    base = middle_y - slope * middle_x
+    return base, slope, max(abs(y - base - slope * x) for x, y in zip(xs, ys, strict=True))
+
+
+def cost(args: argparse.Namespace) -> None:
+    for times in args.times:
+        rows = [cost_of(args, max(1, round(share * args.teams)), times) for share in SHARES]
+        print(f"{times:g} times the peak, seed {args.seed}, {args.seconds:g} s simulated:")
+        for row in rows:
+            print(
+                f"  {row.teams:>4} teams: {row.us_a_task:8.0f} us of the module a task asked, "
+                f"{row.us_a_sweep:9.0f} us a sweep, {row.sweeps_s:5.1f} sweeps a second, "
+                f"{row.kilobytes:8.0f} kB, nodes {row.nodes_full:.2f} full"
+            )
+        for name in ("us_a_task", "us_a_sweep", "kilobytes"):
+            points = [(float(row.teams), float(getattr(row, name))) for row in rows]
+            base, slope, residual = line_through(points[:-1])
+            at, measured = points[-1]
+            guess = base + slope * at
+            error = abs(guess - measured) / measured if measured else 0.0
+            print(
+                f"  {name}: {base:.0f} + {slope:.3g} a team, residual {residual:.3g}; at {at:.0f} predicted "
+                f"{guess:.0f}, measured {measured:.0f}, error {error:.0%}"
+            )
+
+
+# --- urgent -----------------------------------------------------------------------------------------------
+
+
+def tell(name: str, records: list[Record], within_s: float) -> None:
+    starts = [record.start_ns / S for record in records if record.start_ns >= 0]
+    if not records:
+        return
+    refused = sum(record.refused for record in records)
+    soon = sum(start <= within_s for start in starts)
+    offers = sum(record.offers for record in records)
+    print(
+        f"  {name:<34} {len(records):>6} asked, served {len(starts) / len(records):6.1%}, "
+        f"refused {refused / len(records):6.1%}, within {within_s:g} s {soon / len(records):6.1%}; start "
+        f"p50 {percentile(starts, 0.5):.3f}, p99 {percentile(starts, 0.99):.3f} s; "
+        f"{offers / len(records):.2f} offers"
+    )
+
+
+def urgent(args: argparse.Namespace) -> None:
+    teams = round(args.teams)
+    for times in args.times:
+        site = build(args, teams, args.seed, args.charged)
+        load = load_on(args, site, teams, times, args.seed)
+        load.fill(round(args.running))
+        load.run(SETTLING_S)
+        first = len(site.records)
+        spent = [place.spent.total_ns() for place in site.schedulers]
+        load.run(args.seconds)
+        last = len(site.records)
+        used = [place.spent.total_ns() - was for place, was in zip(site.schedulers, spent, strict=True)]
+        load.run(
+            site.settings.limit_ns / S if times > 1 else SETTLING_S
+        )  # what was asked last has its answer
+        seen = site.records[first:last]
+        greedy = max(1, round(args.greedy * teams))
+        print(
+            f"{times:g} times the peak, seed {args.seed}, {teams} teams, {args.seconds:g} s simulated; "
+            f"module {'charged' if args.charged else 'not charged'}; nodes {site.full():.2f} full; module "
+            f"{max(used) / S / args.seconds:.2f} of a core (most of {len(used)}); longest wait of an event "
+            f"{max(place.spent.worst_wait_ns for place in site.schedulers) / S:.2f} s"
+        )
+        for name, klass in (("urgent", URGENT), ("ordinary", ORDINARY)):
+            of_class = [record for record in seen if record.work.klass == klass]
+            tell(f"{name}, all teams", of_class, args.within)
+            if times > 1:
+                inside = [record for record in of_class if record.work.tenant >= greedy]
+                above = [record for record in of_class if record.work.tenant < greedy]
+                tell(f"{name}, teams within quota", inside, args.within)
+                tell(f"{name}, teams above quota", above, args.within)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("what", choices=["cost", "urgent"])
+    add_figures(parser, {
+        "nodes": NODES, "starts": STARTS, "running": RUNNING, "teams": TEAMS, "schedulers": SCHEDULERS,
+        "within": WITHIN,
+    })  # fmt: skip
+    parser.add_argument("--cores", type=float, default=4.0, help="of a node; tasks ask for one on average")
+    parser.add_argument("--urgent", type=float, default=0.1, help="share of tasks that are urgent")
+    parser.add_argument("--greedy", type=float, default=0.1, help="share of teams that an overload is from")
+    parser.add_argument("--deadline", type=float, default=6.0, help="of one ask, in seconds")
+    parser.add_argument("--times", type=float, nargs="+", default=[1.0, 1.5], help="of the peak's starts")
+    parser.add_argument("--seconds", type=float, default=20.0, help="of simulated time that are measured")
+    parser.add_argument("--charged", action="store_true", help="schedulers take the module's time in turn")
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    (cost if args.what == "cost" else urgent)(args)
+
+
+if __name__ == "__main__":
+    main()
