Benchmark of gangs sent as single jobs: the share that would be placed in part

Need: gangs are not there at all (several chunks are refused), and nothing showed what would become of them if their jobs were sent one by one.

`benchmarks/gangs.py` holds an emulated site at a stated fullness and sends gangs to it; no mechanism is built. A site is now filled to the number of jobs that should run, counting those that end meanwhile.

--- /dev/null
+++ b/benchmarks/gangs.py
@@ -0,0 +1,119 @@
+"""What share of gangs would be placed in part, were they sent as single jobs.  Outside CI.
+
+    python benchmarks/gangs.py [--sizes 8 32 128] [--full 0.7 0.85] [--cores 1 4] [--seeds 1 2 3]
+
+A site is filled with single jobs to a stated share of its cores and held there; then gangs come one after the
+other, each as that many single jobs at one scheduler in one moment, which outlive their limit.  A job asks
+again within its limit, as `serve` does by default.  A gang is judged when all of it runs or at the limit:
+whole, in part, or not placed at all; then it is cancelled.  The real decisions in simulated time; there is no
+mechanism for gangs.
+"""
+
+from __future__ import annotations
+
+import argparse
+from dataclasses import dataclass, field
+
+from load_of_site import NODES, ORDINARY, SCHEDULERS, SETTLING_S, STARTS
+from load_of_site import Load, add_figures, classes, percentile
+
+from ladderhub.lab.emulator.net import S
+from ladderhub.lab.emulator.placement import Record, Site, SiteSettings, Work
+
+Z_95 = 1.96
+DEADLINE_S = 6.0
+STEP_S = 0.5
+
+
+def wilson(hits: int, tries: int) -> tuple[float, float]:
+    """The 95 % interval of a share (Wilson 1927)."""
+    if not tries:
+        return 0.0, 1.0
+    share, square = hits / tries, Z_95**2
+    middle = share + square / (2 * tries)
+    width = Z_95 * (share * (1 - share) / tries + square / (4 * tries**2)) ** 0.5
+    return (middle - width) / (1 + square / tries), (middle + width) / (1 + square / tries)
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Gangs of one play: jobs placed of each at the limit, and between first and last start of whole ones."""
+
+    placed: list[int] = field(default_factory=list)
+    skew_s: list[float] = field(default_factory=list)
+    full: list[float] = field(default_factory=list)  # of cores in use as each gang came
+
+
+def play(args: argparse.Namespace, size: int, full: float, cores: float, seed: int) -> Seen:
+    settings = SiteSettings(
+        nodes=int(args.nodes), schedulers=int(args.schedulers), classes=classes(DEADLINE_S),
+        cores=args.node_cores, memory=4 * args.node_cores,
+    )  # fmt: skip
+    site = Site(settings, seed)
+    running = round(full * args.nodes * args.node_cores)  # jobs ask for one core on average
+    load = Load(site, args.starts, running / args.starts, 1, seed, urgent=0.0)
+    load.fill(running)
+    load.run(SETTLING_S)
+    seen = Seen()
+    for number in range(args.gangs):
+        seen.full.append(site.full())
+        gang = send_gang(site, load, number, size, cores)
+        while is_open(gang):
+            load.run(STEP_S)
+        starts = [record.start_ns / S for record in gang if record.start_ns >= 0]
+        seen.placed.append(len(starts))
+        if len(starts) == size:
+            seen.skew_s.append(max(starts) - min(starts))
+        for record in gang:
+            site.cancel(record)
+        load.run(args.apart)
+    return seen
+
+
+def send_gang(site: Site, load: Load, number: int, size: int, cores: float) -> list[Record]:
+    """All of a gang comes to one scheduler at once."""
+    life_ns = 2 * site.settings.limit_ns
+    work = Work(ORDINARY, 0, f"gang-{number}", cores, 2 * cores, life_ns, round(DEADLINE_S * S))
+    place = load.random.choice(site.schedulers)
+    return [site.ask(place, work) for _ in range(size)]
+
+
+def is_open(gang: list[Record]) -> bool:
+    """Whether any job of it neither runs nor was turned away for good."""
+    return any(record.start_ns < 0 and not record.refused for record in gang)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    add_figures(parser, {"nodes": NODES, "starts": STARTS, "schedulers": SCHEDULERS})
+    parser.add_argument("--sizes", type=int, nargs="+", default=[8, 32, 128], help="jobs of a gang")
+    parser.add_argument("--full", type=float, nargs="+", default=[0.7, 0.85], help="share of cores in use")
+    parser.add_argument("--cores", type=float, nargs="+", default=[1.0, 4.0], help="of each job of a gang")
+    parser.add_argument("--node-cores", type=float, default=4.0)
+    parser.add_argument("--gangs", type=int, default=4, help="of each play, one after the other")
+    parser.add_argument("--apart", type=float, default=4.0, help="seconds between two gangs")
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
+    args = parser.parse_args()
+    for cores in args.cores:
+        for full in args.full:
+            for size in args.sizes:
+                seen = [play(args, size, full, cores, seed) for seed in args.seeds]
+                placed = [count for each in seen for count in each.placed]
+                skew = [span for each in seen for span in each.skew_s]
+                part = sum(0 < count < size for count in placed)
+                none = sum(count == 0 for count in placed)
+                low, high = wilson(part, len(placed))
+                share = sum(placed) / len(placed) / size
+                fills = [full for each in seen for full in each.full]
+                print(
+                    f"{size:>4} jobs of {cores:g} cores at {full:.0%} (found "
+                    f"{sum(fills) / len(fills):.0%} as gangs came): "
+                    f"{part} of {len(placed)} gangs in part = {part / len(placed):.0%} ({low:.0%} to "
+                    f"{high:.0%}), {none} not at all, {share:.0%} of jobs placed; whole ones first to last "
+                    f"start p50 {percentile(skew, 0.5):.2f}, most {max(skew, default=float('nan')):.2f} s",
+                    flush=True,
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/load_of_site.py
+++ b/benchmarks/load_of_site.py
@@ -4,6 +4,7 @@
 
 import argparse
 import json
+import math
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -113,9 +114,11 @@
     def ask(self) -> None:
         self.site.ask(self.random.choice(self.site.schedulers), self.work())
 
-    def fill(self, tasks: int) -> None:
-        """Have so many tasks asked for within a few seconds; as lives have no memory, all is steady then."""
+    def fill(self, running: int) -> None:
+        """Have so many tasks run after a few seconds; as lives have no memory, all is steady from then on."""
         net = self.site.net
+        ended = 1 - math.exp(-FILLING_S / self.life_s)
+        tasks = round(running * FILLING_S / self.life_s / ended)
         for at in range(tasks):
             net.at(net.now + round(FILLING_S * S * at / tasks), self.ask)
         net.run(net.now + round(FILLING_S * S))
--- a/ladderhub/lab/emulator/placement.py
+++ b/ladderhub/lab/emulator/placement.py
@@ -86,6 +86,7 @@
     refused: bool = False
     offers: int = 0
     asks: int = 0
+    run: Key | None = None
 
 
 class Node:
@@ -291,7 +292,10 @@
 
     def _call_off(self, task: int) -> None:
         """The task was answered for: what is still out is told to stop."""
-        key = (str(task), self._attempts[task] - 1)
+        self.stop((str(task), self._attempts[task] - 1))
+
+    def stop(self, key: Key) -> None:
+        """End an attempt, if it is still out."""
         if key in self._where:
             self._where[key][0].stop(key)
             self.site.net.at(self.site.net.now, self._over, key, api.Outcome.CANCELLED, api.Reason.UNKNOWN)
@@ -371,12 +375,17 @@
         self._owners[task] = place
         return task
 
+    def cancel(self, record: Record) -> None:
+        """The owner ends a job that runs."""
+        if record.run is not None:
+            self._owners[int(record.run[0])].stop(record.run)
+
     def running(self, key: Key) -> None:
         """A task has begun on its node."""
         task = int(key[0])
         record = self.tasks[task]
         if record.start_ns < 0:
-            record.start_ns = self.net.now - record.asked_ns
+            record.start_ns, record.run = self.net.now - record.asked_ns, key
         self.net.at(self.net.now + self.settings.hop_ns, self._owners[task].placed, key)
 
     def full(self) -> float:
