Revisions: an emulated fleet with faults, and the ballots under every schedule within bounds

The decisions on revisions had no proof beyond a few trials. `lab/emulator/revisions.py` plays many schedulers in simulated time; `lab/checker/ballots.py` runs voters and proposers through every order, loss and doubling of their messages within bounds.

--- /dev/null
+++ b/ladderhub/lab/checker/ballots.py
@@ -0,0 +1,398 @@
+"""Ballots under every order of messages up to a bound: no number has two values, each the child of the last.
+
+Three voters and two operators' proposers, run step by step as they are.  Every message to a voter, and every
+word of what was chosen, may be delivered at any moment, any number of times, or never: so losses, doubles and
+delays need no choices of their own.  A voter's answer comes at once or never.  That loses no schedule: an
+answer that comes late only makes its proposer send later what may be delivered late anyway, and where it
+comes after a majority it counts for nothing.  A voter may be killed after any of its actions and start again
+from its record; a proposer may be killed and start again with nothing.
+
+Who does what in which state with which message is run once and kept, so that the search itself handles small
+numbers: a state is one number a process and the set of messages sent so far."""
+
+from __future__ import annotations
+
+import copy
+import time
+from collections import deque
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from msgspec.structs import replace
+
+from ladderhub.revision.ballots import Decision
+from ladderhub.revision.content import body_digest, digest_of
+from ladderhub.revision.context import Context
+from ladderhub.revision.ledger import Ledger
+from ladderhub.revision.messages import (
+    Accept, Accepted, Ballot, FetchHeaders, Header, Headers, Prepare, Promise, Rejected,
+)  # fmt: skip
+from ladderhub.revision.sync import Sync
+from ladderhub.revision.types import Record, RevisionSettings, Send, Store
+from ladderhub.revision.voter import Voter
+
+VOTERS = ("v0:1", "v1:1", "v2:1")
+OPERATORS = ("p0:1", "p1:1")
+PROCESSES = (*VOTERS, *OPERATORS)
+LATE = 1 << 60  # every timer is due
+
+
+@dataclass(frozen=True)
+class Parts:
+    """The classes that are checked."""
+
+    ledger: type[Ledger] = Ledger
+    voter: type[Voter] = Voter
+    decision: type[Decision] = Decision
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """`numbers`: revisions that are decided; `ballots`: of each life of a proposer; `restarts`: of each
+    proposer; `states`: after which the search ends without having seen all."""
+
+    numbers: int = 1
+    ballots: int = 2
+    restarts: int = 0
+    states: int = 1_000_000
+
+
+@dataclass(frozen=True)
+class VoterState:
+    """What it has in memory and on disk."""
+
+    memory: Record
+    disk: Record
+
+
+class Proposing:
+    """One life of an operator's process: its change goes on top of whatever is current."""
+
+    def __init__(self, parts: Parts, bounds: Bounds, address: str, life: int) -> None:
+        self.parts, self.bounds, self.life, self.begun = parts, bounds, life, 0
+        self.context = Context(RevisionSettings(address, life, address, VOTERS, b""), life)
+        self.ledger = parts.ledger(self.context, None)
+        self.decision: Decision | None = self._next()
+
+    def _next(self) -> Decision | None:
+        number = self.ledger.number + 1
+        if number > self.bounds.numbers:
+            return None
+        name = self.context.settings.name
+        own = Header(number, self.ledger.digest, name, 0, f"change {number}", body_digest(name.encode()))
+        return self.parts.decision(self.context, number, own, 1 + self.begun)
+
+    def can_begin(self) -> bool:
+        idle = self.decision is not None and self.decision.chosen is None and self.decision._ballot is None
+        return idle and self.begun < self.bounds.ballots
+
+    def begin(self) -> None:
+        assert self.decision is not None
+        self.begun += 1
+        self.decision.round = max(self.decision.round, self.begun)
+        self.decision.tick(LATE)
+
+    def receive(self, message: Any) -> None:
+        decision = self.decision
+        if isinstance(message, Headers):
+            if Sync(self.context, self.ledger).on_headers(0, "", message):
+                self.decision = self._next()
+        elif isinstance(message, FetchHeaders):
+            Sync(self.context, self.ledger).on_fetch(message)
+        elif decision is None:
+            return
+        elif isinstance(message, Promise):
+            decision.on_promise(0, message)
+        elif isinstance(message, Accepted):
+            decision.on_accepted(message)
+        elif isinstance(message, Rejected):
+            decision.on_rejected(0, message)
+        if decision is not None and decision.chosen is not None and self.ledger.follows(decision.chosen):
+            self.ledger.choose(decision.chosen)
+            self.decision = self._next()
+            if self.decision is not None:  # nothing is asked for after the last number
+                for address in PROCESSES:
+                    self.context.send(address, Headers(self.ledger.first, tuple(self.ledger.headers)))
+
+    def key(self) -> Hashable:
+        """All that its further steps rest on."""
+        decision = self.decision
+        if decision is None:
+            return self.life, self.begun, tuple(self.ledger.headers)
+        promises = tuple(sorted(decision._promises.items())) if decision._value is None else ()
+        return (
+            self.life, self.begun, tuple(self.ledger.headers), decision.number, decision.round,
+            decision._ballot, promises, decision._value, frozenset(decision._accepted), decision.chosen,
+        )  # fmt: skip
+
+
+@dataclass
+class Found:
+    states: int = 0
+    steps: int = 0
+    whole: bool = True  # all states within the bounds were seen
+    seconds: float = 0.0
+    broken: str = ""
+    trace: tuple[str, ...] = ()
+    chosen: set[tuple[int, str]] = field(default_factory=set)  # values that were chosen in some schedule
+
+    def lines(self) -> Iterator[str]:
+        share = "all of them" if self.whole else "not all"
+        yield f"{self.states} states within the bounds, {share}; {self.steps} steps, {self.seconds:.1f} s"
+        yield f"values chosen in some schedule: {len(self.chosen)}"
+        if self.broken:
+            yield f"BROKEN: {self.broken} after"
+            yield from self.trace
+        else:
+            yield "each number had one value, the child of the one before"
+
+
+_Step = tuple[int, tuple[int, ...]]  # the process's next state and the messages it sent
+_State = tuple[tuple[int, ...], frozenset[int]]  # of each process, and all messages
+
+
+class Search:
+    """All states that can be reached within the bounds."""
+
+    def __init__(self, bounds: Bounds, parts: Parts) -> None:
+        self.bounds, self.parts = bounds, parts
+        self.found = Found()
+        self._messages: list[tuple[str, Any]] = []
+        self._message_ids: dict[tuple[str, Any], int] = {}
+        self._states: list[Any] = []  # of processes: `VoterState` or `Proposing`
+        self._state_ids: dict[Hashable, int] = {}
+        self._taken: dict[tuple[int, int, int], tuple[_Step, ...]] = {}
+        self._own: dict[tuple[int, int], tuple[_Step, ...]] = {}
+        self._judged: dict[frozenset[int], str] = {}
+
+    # --- processes --------------------------------------------------------------------------------------
+
+    def _keep(self, at: int, process: VoterState | Proposing) -> int:
+        key = (at, process.key() if isinstance(process, Proposing) else process)
+        if key not in self._state_ids:
+            self._state_ids[key] = len(self._states)
+            self._states.append(process)
+        return self._state_ids[key]
+
+    def _number(self, sent: list[Send]) -> tuple[int, ...]:
+        numbers = []
+        for each in sent:
+            message = each.message
+            if isinstance(message, Accept):
+                message = replace(message, holder=message.reply_to)  # all have all bodies here
+            key = (each.address, message)
+            if key not in self._message_ids:
+                self._message_ids[key] = len(self._messages)
+                self._messages.append(key)
+            numbers.append(self._message_ids[key])
+        return tuple(numbers)
+
+    def _deliver(self, at: int, state: int, message: int) -> tuple[_Step, ...]:
+        """What this process may be after this message; killed after an action where that is another state."""
+        known = self._taken.get((at, state, message))
+        if known is None:
+            process, content = self._states[state], self._messages[message][1]
+            if isinstance(process, VoterState):
+                known = self._voter_steps(at, process, content)
+            else:
+                known = (self._proposer_step(at, process, lambda changed: changed.receive(content)),)
+            self._taken[at, state, message] = known
+        return known
+
+    def _voter_steps(self, at: int, state: VoterState, message: Any) -> tuple[_Step, ...]:
+        address = VOTERS[at]
+        context = Context(RevisionSettings(address, 1, address, VOTERS, b""), 1)
+        ledger = self.parts.ledger(context, state.memory)
+        voter = self.parts.voter(context, ledger)
+        if isinstance(message, Prepare):
+            voter.on_prepare(message)
+        elif isinstance(message, Accept):
+            voter.on_accept(message, message.header.author.encode())
+        elif isinstance(message, Headers):
+            Sync(context, ledger).on_headers(0, "", message)
+        sent: list[Send] = []
+        steps: dict[_Step, None] = {}
+        disk = state.disk
+        for action in context.actions:
+            if isinstance(action, Store):
+                disk = action.record
+            elif isinstance(action, Send):
+                sent.append(action)
+            steps[self._keep(at, VoterState(disk, disk)), self._number(sent)] = None
+        ledger.store()
+        disk = next((each.record for each in context.actions[::-1] if isinstance(each, Store)), state.disk)
+        steps[self._keep(at, VoterState(ledger._record(), disk)), self._number(sent)] = None
+        return tuple(steps)
+
+    def _proposer_step(self, at: int, process: Proposing, step: Any) -> _Step:
+        changed = copy.copy(process)
+        changed.context = copy.copy(process.context)
+        changed.context.actions = []
+        changed.ledger = copy.deepcopy(process.ledger, {id(process.context): changed.context})
+        if process.decision is not None:
+            changed.decision = copy.copy(process.decision)
+            changed.decision._context = changed.context
+            changed.decision._promises = dict(process.decision._promises)
+            changed.decision._accepted = set(process.decision._accepted)
+            changed.decision.answered = set()
+        step(changed)
+        sent = [each for each in changed.context.actions if isinstance(each, Send)]
+        return self._keep(at, changed), self._number(sent)
+
+    def _own_steps(self, at: int, state: int) -> tuple[_Step, ...]:
+        """What a process may do by itself: start again, or begin a ballot."""
+        known = self._own.get((at, state))
+        if known is None:
+            process, steps = self._states[state], list[_Step]()
+            if isinstance(process, VoterState):
+                if process.memory != process.disk:
+                    steps.append((self._keep(at, VoterState(process.disk, process.disk)), ()))
+            else:
+                if process.can_begin():
+                    steps.append(self._proposer_step(at, process, Proposing.begin))
+                if process.life <= self.bounds.restarts:
+                    address = OPERATORS[at - len(VOTERS)]
+                    again = Proposing(self.parts, self.bounds, address, process.life + 1)
+                    steps.append((self._keep(at, again), ()))
+            known = self._own[at, state] = tuple(steps)
+        return known
+
+    # --- the search -------------------------------------------------------------------------------------
+
+    def run(self) -> Found:
+        begun = time.perf_counter()
+        start = self._start()
+        came: dict[_State, tuple[_State, str] | None] = {start: None}
+        waiting = deque([start])
+        while waiting and not self.found.broken:
+            state = waiting.popleft()
+            for after, told in self._after(state):
+                self.found.steps += 1
+                if after in came:
+                    continue
+                if len(came) >= self.bounds.states:
+                    self.found.whole = False
+                    waiting.clear()
+                    break
+                came[after] = (state, told)
+                fault = self._judge(after)
+                if fault:
+                    self.found.broken, self.found.trace = fault, self._trace(came, after)
+                    break
+                waiting.append(after)
+        self.found.states, self.found.seconds = len(came), time.perf_counter() - begun
+        return self.found
+
+    def _start(self) -> _State:
+        blank = Record(votes_from=1)
+        processes = [self._keep(at, VoterState(blank, blank)) for at in range(len(VOTERS))]
+        for at, address in enumerate(OPERATORS):
+            first = Proposing(self.parts, self.bounds, address, 1)
+            processes.append(self._keep(len(VOTERS) + at, first))
+        return tuple(processes), frozenset()
+
+    def _after(self, state: _State) -> Iterator[tuple[_State, str]]:
+        processes, messages = state
+        for at, address in enumerate(PROCESSES):
+            for process, sent in self._own_steps(at, processes[at]):
+                yield self._changed(state, at, process, sent), f"{address} by itself"
+        for message in messages:
+            target, content = self._messages[message]
+            if isinstance(content, Accepted):
+                continue  # kept for the judge
+            at = PROCESSES.index(target)
+            for process, sent in self._deliver(at, processes[at], message):
+                changed = self._changed(state, at, process, sent)
+                if changed != state:
+                    yield changed, f"{target} hears {content}"
+                for reply in sent:
+                    to, answer = self._messages[reply]
+                    if to in OPERATORS and not isinstance(answer, Headers):
+                        answered = self._answered(changed, reply)
+                        if answered != state:
+                            yield answered, f"{target} hears {content}, is heard"
+
+    def _answered(self, state: _State, reply: int) -> _State:
+        """A proposer hears at once what a voter says."""
+        at = PROCESSES.index(self._messages[reply][0])
+        ((process, sent),) = self._deliver(at, state[0][at], reply)
+        return self._changed(state, at, process, sent)
+
+    def _changed(self, state: _State, at: int, process: int, sent: tuple[int, ...]) -> _State:
+        processes, messages = state
+        fresh = [each for each in sent if each not in messages and self._stays(each)]
+        if fresh:
+            messages = messages.union(fresh)
+        if process != processes[at]:
+            processes = (*processes[:at], process, *processes[at + 1 :])
+        return processes, messages
+
+    def _stays(self, message: int) -> bool:
+        """May it be delivered later, or does the judge need it?"""
+        target, content = self._messages[message]
+        return target in VOTERS or isinstance(content, Headers | Accepted)
+
+    @staticmethod
+    def _trace(came: dict[_State, tuple[_State, str] | None], state: _State) -> tuple[str, ...]:
+        trace = []
+        step = came[state]
+        while step is not None:
+            trace.append(step[1])
+            step = came[step[0]]
+        return tuple(trace[::-1])
+
+    # --- what must hold ---------------------------------------------------------------------------------
+
+    def _judge(self, state: _State) -> str:
+        processes, messages = state
+        fault = self._judged.get(messages)
+        if fault is None:
+            fault = self._judged[messages] = self._judge_messages(messages)
+        return fault or self._judge_known(processes, messages)
+
+    def _chosen(self, messages: frozenset[int]) -> dict[int, set[Header]]:
+        """Values that a majority has accepted in one ballot, by what it answered."""
+        values: dict[tuple[int, Ballot], set[Header]] = {}
+        voters: dict[tuple[int, Ballot], set[str]] = {}
+        for each in messages:
+            content = self._messages[each][1]
+            if isinstance(content, Accept):
+                values.setdefault((content.header.number, content.ballot), set()).add(content.header)
+            elif isinstance(content, Accepted):
+                voters.setdefault((content.number, content.ballot), set()).add(content.voter)
+        chosen: dict[int, set[Header]] = {}
+        for key, accepted in voters.items():
+            if len(accepted) > len(VOTERS) // 2:
+                chosen.setdefault(key[0], set()).update(values.get(key, set()))
+        return chosen
+
+    def _judge_messages(self, messages: frozenset[int]) -> str:
+        chosen = self._chosen(messages)
+        for number, values in chosen.items():
+            if len(values) > 1:
+                return f"revision {number} has {len(values)} values"
+            header = next(iter(values))
+            self.found.chosen.add((number, header.author))
+            parents = {digest_of(each) for each in chosen.get(number - 1, {None})}
+            if number > 1 and (not chosen.get(number - 1) or header.parent not in parents):
+                return f"revision {number} is no child of the one before"
+        return ""
+
+    def _judge_known(self, processes: tuple[int, ...], messages: frozenset[int]) -> str:
+        """Nobody takes for chosen what was not."""
+        chosen: dict[int, set[Header]] | None = None
+        for state in processes:
+            process = self._states[state]
+            ledger = process.memory if isinstance(process, VoterState) else process.ledger
+            for header in ledger.headers:
+                if chosen is None:
+                    chosen = self._chosen(messages)
+                if chosen.get(header.number) != {header}:
+                    return f"revision {header.number} is taken for chosen and was not"
+        return ""
+
+
+def exhaustive(bounds: Bounds | None = None, parts: Parts | None = None) -> Found:
+    """Every schedule within the bounds; stops at the first that breaks."""
+    return Search(bounds or Bounds(), parts or Parts()).run()
--- /dev/null
+++ b/ladderhub/lab/emulator/revisions.py
@@ -0,0 +1,377 @@
+"""Revisions in simulated time: one order everywhere, how soon a change is in force, what it costs.
+
+The judge goes by what was stored, activated and answered, and by what was done to the schedulers, and by
+nothing of their state.  Frames of membership are stood in for by pings around a ring, which carry heads."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from ladderhub.lab.emulator.net import MS, Faults, Net, S
+from ladderhub.lab.emulator.views import address_of
+from ladderhub.revision import (
+    Activate, Answer, Apply, BodyChecked, CheckBody, HeadSeen, Hold, MembersChanged, MessageReceived, Record,
+    Resume, Revisions, RevisionSettings, Send, Store, Tell, Tick, WakeAt, decode_record, encode_record,
+)  # fmt: skip
+from ladderhub.revision.content import digest_of
+from ladderhub.revision.messages import Head, Header
+from ladderhub.revision.types import Action, Applied, Event, Notice, Outcome
+
+IN_FORCE_NS = 4 * S
+PINGED = 7  # neighbours on the ring that each scheduler pings in a second
+FRAME_BYTES = 40  # of a frame around a message
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What an operator asked of whom, and when."""
+
+    at_ns: int
+    host: str
+    body: bytes
+
+
+class Host:
+    """One life of one scheduler."""
+
+    def __init__(self, play: Play, at: int, life: int, stored: Record | None) -> None:
+        self.play, self.net, self.at = play, play.net, at
+        self.name, self.address, self.life = f"s{at}", address_of(at), life
+        settings = RevisionSettings(self.name, life, self.address, play.voters, play.first)
+        self.revisions = Revisions(settings, stored, play.seed)
+        self.disk = stored
+        self.alive, self.paused, self.held = True, False, False
+        self.active: list[tuple[int, int]] = []  # when, and which number
+        self._due_ns = 0
+        self.net.open(self.address, self.receive)
+        self.feed(MembersChanged(play.addresses))
+        self.feed(Tick())
+        self.net.at(self.net.now + int(play.random.random() * S), self._ping)
+
+    def receive(self, message: tuple[str, int, Head, Any]) -> None:
+        if self.alive:
+            name, life, head, content = message
+            self.feed(HeadSeen(self.play.addresses[name], head))
+            if content is not None:
+                self.feed(MessageReceived(name, life, content))
+
+    def feed(self, event: Event) -> None:
+        for action in self.revisions.handle(self.net.now, event):
+            self._carry(action)
+
+    def _carry(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action.address, action.message)
+        elif isinstance(action, WakeAt):
+            self._due_ns = action.at_ns
+            self.net.at(action.at_ns, self._wake, action.at_ns)
+        elif isinstance(action, Store):
+            self.disk = action.record
+            self.play.judge.stored(self, action.record)
+        elif isinstance(action, CheckBody):
+            fault = self.play.fault_of(self, action.body)
+            self.net.at(self.net.now + MS, self._later, BodyChecked(action.digest, fault))
+        elif isinstance(action, Activate):
+            self.active.append((self.net.now, action.revision.header.number))
+            self.play.judge.activated(self, action.revision.header)
+        elif isinstance(action, Answer):
+            self.play.judge.answered(action)
+        elif isinstance(action, Hold | Resume):
+            self.held = isinstance(action, Hold)
+        elif isinstance(action, Tell):
+            self.play.judge.notices[action.notice] += 1
+
+    def _send(self, address: str, content: Any) -> None:
+        size = FRAME_BYTES + len(msgspec.msgpack.encode(content))
+        message = (self.name, self.life, self.revisions.head(self.net.now), content)
+        self.net.send(self.address, address, message, size)
+
+    def _later(self, event: Event) -> None:
+        self.net.on(self.address, self._feed_alive, event)
+
+    def _feed_alive(self, event: Event) -> None:
+        if self.alive:
+            self.feed(event)
+
+    def _wake(self, due: int) -> None:
+        if self.alive and due == self._due_ns:
+            self.net.on(self.address, self._tick, due)
+
+    def _tick(self, due: int) -> None:
+        if self.alive and due == self._due_ns:
+            self.feed(Tick())
+
+    def _ping(self) -> None:
+        """What membership sends anyway, spread over the second."""
+        if not self.alive:
+            return
+        if not self.paused:
+            at = (self.at + self.play.random.choice((1, 2, 5, 11, 23, 47))) % self.play.count
+            message = (self.name, self.life, self.revisions.head(self.net.now), None)
+            self.net.send(self.address, address_of(at), message, 0)
+        self.net.at(self.net.now + S // PINGED, self._ping)
+
+    def kill(self) -> None:
+        self.alive = False
+        self.net.close(self.address, self.receive)
+
+
+class Judge:
+    """What must hold, held against what was stored, activated and answered."""
+
+    def __init__(self, voters: tuple[str, ...]) -> None:
+        self.voters = voters
+        self.broken: list[str] = []
+        self.chosen: dict[int, Header] = {}
+        self.outcomes: dict[int, Outcome] = {}
+        self.notices: Counter[Notice] = Counter()
+        self._accepted: dict[tuple[int, Any, bytes], set[str]] = {}
+
+    def stored(self, host: Host, record: Record) -> None:
+        """What a majority of the voters has accepted in one ballot, with its body, is chosen."""
+        accepted = record.accepted
+        if accepted is None or host.address not in self.voters:
+            return
+        header = accepted.header
+        voters = self._accepted.setdefault((header.number, accepted.ballot, digest_of(header)), set())
+        voters.add(host.address)
+        if len(voters) > len(self.voters) // 2:
+            before = self.chosen.setdefault(header.number, header)
+            if before != header:
+                self.broken.append(f"revision {header.number} was chosen twice")
+            parent = self.chosen.get(header.number - 1)
+            if digest_of(parent) != header.parent:
+                self.broken.append(f"revision {header.number} is no child of the one before")
+
+    def activated(self, host: Host, header: Header) -> None:
+        if self.chosen.get(header.number) != header:
+            self.broken.append(f"{host.name} acts by revision {header.number}, which was not chosen")
+        numbers = [number for _, number in host.active]
+        if numbers != sorted(set(numbers)):
+            self.broken.append(f"{host.name} acted by {numbers[-2:]} in one life")
+
+    def answered(self, answer: Answer) -> None:
+        if answer.request in self.outcomes:
+            self.broken.append(f"request {answer.request} was answered twice")
+        self.outcomes[answer.request] = answer.outcome
+        if isinstance(answer.outcome, Applied):
+            header = answer.outcome.header
+            if self.chosen.get(header.number) != header:
+                self.broken.append(f"request {answer.request} was told applied and was not chosen")
+
+
+@dataclass
+class Verdict:
+    """What a play showed."""
+
+    schedulers: int
+    changes: int
+    outcomes: dict[str, int]
+    broken: list[str]
+    unanswered: int
+    differing: int  # schedulers whose head is not the last chosen one at the end
+    in_force_ns: list[int] = field(default_factory=list)  # of each applied change on each reachable one
+    decided_ns: list[int] = field(default_factory=list)
+    bytes_s: float = 0.0
+    bytes_s_most: float = 0.0  # of the scheduler that sent most
+    messages_s: float = 0.0
+
+    def good(self) -> bool:
+        late = self.most_s() > IN_FORCE_NS / S
+        return not (self.broken or self.unanswered or self.differing or late)
+
+    def most_s(self) -> float:
+        return max(self.in_force_ns, default=0) / S
+
+    def lines(self) -> Iterator[str]:
+        told = ", ".join(f"{count} {name}" for name, count in sorted(self.outcomes.items()))
+        yield f"{self.schedulers} schedulers, {self.changes} changes asked for: {told}"
+        yield f"decided in s, p50 p99 most: {_spans(self.decided_ns)}"
+        yield f"in force on all that are reachable in s, p50 p99 most: {_spans(self.in_force_ns)}"
+        yield f"{self.bytes_s:.0f} bytes and {self.messages_s:.1f} messages a second sent by a scheduler"
+        yield f"{self.bytes_s_most:.0f} bytes a second sent by the one that sent most"
+        yield f"without an answer: {self.unanswered}, without the last revision: {self.differing}"
+        yield from self.broken[:5]
+
+
+def _spans(spans_ns: list[int]) -> str:
+    ordered = sorted(spans_ns) or [0]
+    at = [ordered[len(ordered) // 2], ordered[min(len(ordered) - 1, len(ordered) * 99 // 100)], ordered[-1]]
+    return " ".join(f"{span / S:.2f}" for span in at)
+
+
+class Play:
+    """A fleet, operators' changes and faults."""
+
+    def __init__(self, count: int, seed: int, faults: Faults, voters: int, body_bytes: int) -> None:
+        self.count, self.seed, self.body_bytes = count, seed, body_bytes
+        self.net = Net(seed, faults)
+        self.random = self.net.random
+        self.voters = tuple(address_of(at) for at in range(min(voters, count)))
+        self.addresses = {f"s{at}": address_of(at) for at in range(count)}
+        self.first = self.body(0)
+        self.judge = Judge(self.voters)
+        self.hosts: dict[int, Host] = {}
+        self.changes: list[Change] = []
+        self.disturbed: dict[int, list[tuple[int, int]]] = {}  # by slot: from when, until when
+        self.sent: Counter[str] = Counter()
+        self._sent_before = (0, 0)
+        for at in range(count):
+            self.start(at, None)
+
+    def body(self, number: int) -> bytes:
+        """Half of it compresses well."""
+        filling = f"{self.random.getrandbits(4 * self.body_bytes):x}"
+        return json.dumps({"change": number, "filling": filling}).encode()
+
+    def fault_of(self, host: Host, body: bytes) -> str | None:
+        return None
+
+    def start(self, at: int, stored: Record | None) -> None:
+        kept = decode_record(encode_record(stored)) if stored is not None else None
+        self.hosts[at] = Host(self, at, self.net.now + at, kept)
+
+    # --- what is done -----------------------------------------------------------------------------------
+
+    def apply(self, at: int | None = None, on_current: bool = True) -> None:
+        able = [each for each, host in self.hosts.items() if host.alive and not host.paused]
+        host = self.hosts[self.random.choice(able) if at is None else at]
+        number = len(self.changes)
+        body = self.body(number + 1)
+        self.changes.append(Change(self.net.now, host.name, body))
+        parent = None if on_current else host.revisions.status(self.net.now).digest
+        made_ms = self.net.now // MS
+        host.feed(Apply(number, parent, f"operator at {host.name}", f"change {number}", made_ms, body))
+
+    def disturb(self, at: int, span_ns: int) -> None:
+        self.disturbed.setdefault(at, []).append((self.net.now, self.net.now + span_ns))
+
+    def pause(self, at: int, span_ns: int) -> None:
+        host = self.hosts[at]
+        if host.alive and not host.paused:
+            self.disturb(at, span_ns)
+            host.paused = True
+            self.net.pause(host.address)
+            self.net.at(self.net.now + span_ns, self._go_on, host)
+
+    def _go_on(self, host: Host) -> None:
+        host.paused = False
+        if host.alive:
+            self.net.go_on(host.address)
+
+    def crash(self, at: int, span_ns: int, keep_disk: bool = True) -> None:
+        host = self.hosts[at]
+        if host.alive:
+            self.disturb(at, span_ns)
+            host.kill()
+            self.net.at(self.net.now + span_ns, self.start, at, host.disk if keep_disk else None)
+
+    def cut(self, slots: set[int], span_ns: int, one_sided: bool = False) -> None:
+        """These hear nobody else; unless it is one-sided nobody else hears them either."""
+        inside = {address_of(at) for at in slots}
+        voters_inside = len(inside & set(self.voters))
+        outside = set(range(self.count)) - slots
+        for at in outside if 2 * voters_inside > len(self.voters) else slots:
+            self.disturb(at, span_ns)  # the side without a majority of the voters
+
+        def is_cut(source: str, target: str) -> bool:
+            return (target in inside) != (source in inside) and (target in inside or not one_sided)
+
+        self.net.faults.cut = is_cut
+        self.net.at(self.net.now + span_ns, self._heal, is_cut)
+
+    def _heal(self, is_cut: Any) -> None:
+        if self.net.faults.cut is is_cut:
+            self.net.faults.cut = None
+
+    # --- the verdict ------------------------------------------------------------------------------------
+
+    def begin_count(self) -> None:
+        self._sent_before = (self.net.sent_bytes, self.net.sent)
+        send = self.net.send
+
+        def counted(source: str, target: str, message: Any, size: int) -> None:
+            self.sent[source] += size
+            send(source, target, message, size)
+
+        self.net.send = counted  # type: ignore[method-assign]
+        self._begun_ns = self.net.now
+
+    def close(self) -> Verdict:
+        judge, seconds = self.judge, (self.net.now - self._begun_ns) / S
+        last = max(judge.chosen, default=0)
+        living = [host for host in self.hosts.values() if host.alive]
+        outcomes = Counter(type(each).__name__ for each in judge.outcomes.values())
+        verdict = Verdict(
+            self.count, len(self.changes), dict(outcomes), judge.broken,
+            len(self.changes) - len(judge.outcomes),
+            sum(not host.active or host.active[-1][1] != last for host in living),
+        )  # fmt: skip
+        for request, outcome in judge.outcomes.items():
+            if isinstance(outcome, Applied):
+                self._time_in_force(verdict, self.changes[request], outcome.header.number)
+        verdict.bytes_s = (self.net.sent_bytes - self._sent_before[0]) / seconds / self.count
+        verdict.messages_s = (self.net.sent - self._sent_before[1]) / seconds / self.count
+        verdict.bytes_s_most = max(self.sent.values(), default=0) / seconds
+        return verdict
+
+    def _time_in_force(self, verdict: Verdict, change: Change, number: int) -> None:
+        """On each scheduler, from when it could be reached."""
+        times = []
+        for at, host in self.hosts.items():
+            found = next((when for when, active in host.active if active >= number), None)
+            begun = change.at_ns
+            for since, until in self.disturbed.get(at, ()):
+                if since <= begun + IN_FORCE_NS and until >= begun:
+                    begun = until
+            if found is not None and host.alive:
+                times.append(max(0, found - begun))
+        verdict.in_force_ns += times
+        if times:
+            verdict.decided_ns.append(min(times))
+
+
+def changes(
+    schedulers: int, seed: int, seconds: int = 60, rate: float = 1.0, loss: float = 0.1, calm: bool = False,
+    burst: int = 10, body_bytes: int = 4000, voters: int = 3,
+) -> Verdict:  # fmt: skip
+    """Changes at a rate, pauses, a crash, cuts and, at the end, many changes within one second."""
+    play = Play(schedulers, seed, Faults(loss=loss, delay_ns=(MS // 2, 20 * MS)), voters, body_bytes)
+    net, random = play.net, play.random
+    net.run(net.now + 6 * S)
+    play.begin_count()
+    begun, end = net.now, net.now + seconds * S
+
+    def change() -> None:
+        if net.now < end:
+            play.apply(on_current=random.random() < 0.8)
+            net.at(net.now + int(S / rate), change)
+
+    def fault() -> None:
+        if net.now < end - 10 * S:
+            what, at = random.choice(("pause", "pause", "crash", "cut", "half")), random.randrange(schedulers)
+            span = int(random.uniform(0.5, 6.0) * S)
+            if what == "pause":
+                play.pause(at, span)
+            elif what == "crash":
+                play.crash(at, span, keep_disk=at >= len(play.voters) or random.random() < 0.5)
+            elif what == "cut":
+                play.cut({at}, span, one_sided=random.random() < 0.5)
+            else:
+                play.cut(set(random.sample(range(schedulers), schedulers // 3)), span)
+            net.at(net.now + span + int(random.uniform(1.0, 4.0) * S), fault)
+
+    net.at(begun, change)
+    if not calm:
+        net.at(begun + 2 * S, fault)
+    net.run(end + 6 * S)
+    for at in range(burst):
+        net.at(net.now + at * S // max(1, burst), play.apply)
+    net.run(net.now + 8 * S)
+    return play.close()
