Scale run: a planned size with real and hollow processes, its slopes, prediction and budgets

Need: the plan for two years has to be held against figures of one run at its size, not against sums of guesses. Change: `ladderhub lab scale` starts real schedulers and a directory, hollow nodes in a few processes and the load in others, measures each role over a span, takes a line for each figure along each dimension, writes what they predict to disk and holds the whole size and its budgets against it. The plan is a file; options override it. A figure that nobody measured is named and never counts as holding.

--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -190,3 +190,54 @@
         click.echo(line)
     click.echo("the two agree" if got.agree else "the two do NOT agree")
     sys.exit(0 if got.agree and got.verdict.good() else 1)
+
+
+@lab.command()
+@click.option(
+    "--plan", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="A plan of its own."
+)
+@click.option("--schedulers", type=click.IntRange(1), help="Real ones.")
+@click.option("--hollow-schedulers", type=click.IntRange(0))
+@click.option("--nodes", type=click.IntRange(1))
+@click.option("--starts", type=click.FloatRange(0, min_open=True), help="Task starts a second.")
+@click.option("--running", type=click.IntRange(1), help="Tasks that run at a time.")
+@click.option("--teams", type=click.IntRange(1))
+@click.option(
+    "--changes", type=click.FloatRange(0), help="Changes of configuration an hour, before the speed-up."
+)
+@click.option("--seconds", type=click.FloatRange(1), help="Length of each measured span.")
+@click.option("--seed", type=int)
+@click.option("--speedup", type=click.FloatRange(0, min_open=True), help="Of the day's troubles and changes.")
+@click.option("--slopes/--no-slopes", default=True, show_default=True, help="Whether slopes are taken first.")
+@click.option(
+    "--stage", type=click.Choice(["slopes", "predict", "full", "all"]), default="all", show_default=True
+)
+@click.option("--predict", type=click.Path(path_type=Path), help="Where the prediction is written, or read.")
+@click.option("--json", "report", type=click.Path(path_type=Path), help="Write all figures to this file.")
+@_FOLDER
+def scale(
+    plan: Path | None, schedulers: int | None, hollow_schedulers: int | None, nodes: int | None,
+    starts: float | None, running: int | None, teams: int | None, changes: float | None,
+    seconds: float | None, seed: int | None, speedup: float | None, slopes: bool, stage: str,
+    predict: Path | None, report: Path | None, folder: Path | None,
+) -> None:  # fmt: skip
+    """Play the planned size with real and hollow processes; exit status 0 where every budget holds.
+
+    Sizes come from the plan's file; options override it.  Stages keep their figures in --folder."""
+    import tempfile
+
+    from ladderhub.cli.common import fail
+    from ladderhub.errors import LadderhubError
+    from ladderhub.lab.scale.command import Options, run_scale
+    from ladderhub.lab.scale.plan import Overrides
+
+    given = Overrides(
+        schedulers, hollow_schedulers, nodes, starts, running, teams, changes, seconds, seed, speedup
+    )
+    with tempfile.TemporaryDirectory(prefix="ladderhub-scale-") as scratch:
+        place = folder if folder is not None else Path(scratch)
+        try:
+            good = run_scale(Options(place, stage, slopes, plan, report, predict, given), click.echo)
+        except LadderhubError as fault:
+            fail(fault, "ladderhub lab scale")
+    sys.exit(0 if good else 1)
--- /dev/null
+++ b/ladderhub/lab/scale/measure.py
@@ -0,0 +1,103 @@
+"""Reads processes: what the system tells of them, and what they count themselves."""
+
+from __future__ import annotations
+
+import os
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from ladderhub.lab.load import cpu_s
+
+PAGE_S = 10.0
+PROCESSOR, BYTES, MESSAGES = "ladderhub_processor_seconds", "ladderhub_bytes", "ladderhub_messages"
+IN, OUT = "in", "out"
+
+
+class Traffic(msgspec.Struct):
+    """An amount in each direction; None where nobody counted it."""
+
+    in_: float | None = msgspec.field(default=None, name="in")
+    out: float | None = None
+
+
+class Counted(msgspec.Struct):
+    """What a process counted since its start: seconds by cause, bytes and messages by kind."""
+
+    processor_s: dict[str, float] = {}
+    bytes: dict[str, Traffic] = {}
+    messages: dict[str, Traffic] = {}
+
+
+class Reading(msgspec.Struct):
+    """One process at one moment."""
+
+    at_s: float
+    processor_s: float
+    memory_bytes: int
+    descriptors: int
+    counted: Counted | None = None
+
+
+def memory_bytes(pid: int) -> int:
+    """Resident memory of a process, 0 where it has ended."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except (FileNotFoundError, ProcessLookupError):
+        return 0
+    for line in lines:
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+def descriptors(pid: int) -> int:
+    """Open descriptors of a process."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
+def read_process(pid: int, counted: Counted | None = None) -> Reading:
+    """A process as the system tells it, beside what it counted itself."""
+    return Reading(time.monotonic(), cpu_s(pid), memory_bytes(pid), descriptors(pid), counted)
+
+
+def fetch(address: tuple[str, int], path: str) -> str | None:
+    """A page of a process; None where it does not answer well."""
+    host, port = address
+    try:
+        with urllib.request.urlopen(f"http://{host}:{port}{path}", timeout=PAGE_S) as page:
+            return bytes(page.read()).decode()
+    except (OSError, urllib.error.URLError):
+        return None
+
+
+def counted_on(page: str) -> Counted | None:
+    """The counters on a metrics page; None where it has none of them."""
+    counted = Counted()
+    for family in text_string_to_metric_families(page):
+        for sample in family.samples:
+            if not sample.name.endswith("_total"):
+                continue
+            if family.name == PROCESSOR:
+                counted.processor_s[sample.labels["cause"]] = sample.value
+            elif family.name in (BYTES, MESSAGES):
+                table = counted.bytes if family.name == BYTES else counted.messages
+                traffic = table.setdefault(sample.labels["kind"], Traffic(0.0, 0.0))
+                if sample.labels["direction"] == IN:
+                    traffic.in_ = sample.value
+                else:
+                    traffic.out = sample.value
+    found = counted.processor_s or counted.bytes or counted.messages
+    return counted if found else None
+
+
+def gauge_on(page: str, name: str) -> float | None:
+    """A single value on a metrics page."""
+    for line in page.splitlines():
+        if line.startswith(f"{name} "):
+            return float(line.split()[1])
+    return None
--- /dev/null
+++ b/ladderhub/lab/scale/report.py
@@ -0,0 +1,171 @@
+"""What a scale run tells: its types, and their figures by name."""
+
+from __future__ import annotations
+
+import os
+import platform
+import subprocess
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from ladderhub.lab.scale.budgets import BudgetVerdict
+from ladderhub.lab.scale.measure import Traffic
+from ladderhub.lab.scale.plan import Size
+from ladderhub.lab.scale.slopes import PredictionError, Slope
+
+_GIB = 1 << 30
+
+
+class Machine(msgspec.Struct):
+    """Where the run was played."""
+
+    cores: int
+    memory_gib: float
+    python: str
+
+
+class ControlFigures(msgspec.Struct):
+    """What a role spends on control, by the plan's reading of it; None where it was not measured."""
+
+    cores: float | None = None
+    bytes_per_s: float | None = None
+
+
+class RoleFigures(msgspec.Struct):
+    """The mean over the processes of one role, and in `most` each figure's largest value among them."""
+
+    count: int
+    memory_mb: float
+    cores: float
+    descriptors: float
+    cores_by_cause: dict[str, float] = {}
+    bytes_per_s: dict[str, Traffic] = {}
+    messages_per_s: dict[str, Traffic] = {}
+    control: ControlFigures = msgspec.field(default_factory=ControlFigures)
+    most: dict[str, float] = {}
+
+
+class ClassFigures(msgspec.Struct):
+    """Jobs of one class that were due in the measured span.  `missed_share`: those of them that never ran."""
+
+    count: int
+    p50_ms: float | None
+    p99_ms: float | None
+    refused: int
+    failed: int
+    unsubmitted: int
+    unanswered: int
+    missed_share: float
+
+
+class ChangeFigures(msgspec.Struct):
+    """How long changes took until they were in force everywhere; None where there were none."""
+
+    count: int = 0
+    p50: float | None = None
+    p99: float | None = None
+    most: float | None = None
+
+
+class RunFigures(msgspec.Struct):
+    """One run."""
+
+    name: str
+    dimensions: Size
+    seconds: float
+    seed: int
+    roles: dict[str, RoleFigures]
+    starts: dict[str, ClassFigures]
+    change_in_force_s: ChangeFigures
+    running: float
+    notes: list[str] = []
+
+
+class Prediction(msgspec.Struct):
+    """What the slopes say of the whole plan, written before it is played."""
+
+    written_at: str = ""
+    figures: dict[str, float] = {}
+
+
+class Report(msgspec.Struct):
+    """All of it, as `--json` writes it."""
+
+    seed: int
+    commit: str
+    machine: Machine
+    options: dict[str, object]
+    runs: list[RunFigures] = []
+    slopes: list[Slope] = []
+    prediction: Prediction = msgspec.field(default_factory=Prediction)
+    errors: list[PredictionError] = []
+    budgets: list[BudgetVerdict] = []
+
+
+def this_machine() -> Machine:
+    """The machine and interpreter that this process runs on."""
+    memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / _GIB
+    return Machine(os.cpu_count() or 1, round(memory, 1), platform.python_version())
+
+
+def this_commit() -> str:
+    """The commit of the checkout that the program runs from; empty where it was installed without one."""
+    argv = ["git", "-C", str(Path(__file__).parent), "describe", "--always", "--dirty"]
+    try:
+        done = subprocess.run(argv, capture_output=True, text=True, check=False)
+    except FileNotFoundError:
+        return ""
+    return done.stdout.strip()
+
+
+def role_figures(role: RoleFigures) -> Iterator[tuple[str, float]]:
+    """A role's figures by their names within it."""
+    yield "memory_mb", role.memory_mb
+    yield "cores", role.cores
+    yield "descriptors", role.descriptors
+    for cause, cores in role.cores_by_cause.items():
+        yield f"cores.{cause}", cores
+    for name, table in (("bytes_per_s", role.bytes_per_s), ("messages_per_s", role.messages_per_s)):
+        for kind, traffic in table.items():
+            if traffic.in_ is not None:
+                yield f"{name}.{kind}.in", traffic.in_
+            if traffic.out is not None:
+                yield f"{name}.{kind}.out", traffic.out
+    if role.control.cores is not None:
+        yield "control.cores", role.control.cores
+    if role.control.bytes_per_s is not None:
+        yield "control.bytes_per_s", role.control.bytes_per_s
+    for name, value in role.most.items():
+        yield f"most.{name}", value
+
+
+def figures_of(run: RunFigures) -> dict[str, float]:
+    """Every measured figure of a run by its name, as `scheduler.cores.lists`."""
+    figures: dict[str, float] = {"running": run.running}
+    for role, measured in run.roles.items():
+        figures |= {f"{role}.{name}": value for name, value in role_figures(measured)}
+    for name, started in run.starts.items():
+        told = {"p50_ms": started.p50_ms, "p99_ms": started.p99_ms, "missed_share": started.missed_share}
+        figures |= {f"starts.{name}.{figure}": value for figure, value in told.items() if value is not None}
+    change = run.change_in_force_s
+    told = {"p50": change.p50, "p99": change.p99, "most": change.most}
+    figures |= {f"change_in_force_s.{name}": value for name, value in told.items() if value is not None}
+    return figures
+
+
+def write_lasting(path: Path, value: object) -> None:
+    """Write JSON so that it is on disk, whole, when this returns."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    fresh = path.with_suffix(path.suffix + ".new")
+    with open(fresh, "wb") as file:
+        file.write(msgspec.json.format(msgspec.json.encode(value)))
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(fresh, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- /dev/null
+++ b/ladderhub/lab/scale/run.py
@@ -0,0 +1,149 @@
+"""One run: a fleet of one size, brought to its load, measured for a span, and ended."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ladderhub.lab.scale.churn import draw_troubles
+from ladderhub.lab.scale.fleet import DIRECTORY, NODE_AGENT, ScaleFleet
+from ladderhub.lab.scale.hollow_nodes import HostResult
+from ladderhub.lab.scale.measure import Counted, Reading, counted_on, fetch, read_process
+from ladderhub.lab.scale.plan import Control, Plan, Size
+from ladderhub.lab.scale.report import ChangeFigures, RoleFigures, RunFigures
+from ladderhub.lab.scale.roles import figures_of_process, mean_of_role
+from ladderhub.lab.scale.starts import answers_in, starts_by_class
+
+S = 1_000_000_000
+Say = Callable[[str], None]
+
+
+class RunPlan(msgspec.Struct, frozen=True):
+    """What one run is: its size, how long it is measured, and whether a rack is lost in it."""
+
+    name: str
+    size: Size
+    seconds: float
+    seed: int
+    lose_a_rack: bool
+
+
+class Member(msgspec.Struct):
+    """One measured process: its role, how many members of the role it hosts, and what was read of it."""
+
+    role: str
+    share: int
+    reading: Reading
+
+
+def play(plan: Plan, run: RunPlan, folder: Path, say: Say) -> RunFigures:
+    """Play one run and measure it; `ScaleError` where the fleet does not come up or a bound is passed."""
+    fleet = ScaleFleet(plan, run.size, folder, run.seed)
+    try:
+        say(f"{run.name}: {run.size.nodes} nodes and {run.size.schedulers} schedulers come up")
+        fleet.start()
+        fleet.start_load()
+        fleet.children.pause(plan.playing.fill_s)
+        say(f"{run.name}: measured for {run.seconds:g} s")
+        return _measure(plan, run, fleet)
+    finally:
+        fleet.close()
+
+
+def _measure(plan: Plan, run: RunPlan, fleet: ScaleFleet) -> RunFigures:
+    before = read_members(fleet)
+    since_ns = time.monotonic_ns()
+    notes = _pass_the_span(plan, run, fleet)
+    until_ns = time.monotonic_ns()
+    after = read_members(fleet)
+    fleet.children.pause(plan.playing.settle_s)
+    sent = fleet.stop_load()
+    seen = fleet.stop_nodes()
+    fleet.close()
+    answers = answers_in(scheduler.child.log for scheduler in fleet.schedulers)
+    return RunFigures(
+        name=run.name,
+        dimensions=run.size,
+        seconds=(until_ns - since_ns) / S,
+        seed=run.seed,
+        roles=roles_between(before, after, plan.control),
+        starts=starts_by_class(plan.load.classes, sent, first_runs(seen), answers, since_ns, until_ns),
+        change_in_force_s=ChangeFigures(),
+        running=running_at(seen, (since_ns + until_ns) // 2),
+        notes=notes,
+    )
+
+
+def _pass_the_span(plan: Plan, run: RunPlan, fleet: ScaleFleet) -> list[str]:
+    """Let the measured span pass with its troubles; what is to be said of it."""
+    racks = {node.name: node.rack for node in fleet.nodes}
+    troubles = draw_troubles(plan, list(racks), racks, run.seconds, run.seed, run.lose_a_rack)
+    began = time.monotonic()
+    for trouble in troubles:
+        fleet.children.pause(began + trouble.at_s - time.monotonic())
+        fleet.trouble(trouble)
+    fleet.children.pause(began + run.seconds - time.monotonic())
+    notes = [f"{len(troubles)} nodes were lost, restarted or replaced"]
+    if run.size.changes_per_h:
+        notes.append(
+            "changes of configuration were not played: there is no way to make one without a restart"
+        )
+    return notes
+
+
+# --- readings -------------------------------------------------------------------------------------------
+
+
+def read_members(fleet: ScaleFleet) -> dict[int, Member]:
+    """Each measured process by its id."""
+    members = {}
+    for scheduler in fleet.schedulers:
+        child = scheduler.child
+        members[child.pid] = Member(child.role, 1, read_process(child.pid, _counted(scheduler.http)))
+    for child in fleet.children.of(DIRECTORY):
+        members[child.pid] = Member(DIRECTORY, 1, read_process(child.pid))
+    for host in fleet.hosts:
+        members[host.child.pid] = Member(NODE_AGENT, host.share, read_process(host.child.pid))
+    return members
+
+
+def _counted(http: tuple[str, int]) -> Counted | None:
+    page = fetch(http, "/metrics")
+    return None if page is None else counted_on(page)
+
+
+def roles_between(
+    before: dict[int, Member], after: dict[int, Member], control: Control
+) -> dict[str, RoleFigures]:
+    """The figures of each role over the span between two readings."""
+    by_role: dict[str, list[RoleFigures]] = {}
+    for pid, earlier in before.items():
+        later = after[pid]
+        figures = figures_of_process(earlier.reading, later.reading, control, earlier.share)
+        by_role.setdefault(earlier.role, []).append(figures)
+    return {role: mean_of_role(members) for role, members in by_role.items()}
+
+
+# --- what the nodes saw ---------------------------------------------------------------------------------
+
+
+def first_runs(seen: Sequence[HostResult]) -> dict[str, int]:
+    """When each job first ran anywhere."""
+    ran: dict[str, int] = {}
+    for host in seen:
+        for job, ran_ns in host.ran.items():
+            ran[job] = min(ran_ns, ran.get(job, ran_ns))
+    return ran
+
+
+def running_at(seen: Sequence[HostResult], moment_ns: int) -> float:
+    """How many jobs ran at a moment."""
+    running = 0
+    for host in seen:
+        began = {job for job, ran_ns in host.ran.items() if ran_ns <= moment_ns}
+        running += len(began)
+        running -= sum(job in began and ended_ns <= moment_ns for job, ended_ns in host.ended.items())
+    return float(running)
--- /dev/null
+++ b/tests/lab/test_scale.py
@@ -0,0 +1,87 @@
+"""A small scale run on real processes, judged on counts alone: no clock decides here."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from ladderhub.lab.scale.children import Children
+from ladderhub.lab.scale.plan import Overrides, Plan, ScaleError, load_plan, overridden
+from ladderhub.lab.scale.report import RunFigures
+from ladderhub.lab.scale.run import RunPlan, play
+
+NODES, REAL, HOLLOW = 60, 2, 20
+
+
+def small_plan() -> Plan:
+    """A minute's run at most; the waiting bounds stay long, since a busy machine may be slow."""
+    given = Overrides(
+        schedulers=REAL, hollow_schedulers=HOLLOW, nodes=NODES, starts=20.0, running=40, teams=5, seconds=5.0
+    )
+    plan = overridden(load_plan(), given)
+    playing = msgspec.structs.replace(plan.playing, fill_s=3.0, join_s=1.0, node_processes=2)
+    return msgspec.structs.replace(plan, playing=playing)
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> RunFigures:
+    plan = small_plan()
+    run = RunPlan("small", plan.played(), plan.playing.measure_s, 7, lose_a_rack=True)
+    return play(plan, run, tmp_path_factory.mktemp("scale"), lambda _: None)
+
+
+def test_every_role_is_there_with_as_many_members_as_were_asked_for(played: RunFigures) -> None:
+    counts = {role: figures.count for role, figures in played.roles.items()}
+    assert counts == {"elector": 1, "scheduler": REAL - 1, "directory": 1, "node_agent": NODES}
+
+
+def test_every_job_that_was_due_is_accounted_for(played: RunFigures) -> None:
+    assert set(played.starts) == set(small_plan().load.classes)
+    assert sum(each.count for each in played.starts.values()) > 0
+    for each in played.starts.values():
+        missed = each.refused + each.failed + each.unsubmitted + each.unanswered
+        assert each.missed_share * each.count == pytest.approx(missed)
+        assert (each.p99_ms is not None) == (missed < each.count)
+
+
+def test_a_scheduler_holds_a_connection_to_every_node_that_is_up(played: RunFigures) -> None:
+    least = NODES - small_plan().churn.nodes_per_rack
+    for role in ("elector", "scheduler"):
+        assert played.roles[role].descriptors > least
+
+
+def test_a_process_that_ends_by_itself_ends_the_run(tmp_path: Path) -> None:
+    children = Children(tmp_path, processes_most=10, memory_gib_most=1.0)
+    try:
+        child = children.start("short", "load", [sys.executable, "-c", "raise SystemExit(3)"])
+        child.process.wait()
+        with pytest.raises(ScaleError, match="status 3"):
+            children.check()
+    finally:
+        children.close()
+
+
+def test_more_processes_or_memory_than_allowed_end_the_run_and_nothing_is_left(tmp_path: Path) -> None:
+    sleeper = [sys.executable, "-c", "import time; time.sleep(600)"]
+    children = Children(tmp_path, processes_most=2, memory_gib_most=0.0)
+    try:
+        child = children.start("one", "load", sleeper)
+        with pytest.raises(ScaleError, match="GiB"):
+            children.check()
+        with pytest.raises(ScaleError, match="processes"):
+            children.start("two", "load", sleeper)
+    finally:
+        children.close()
+    assert child.process.returncode is not None and children.members == []
+
+
+def test_the_command_ends_with_a_status_of_its_own_where_the_plan_is_wrong(tmp_path: Path) -> None:
+    file = tmp_path / "plan.jsonnet"
+    file.write_text("{}")
+    argv = [str(Path(sys.executable).with_name("ladderhub")), "lab", "scale", "--plan", str(file)]
+    done = subprocess.run(argv, capture_output=True, text=True, check=False)
+    assert done.returncode == 2 and "missing required field" in done.stderr
