--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -60,12 +60,12 @@
 @click.argument("what", type=click.Choice(["views"]))
 @click.option("--schedulers", default=230, show_default=True, type=click.IntRange(4, 4096))
 @click.option("--seconds", default=3600, show_default=True, type=click.IntRange(10), help="Simulated time.")
-@click.option("--seats", is_flag=True, help="Lend seats too, by five electors.")
+@click.option("--seats", is_flag=True, help="Lease slots too, by five voters.")
 @click.option("--loss", default=0.1, show_default=True, type=click.FloatRange(0, 0.9))
 @_SEED
 def emulate(what: str, schedulers: int, seconds: int, seats: bool, loss: float, seed: int) -> None:
     """Play the pure modules of many schedulers in simulated time: `views` with loss, pauses and crashes."""
-    from ladderhub.lab.emulator.views import hour
+    from ladderhub.lab.emulator.membership import hour
 
     verdict = hour(schedulers, seed, seconds, loss, seats)
     for line in verdict.lines():
@@ -81,8 +81,8 @@
 @click.option("--random", "schedules", default=10_000, show_default=True, help="Random schedules after it.")
 @_SEED
 def check(what: str, depth: int, faults: int, schedules: int, seed: int) -> None:
-    """Run the decisions on seats under every schedule of few faults, then under many random ones."""
-    from ladderhub.lab.checker.seats import at_random, exhaustive
+    """Run the decisions on leases under every schedule of few faults, then under many random ones."""
+    from ladderhub.lab.checker.leases import at_random, exhaustive
 
     found = [exhaustive(depth, faults=faults), at_random(schedules, seed)]
     for name, each in zip(("exhaustive", "random"), found, strict=True):
--- a/ladderhub/lab/checker/seats.py
+++ b/ladderhub/lab/checker/leases.py
@@ -1,9 +1,9 @@
-"""Seats under every schedule of faults up to a bound: no slot has two users within a window.
+"""Leases under every schedule of faults up to a bound: no slot has two users within a window.
 
-Three schedulers, each an elector, in steps of a quarter of a lease's round.  In each step an adversary does
+Three schedulers, each a voter, in steps of a quarter of a lease's round.  In each step an adversary does
 nothing or one thing: loses what goes one way between two, holds it back for a few steps (also past a lease),
 stops a process for some steps, starts it anew, or lets one see itself alone.  A process that goes on after a
-stop may act before it is told anything, so its use is judged before its look."""
+stop may act before it is told anything, so its use is judged before its tick."""
 
 from __future__ import annotations
 
@@ -13,14 +13,21 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from ladderhub.membership.seats import Seats, SeatSettings
-from ladderhub.membership.types import Action, Heard, Say, SeatsHeld, Share
+from ladderhub.membership.leases import LeaseHolder
+from ladderhub.membership.types import (
+    Action,
+    MessageReceived,
+    SendMessage,
+    LeasesHeld,
+    MembershipSummary,
+    LeaseSettings,
+)
 
 COUNT, SLOTS = 3, 3
 LEASE, COLD, WINDOW = 16, 3, 4  # in steps; the module counts offers for WINDOW, a quarter over COLD
 ADDRESSES = tuple(f"h{at}:1" for at in range(COUNT))
 BACK = (1, 6, LEASE + 3)  # for how many steps messages are held back, or a process is stopped
-PREPARED = LEASE + 8  # steps without faults at first: electors are silent for a lease
+PREPARED = LEASE + 8  # steps without faults at first: voters are silent for a lease
 FOLLOWED = LEASE + WINDOW + 6  # steps watched after the last fault
 
 
@@ -35,6 +42,9 @@
     span: int = 0
 
 
+MakeHolder = Callable[[LeaseSettings, int, int], LeaseHolder]
+
+
 def faults_of(step: int) -> Iterator[Fault]:
     """Every one thing that may be done in a step."""
     for who in range(COUNT):
@@ -50,31 +60,33 @@
 
 
 @dataclass
-class _Host:
-    seats: Seats
+class Host:
+    """One life of an emulated scheduler."""
+
+    leases: LeaseHolder
     life: int
-    used: tuple[tuple[int, ...], int] = ((), -1)
+    held: LeasesHeld = field(default_factory=lambda: LeasesHeld((), -1))
     stopped_until: int = -1
     alone_until: int = -1
-    waiting: list[tuple[int, Heard]] = field(default_factory=list)
+    waiting: list[tuple[int, MessageReceived]] = field(default_factory=list)
 
 
 class World:
     """The hosts, messages on their way, and who used what when."""
 
-    def __init__(self, make: Callable[[SeatSettings, int, int], Seats] = Seats) -> None:
-        self.now, self.make = 0, make
+    def __init__(self, make_holder: MakeHolder = LeaseHolder) -> None:
+        self.now, self.make_holder = 0, make_holder
         self.hosts = [self._host(at, 1) for at in range(COUNT)]
-        self.on_way: list[tuple[int, int, int, Heard]] = []  # when it comes, from, to
+        self.on_way: list[tuple[int, int, int, MessageReceived]] = []  # when it comes, from, to
         self.used: dict[int, dict[int, int]] = {slot: {} for slot in range(SLOTS)}  # slot -> host -> last use
         self.broken: list[str] = []
         self.idle = self.looked = 0
         self._lose: set[tuple[int, int]] = set()
         self._late: dict[tuple[int, int], int] = {}
 
-    def _host(self, at: int, life: int) -> _Host:
-        settings = SeatSettings(f"h{at}", life, ADDRESSES[at], SLOTS, ADDRESSES, LEASE, COLD)
-        return _Host(self.make(settings, at + 7 * life, self.now), life)
+    def _host(self, at: int, life: int) -> Host:
+        settings = LeaseSettings(f"h{at}", life, ADDRESSES[at], SLOTS, ADDRESSES, LEASE, COLD)
+        return Host(self.make_holder(settings, at + 7 * life, self.now), life)
 
     def step(self, faults: list[Fault]) -> None:
         self._lose, self._late = set(), {}
@@ -93,51 +105,52 @@
         for at, host in enumerate(self.hosts):
             if host.stopped_until <= self.now:
                 self._use(at, host)
-        for _, source, target, heard in [each for each in self.on_way if each[0] <= self.now]:
+        for _, source, target, received in [each for each in self.on_way if each[0] <= self.now]:
             host = self.hosts[target]
             if host.stopped_until <= self.now:
-                self._carry(target, host, host.seats.handle(self.now, heard))
+                self._carry(target, host, host.leases.handle(self.now, received))
             else:
-                host.waiting.append((source, heard))
+                host.waiting.append((source, received))
         self.on_way = [each for each in self.on_way if each[0] > self.now]
         for at, host in enumerate(self.hosts):
             if host.stopped_until > self.now:
                 continue
-            for _, heard in host.waiting:
-                self._carry(at, host, host.seats.handle(self.now, heard))
+            for _, received in host.waiting:
+                self._carry(at, host, host.leases.handle(self.now, received))
             host.waiting.clear()
             members, rank = (1, 0) if host.alone_until > self.now else (COUNT, at)
-            self._carry(at, host, host.seats.handle(self.now, Share(members, rank, True)))
+            self._carry(at, host, host.leases.handle(self.now, MembershipSummary(members, rank, True)))
             self._use(at, host)
         self.looked += SLOTS
         self.idle += SLOTS - sum(self.now in users.values() for users in self.used.values())
         self.now += 1
 
-    def _use(self, at: int, host: _Host) -> None:
+    def _use(self, at: int, host: Host) -> None:
         """What the module would do now: use every slot that it was told of, while that lasts."""
-        slots, until = host.used
-        if self.now >= until:
+        if self.now >= host.held.until_ns:
             return
-        for slot in slots:
+        for slot in host.held.slots:
             for other, when in self.used[slot].items():
                 if other != at and self.now - when < WINDOW:
                     self.broken.append(f"step {self.now}: slot {slot} used by {at}, by {other} at {when}")
             self.used[slot][at] = self.now
 
-    def _carry(self, at: int, host: _Host, actions: list[Action]) -> None:
+    def _carry(self, at: int, host: Host, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, SeatsHeld):
-                host.used = (action.slots, action.until_ns)
-            elif isinstance(action, Say):
+            if isinstance(action, LeasesHeld):
+                host.held = action
+            elif isinstance(action, SendMessage):
                 target = ADDRESSES.index(action.address)
                 if (at, target) not in self._lose:
-                    heard = Heard(f"h{at}", host.life, 0, action.message)
+                    received = MessageReceived(f"h{at}", host.life, 0, action.message)
                     come = self.now + 1 + self._late.get((at, target), 0)
-                    self.on_way.append((come, at, target, heard))
+                    self.on_way.append((come, at, target, received))
 
 
 @dataclass
-class Found:
+class CheckResult:
+    """What was played, and the first schedule that gave a slot two users, if any did."""
+
     schedules: int = 0
     steps: int = 0
     seconds: float = 0.0
@@ -154,29 +167,29 @@
             yield "no slot had two users within a window"
 
 
-def prepared(make: Callable[[SeatSettings, int, int], Seats] = Seats) -> World:
-    world = World(make)
+def prepared(make_holder: MakeHolder = LeaseHolder) -> World:
+    world = World(make_holder)
     for _ in range(PREPARED):
         world.step([])
     world.idle = world.looked = 0
     return world
 
 
-def _follow(world: World, found: Found, schedule: tuple[Fault, ...], steps: int) -> bool:
+def _follow(world: World, result: CheckResult, schedule: tuple[Fault, ...], steps: int) -> bool:
     for _ in range(steps):
         due = [fault for fault in schedule if fault.step == world.now - PREPARED]
         world.step(due)
-        found.steps += 1
+        result.steps += 1
         if world.broken:
-            found.broken, found.schedule = world.broken[0], schedule
+            result.broken, result.schedule = world.broken[0], schedule
             return False
     return True
 
 
-def exhaustive(depth: int, make: Callable[[SeatSettings, int, int], Seats] = Seats, faults: int = 2) -> Found:
+def exhaustive(depth: int, make_holder: MakeHolder = LeaseHolder, faults: int = 2) -> CheckResult:
     """Every schedule of up to `faults` faults in `depth` steps, one fault a step; stops at the first that
     breaks."""
-    found, begun = Found(), time.perf_counter()
+    result, began = CheckResult(), time.perf_counter()
     idle = looked = 0
 
     def search(world: World, step: int, left: int, schedule: tuple[Fault, ...]) -> bool:
@@ -187,29 +200,29 @@
                 for fault in faults_of(step):
                     branch = copy.deepcopy(world)
                     further = (*schedule, fault)
-                    if not _follow(branch, found, further, 1):
+                    if not _follow(branch, result, further, 1):
                         return False
                     if not search(branch, step + 1, left - 1, further):
                         return False
-            if not _follow(world, found, schedule, 1):
+            if not _follow(world, result, schedule, 1):
                 return False
             step += 1
-        found.schedules += 1
+        result.schedules += 1
         last = max((fault.step + fault.span for fault in schedule), default=0)
-        if not _follow(world, found, schedule, max(1, min(last, depth + LEASE) + FOLLOWED - depth)):
+        if not _follow(world, result, schedule, max(1, min(last, depth + LEASE) + FOLLOWED - depth)):
             return False
         idle, looked = idle + world.idle, looked + world.looked
         return True
 
-    search(prepared(make), 0, faults, ())
-    found.seconds, found.idle_share = time.perf_counter() - begun, idle / max(1, looked)
-    return found
+    search(prepared(make_holder), 0, faults, ())
+    result.seconds, result.idle_share = time.perf_counter() - began, idle / max(1, looked)
+    return result
 
 
-def at_random(schedules: int, seed: int, make: Callable[[SeatSettings, int, int], Seats] = Seats) -> Found:
+def at_random(schedules: int, seed: int, make_holder: MakeHolder = LeaseHolder) -> CheckResult:
     """Schedules with many faults, several in a step, drawn from a seed."""
-    found, begun, rng = Found(), time.perf_counter(), random.Random(seed)
-    start = prepared(make)
+    result, began, rng = CheckResult(), time.perf_counter(), random.Random(seed)
+    start = prepared(make_holder)
     every = list(faults_of(0))
     idle = looked = 0
     for _ in range(schedules):
@@ -219,9 +232,9 @@
             for step in range(span) for drawn in rng.sample(every, 3) if rng.random() < share
         )  # fmt: skip
         world = copy.deepcopy(start)
-        found.schedules += 1
-        if not _follow(world, found, schedule, span + FOLLOWED):
+        result.schedules += 1
+        if not _follow(world, result, schedule, span + FOLLOWED):
             break
         idle, looked = idle + world.idle, looked + world.looked
-    found.seconds, found.idle_share = time.perf_counter() - begun, idle / max(1, looked)
-    return found
+    result.seconds, result.idle_share = time.perf_counter() - began, idle / max(1, looked)
+    return result
--- a/ladderhub/lab/emulator/day.py
+++ b/ladderhub/lab/emulator/day.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from ladderhub.lab.emulator.net import MS, Faults, S
-from ladderhub.lab.emulator.views import Fleet, Host, address_of
+from ladderhub.lab.emulator.membership import Fleet, Host, address_of
 from ladderhub.lab.mesh.days import Day, Pairs, Step
-from ladderhub.membership.rings import Id
-from ladderhub.membership.types import Change, Told
+from ladderhub.membership.rings import MemberId
+from ladderhub.membership.types import Change, MemberChanged
 
 EQUAL_NS = 10 * S  # after the last fault all views are equal within this
 NOISE = (b"", b"\x00", b"\xff" * 40, b"\x96\x01", b"x" * 2000)
@@ -20,7 +20,7 @@
     day: Day
     false_gone: list[str] = field(default_factory=list)
     equal_ns: int = -1
-    told: list[tuple[int, str, Told]] = field(default_factory=list)
+    told: list[tuple[int, str, MemberChanged]] = field(default_factory=list)
 
     def good(self) -> bool:
         return not self.false_gone and self.equal_ns >= 0
@@ -55,7 +55,7 @@
         outcome.false_gone = fleet.verdict.false_gone
         return outcome
 
-    def _allowed(self, observer: Host, member: Id, told: Told) -> bool:
+    def _allowed(self, observer: Host, member: MemberId, told: MemberChanged) -> bool:
         if told.change is Change.LEFT:
             return False
         return self.day.may_go(observer.at, self.slots.get(member[0], -1))
@@ -65,7 +65,7 @@
         if step.what == "start":
             if who not in fleet.hosts:
                 last = next(host for host in reversed(fleet.every) if host.at == who)
-                fleet.start(who, tuple(last.views.addresses()))
+                fleet.start(who, tuple(last.view.addresses()))
         elif step.what == "kill":
             if who in fleet.hosts:
                 fleet.kill(who)
--- a/ladderhub/lab/emulator/views.py
+++ b/ladderhub/lab/emulator/membership.py
@@ -1,7 +1,7 @@
 """Membership in simulated time: who was told gone that lived, how soon a crash is known, what it costs.
 
-The judge goes by what the members tell (`Told`) and by what was done to them, and by nothing of their state
-but the views that are compared at the end."""
+The judge goes by the changes that members report and by what was done to them, and by nothing of their
+state but the views that are compared at the end."""
 
 from __future__ import annotations
 
@@ -10,18 +10,28 @@
 from typing import Any
 
 from ladderhub.lab.emulator.net import MS, Faults, Net, S
-from ladderhub.lab.mesh.judge import Row, check_seats
+from ladderhub.lab.mesh.judge import Row, check_leases
 from ladderhub.lab.mesh.judge import Verdict as Seen
-from ladderhub.membership import Heard, MemberSettings, Say, Seats, SeatSettings, SeatsHeld, Share, Stop, Tick
-from ladderhub.membership import Told, Views, WakeAt
-from ladderhub.membership.messages import SeatMessage
-from ladderhub.membership.rings import Id
+from ladderhub.membership import (
+    MessageReceived,
+    MemberSettings,
+    SendMessage,
+    LeaseHolder,
+    LeaseSettings,
+    LeasesHeld,
+    MembershipSummary,
+    Stop,
+    Tick,
+)
+from ladderhub.membership import MemberChanged, MembershipView, WakeAt
+from ladderhub.membership.messages import LeaseMessage
+from ladderhub.membership.rings import MemberId
 from ladderhub.membership.types import Action, Change, Event
 from ladderhub.peers.wire import VERSION, Frame, encode
 
 PAUSE_EVERY_NS = 600 * S  # on average, of each member
 CRASH_EVERY_NS = 60 * S  # of the whole fleet
-LEASE_NS, WINDOW_NS = 8 * S, 2 * S  # of seats; the module counts offers for a quarter longer than the window
+LEASE_NS, WINDOW_NS = 8 * S, 2 * S  # the module counts offers for 1.25 windows
 
 
 def address_of(at: int) -> str:
@@ -38,11 +48,13 @@
         self.fleet, self.net, self.at = fleet, fleet.net, at
         self.name, self.address, self.life = name, address, life
         settings = MemberSettings(self.name, life, self.address, seeds, known)
-        self.views = Views(settings, fleet.seed * 1_000_003 + life % 1_000_003)
-        self.seats: Seats | None = None
-        if fleet.electors:
-            dealt = SeatSettings(name, life, address, fleet.count, fleet.electors, LEASE_NS, WINDOW_NS)
-            self.seats = Seats(dealt, life % 1_000_003, self.net.now)
+        self.view = MembershipView(settings, fleet.seed * 1_000_003 + life % 1_000_003)
+        self.leases: LeaseHolder | None = None
+        if fleet.voters:
+            lease_settings = LeaseSettings(
+                name, life, address, fleet.count, fleet.voters, LEASE_NS, WINDOW_NS
+            )
+            self.leases = LeaseHolder(lease_settings, life % 1_000_003, self.net.now)
             fleet.note("began", at)
         self.alive, self.paused_ns = True, -1
         self._due = 0
@@ -50,37 +62,41 @@
         self.feed(Tick())
 
     @property
-    def id(self) -> Id:
+    def id(self) -> MemberId:
         return self.name, self.life
 
     def receive(self, frame: Frame) -> None:
         if self.alive:
-            self.feed(Heard(frame.name, frame.life, frame.incarnation, frame.message))
+            self.feed(MessageReceived(frame.name, frame.life, frame.incarnation, frame.message))
 
     def feed(self, event: Event) -> None:
         now = self.net.now
-        if isinstance(event, Heard) and isinstance(event.message, SeatMessage):
-            if self.seats is not None:
-                self.carry(self.seats.handle(now, event))
+        if isinstance(event, MessageReceived) and isinstance(event.message, LeaseMessage):
+            if self.leases is not None:
+                self.carry(self.leases.handle(now, event))
             return
-        self.carry(self.views.handle(now, event))
-        if self.seats is not None and isinstance(event, Tick):
-            names = sorted(entry.name for entry in self.views.members())
-            self.carry(self.seats.handle(now, Share(len(names), names.index(self.name), self.views.sure)))
+        self.carry(self.view.handle(now, event))
+        if self.leases is not None and isinstance(event, Tick):
+            names = sorted(entry.name for entry in self.view.members())
+            self.carry(
+                self.leases.handle(
+                    now, MembershipSummary(len(names), names.index(self.name), self.view.confirmed)
+                )
+            )
 
     def carry(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, Say):
-                me = self.views.me
+            if isinstance(action, SendMessage):
+                me = self.view.self_entry
                 frame = Frame(VERSION, 1, me.name, me.life, me.incarnation, action.message)
                 self.net.send(self.address, action.address, frame, len(encode(frame)))
             elif isinstance(action, WakeAt):
                 self._due = action.at_ns
                 self.net.at(action.at_ns, self._wake, action.at_ns)
-            elif isinstance(action, SeatsHeld):
+            elif isinstance(action, LeasesHeld):
                 self.fleet.note("seats", self.at, slots=action.slots, until_ns=action.until_ns)
             else:
-                self.fleet.heard(self, action)
+                self.fleet.on_change(self, action)
 
     def _wake(self, due: int) -> None:
         if self.alive and due == self._due:
@@ -124,7 +140,7 @@
     crashes: int = 0
     pauses: int = 0
     doubly_held: list[str] = field(default_factory=list)
-    seats_idle: float | None = None
+    idle_share: float | None = None
 
     def p99_s(self) -> float:
         ordered = sorted(self.latencies_ns)
@@ -140,8 +156,8 @@
         yield f"a crash is known to all living: p99 {self.p99_s():.2f} s, not told: {self.unheard}"
         yield f"{self.bytes_s:.0f} bytes and {self.messages_s:.1f} messages a second sent by a member"
         yield f"views that are not the truth at the end: {self.differing}"
-        if self.seats_idle is not None:
-            twice, idle = len(self.doubly_held), 100 * self.seats_idle
+        if self.idle_share is not None:
+            twice, idle = len(self.doubly_held), 100 * self.idle_share
             yield f"seats with two holders within a window: {twice}, unused {idle:.2f} % of the time"
             yield from self.doubly_held[:5]
 
@@ -154,10 +170,10 @@
 
     def __init__(
         self, count: int, seed: int, faults: Faults | None = None, seeds: int = 3, warm: bool = False,
-        electors: int = 0,
+        voters: int = 0,
     ) -> None:  # fmt: skip
-        """`electors`: the first so many lend seats, one for each of `count`; 0 for none."""
-        self.count, self.electors = count, tuple(map(address_of, range(electors)))
+        """`voters`: the first so many vote on leases of `count` slots; 0 for none."""
+        self.count, self.voters = count, tuple(map(address_of, range(voters)))
         self.rows: list[Row] = []
         self.seed, self.net = seed, Net(seed, faults)
         self.random = self.net.random
@@ -165,17 +181,17 @@
         self.hosts: dict[int, Host] = {}
         self.every: list[Host] = []
         self._seeds = tuple(map(address_of, range(seeds)))
-        self._ended: dict[Id, int] = {}  # lives that are over, since when
-        self._knew: dict[Id, set[str]] = {}
+        self._ended: dict[MemberId, int] = {}  # lives that are over, since when
+        self._knew: dict[MemberId, set[str]] = {}
         # A case's own rule: may this host tell that of a member that lives?
-        self.allowed: Callable[[Host, Id, Told], bool] = lambda host, member, told: False
-        self.log: list[tuple[int, str, Told]] = []
+        self.allowed: Callable[[Host, MemberId, MemberChanged], bool] = lambda host, member, change: False
+        self.log: list[tuple[int, str, MemberChanged]] = []
         if warm:
             for at in range(count):
                 self.start(at)
-            entries = [host.views.me for host in self.hosts.values()]
+            entries = [host.view.self_entry for host in self.hosts.values()]
             for host in self.hosts.values():
-                host.views.know(self.net.now, entries)
+                host.view.preload(self.net.now, entries)
             return
         for at in range(count):
             self.net.at(self.net.now + int(self.random.random() * S), self.start, at)
@@ -197,8 +213,8 @@
         return host
 
     def note(self, what: str, slot: int, **values: Any) -> None:
-        """For the judge of seats."""
-        if self.electors:
+        """For the judge of leases."""
+        if self.voters:
             self.rows.append({"at": self.net.now / S, "what": what, "slot": slot, **values})
 
     def kill(self, at: int) -> None:
@@ -207,23 +223,25 @@
         self._ended[host.id] = self.net.now
         self._knew[host.id] = set()
 
-    def heard(self, host: Host, told: Told) -> None:
-        self.log.append((self.net.now, host.name, told))
-        if told.change not in (Change.GONE, Change.LEFT) or told.name == host.name:
+    def on_change(self, host: Host, change: MemberChanged) -> None:
+        self.log.append((self.net.now, host.name, change))
+        if change.change not in (Change.GONE, Change.LEFT) or change.name == host.name:
             return
-        member = (told.name, told.life)
+        member = (change.name, change.life)
         if member in self._ended:
             if member in self._knew and host.name not in self._knew[member]:
                 self._knew[member].add(host.name)
                 self.verdict.latencies_ns.append(self.net.now - self._ended[member])
-        elif not self.allowed(host, member, told):
+        elif not self.allowed(host, member, change):
             now = (self.net.now - 1_000_000 * S) / S
-            self.verdict.false_gone.append(f"{now:.1f} s: {host.name} says {told.name} is gone: {told.cause}")
+            self.verdict.false_gone.append(
+                f"{now:.1f} s: {host.name} says {change.name} is gone: {change.cause}"
+            )
 
     def differing(self) -> int:
         """Living members whose view is not exactly who lives."""
         truth = {host.id for host in self.hosts.values()}
-        seen = ({(m.name, m.life) for m in host.views.members()} for host in self.hosts.values())
+        seen = ({(m.name, m.life) for m in host.view.members()} for host in self.hosts.values())
         return sum(view != truth for view in seen)
 
     def settle(self, most_ns: int) -> int:
@@ -248,15 +266,15 @@
         return verdict
 
 
-def hour(members: int, seed: int, seconds: int = 3600, loss: float = 0.1, seats: bool = False) -> Verdict:
+def hour(members: int, seed: int, seconds: int = 3600, loss: float = 0.1, leases: bool = False) -> Verdict:
     """A simulated hour: loss, pauses up to 3 s, now and then a crash that is started again later."""
     faults = Faults(loss=loss, delay_ns=(MS // 2, 20 * MS))
-    fleet = Fleet(members, seed, faults, warm=True, electors=min(5, members) if seats else 0)
+    fleet = Fleet(members, seed, faults, warm=True, voters=min(5, members) if leases else 0)
     net, random = fleet.net, fleet.random
     net.run(net.now + 20 * S)
     fleet.settle(60 * S)
-    if seats:
-        net.run(net.now + 30 * S)  # electors are silent for a lease after their start
+    if leases:
+        net.run(net.now + 30 * S)  # voters are silent for a lease after their start
     begun, sent = net.now, (net.sent, net.sent_bytes)
     fleet.note("day", -1)
 
@@ -280,8 +298,8 @@
     fleet.verdict.bytes_s = (net.sent_bytes - sent[1]) * S / spent / members
     fleet.verdict.messages_s = (net.sent - sent[0]) * S / spent / members
     fleet.settle(20 * S)
-    if seats:
+    if leases:
         seen = Seen()
-        check_seats(seen, fleet.rows, 1.25 * WINDOW_NS / S, members)
-        fleet.verdict.doubly_held, fleet.verdict.seats_idle = seen.doubly_held, seen.seats_idle
+        check_leases(seen, fleet.rows, 1.25 * WINDOW_NS / S, members)
+        fleet.verdict.doubly_held, fleet.verdict.idle_share = seen.doubly_held, seen.idle_share
     return fleet.close()
--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -38,7 +38,7 @@
     def __init__(self, loop: Loop, folder: Path, count: int, seed: int, nodes: int = 3) -> None:
         self.loop, self.folder, self.count = loop, folder, count
         self.rows: list[Row] = []
-        self.electors = min(5, count) - (min(5, count) + 1) % 2
+        self.voters = min(5, count) - (min(5, count) + 1) % 2
         self.relay = Relay(loop, seed)
         self._ports = {at: free_port() for at in range(count)}
         self._names = {at: f"sched{at}" for at in range(count)}
@@ -59,7 +59,7 @@
         return {
             "listen": f"127.0.0.1:{self._ports[place]}", "seeds": seeds, "cluster": "mesh",
             "advertise": "{}:{}".format(*self.relay.public(place)),
-            "electors": ["{}:{}".format(*self.relay.public(each)) for each in range(self.electors)],
+            "electors": ["{}:{}".format(*self.relay.public(each)) for each in range(self.voters)],
         }  # fmt: skip
 
     # --- the recording ----------------------------------------------------------------------------------
@@ -107,8 +107,8 @@
             replay.take(row)
         return not replay.otherwise()
 
-    def seated(self) -> bool:
-        """Every seat has a holder: faults are to meet leases that stand."""
+    def all_leased(self) -> bool:
+        """Every slot is leased: faults are to meet leases that stand."""
         self.read_logs()
         told = {row["slot"]: row["slots"] for row in self.rows if row["what"] == "seats"}
         return sorted(seat for seats in told.values() for seat in seats) == list(range(self.count))
@@ -123,7 +123,7 @@
             self.fleet.start()
             if not self._wait(self.together, COME_NS):
                 raise RuntimeError(f"the schedulers did not come together; see {self.folder}")
-            if not self._wait(self.seated, COME_NS):
+            if not self._wait(self.all_leased, COME_NS):
                 raise RuntimeError(f"not every seat found a holder; see {self.folder}")
         except RuntimeError as fault:
             self.read_logs()
--- a/ladderhub/lab/mesh/judge.py
+++ b/ladderhub/lab/mesh/judge.py
@@ -27,8 +27,8 @@
     unequal: list[str] = field(default_factory=list)
     troubles: list[str] = field(default_factory=list)
     doubly_held: list[str] = field(default_factory=list)
-    seats_told: int = 0
-    seats_idle: float = 0.0  # share of seats and time, from the day's begin on, in which nobody could use one
+    leases_reported: int = 0
+    idle_share: float = 0.0  # share of seats and time, from the day's begin on, in which nobody could use one
     equal_s: float = -1.0
     told: int = 0
 
@@ -41,8 +41,8 @@
         if not self.unequal:
             yield f"views equal {self.equal_s:.1f} s after the last fault"
         yield from self.unequal[:5]
-        if self.seats_told:
-            idle = 100 * self.seats_idle
+        if self.leases_reported:
+            idle = 100 * self.idle_share
             twice = len(self.doubly_held)
             yield f"seats with two holders within a window: {twice}, unused {idle:.0f} % of the time"
         yield from (*self.doubly_held[:5], *self.troubles[:5])
@@ -128,10 +128,10 @@
     return found
 
 
-def check_seats(verdict: Verdict, rows: list[Row], window_s: float, count: int) -> None:
+def check_leases(verdict: Verdict, rows: list[Row], window_s: float, count: int) -> None:
     """No seat has two holders within a window: the node still counts what the last one sent."""
     spans = sorted(uses(rows), key=lambda use: (use.seat, use.begun))
-    verdict.seats_told = sum(row["what"] == "seats" for row in rows)
+    verdict.leases_reported = sum(row["what"] == "seats" for row in rows)
     for before, after in pairwise(spans):
         same = (before.slot, before.birth) == (after.slot, after.birth)
         if before.seat == after.seat and not same and after.begun - before.ended < window_s:
@@ -141,14 +141,14 @@
     begun = next((float(row["at"]) for row in rows if row["what"] == "day"), 0.0)
     last = max(float(row["at"]) for row in rows)
     used = sum(max(0.0, use.ended - max(begun, use.begun)) for use in spans)
-    verdict.seats_idle = 1 - used / (count * (last - begun)) if last > begun else 0.0
+    verdict.idle_share = 1 - used / (count * (last - begun)) if last > begun else 0.0
 
 
 def judge(rows: list[Row], day: Day, seats: int = 0, window_s: float = 0.0) -> Verdict:
     """Replay a recording; rows may come in any order.  `seats`: how many there are, 0 if none are dealt."""
     verdict, replay = Verdict(), Replay()
     if seats:
-        check_seats(verdict, rows, window_s, seats)
+        check_leases(verdict, rows, window_s, seats)
     ended: dict[tuple[str, int], float] = {}
     begun, settled, since = False, -1.0, -1.0
     for row in sorted(rows, key=lambda each: float(each["at"])):
--- /dev/null
+++ b/ladderhub/membership/context.py
@@ -0,0 +1,122 @@
+"""State that the parts of one member share: its view, its pending probes, and the actions it has decided."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from msgspec.structs import replace
+
+from ladderhub.membership.gossip import Gossip
+from ladderhub.membership.messages import Entry, Message, Ping, Status
+from ladderhub.membership.rings import MemberId
+from ladderhub.membership.table import MemberTable, member_id
+from ladderhub.membership.types import (
+    Action,
+    Change,
+    MemberChanged,
+    MemberSettings,
+    MessageReceived,
+    SendMessage,
+)
+
+MAX_PENDING_PROBES = 512
+PROBE_TIMEOUT_PERIODS = 1.2  # longer than a message and its answer usually take
+_NUMBER_LIMIT = 1 << 30  # message numbers start again from 0 here
+
+ProbeCallback = Callable[[int, MessageReceived | None], None]  # time, and the ack or None for a time-out
+
+
+class MemberContext:
+    """Shared state and the ways to send and report; decides nothing about any member."""
+
+    def __init__(self, settings: MemberSettings, seed: int) -> None:
+        self.period = settings.period_ns
+        self.table, self.gossip = MemberTable(), Gossip()
+        self.self_entry = Entry(settings.name, settings.life, settings.address, 0, Status.ALIVE)
+        self.self_id: MemberId = member_id(self.self_entry)
+        self.random = random.Random(seed)
+        self.last_heard_ns: dict[MemberId, int] = {}  # by living member
+        self.joined = False  # whether anybody has answered us in this life
+        self.actions: list[Action] = []
+        self._number = 0
+        self._pending_probes: dict[int, tuple[int, ProbeCallback]] = {}
+        self.table.put(0, self.self_entry)
+
+    def send(self, address: str, message: Message) -> None:
+        if address != self.self_entry.address:
+            self.actions.append(SendMessage(address, message))
+
+    def report(self, change: Change, entry: Entry, cause: str) -> None:
+        self.actions.append(MemberChanged(change, entry.name, entry.life, cause))
+
+    def next_number(self) -> int:
+        self._number = (self._number + 1) % _NUMBER_LIMIT
+        return self._number
+
+    def member_count(self) -> int:
+        return len(self.table.by_name)
+
+    def other_members(self) -> list[MemberId]:
+        return [member for member in self.table.by_name.values() if member != self.self_id]
+
+    def address_of(self, member: MemberId) -> str:
+        return self.table.entries[member].address
+
+    def heard_since(self, member: MemberId, moment: int) -> bool:
+        return self.last_heard_ns.get(member, -1) >= moment
+
+    def raise_incarnation(self, now: int, incarnation: int) -> None:
+        """Take a higher incarnation: it refutes what was reported of those before."""
+        self.self_entry = replace(self.self_entry, incarnation=incarnation)
+        self.table.put(now, self.self_entry)
+
+    def returning_entry(self) -> Entry:
+        """Our entry for those who may have us as gone."""
+        if self.self_entry.incarnation == 0:  # nobody has reported us gone in this life
+            return self.self_entry
+        return replace(self.self_entry, status=Status.RETURNING)
+
+    def ping(self, address: str, include_self: bool = False, skip_gossip: bool = False) -> int:
+        """Send a ping and give its number.
+
+        `include_self`: our own entry goes along, since the receiver may not know us.  `skip_gossip`: perhaps
+        nobody is there, and gossip that reaches nobody would still count as sent."""
+        number = self.next_number()
+        first = self.returning_entry() if include_self else None
+        if skip_gossip:
+            gossip: tuple[Entry, ...] = (first,) if first else ()
+        else:
+            gossip = self.gossip.take(self.member_count(), first)
+        self.send(address, Ping(number, self.table.digest, self.member_count(), gossip))
+        return number
+
+    def probe(
+        self,
+        now: int,
+        target: Entry,
+        callback: ProbeCallback,
+        include_self: bool = False,
+        skip_gossip: bool = False,
+    ) -> None:
+        """Ping, and call back with the ack or, where none came in time, with None."""
+        if len(self._pending_probes) < MAX_PENDING_PROBES:
+            expires = now + round(PROBE_TIMEOUT_PERIODS * self.period)
+            number = self.ping(target.address, include_self, skip_gossip)
+            self._pending_probes[number] = (expires, callback)
+
+    def complete_probe(self, now: int, number: int, ack: MessageReceived) -> None:
+        """An ack came; where no probe of that number is pending it is a sign of life and no more."""
+        if number in self._pending_probes:
+            _, callback = self._pending_probes.pop(number)
+            callback(now, ack)
+
+    def expire_probes(self, now: int) -> None:
+        expired = [number for number, (expires, _) in self._pending_probes.items() if expires <= now]
+        for number in expired:
+            _, callback = self._pending_probes.pop(number)
+            callback(now, None)
+
+    def cancel_probes(self) -> None:
+        """After a pause of ours, probes sent before it prove nothing."""
+        self._pending_probes.clear()
--- a/ladderhub/membership/gossip.py
+++ b/ladderhub/membership/gossip.py
@@ -1,76 +1,82 @@
-"""News that ride on messages: what was told least goes first, each some times more the larger the fleet."""
+"""Gossip that rides on messages: entries that were sent least go first, each more often in a larger fleet."""
 
 from __future__ import annotations
 
 from ladderhub.membership.messages import Entry
-from ladderhub.membership.rings import Id
-from ladderhub.membership.table import id_of
+from ladderhub.membership.rings import MemberId
+from ladderhub.membership.table import member_id
 
-BYTES_MOST = 800  # of news in one message, well below a datagram
-ENTRY_BYTES = 20  # of an entry beside its name and address, at the most
-TIMES, TIMES_LEAST = 1.5, 8  # tellings for each doubling of the fleet, and in the smallest one
+MAX_GOSSIP_BYTES = 800  # of entries in one message, well below a datagram
+MAX_GOSSIP_ENTRIES = 48  # in one message
+ENTRY_OVERHEAD_BYTES = 20  # of an entry beside its name and address, at the most
+RETRANSMIT_FACTOR = 1.5  # transmissions of an entry for each doubling of the fleet
+MIN_RETRANSMITS = 8
 
 
-def size_of(entry: Entry) -> int:
-    return len(entry.name.encode()) + len(entry.address) + ENTRY_BYTES
+def entry_size(entry: Entry) -> int:
+    return len(entry.name.encode()) + len(entry.address) + ENTRY_OVERHEAD_BYTES
 
 
-def packed(entries: list[Entry], most: int = BYTES_MOST) -> list[tuple[Entry, ...]]:
+def pack_entries(entries: list[Entry], max_bytes: int = MAX_GOSSIP_BYTES) -> list[tuple[Entry, ...]]:
     """Entries in groups that fit into one message each."""
     groups: list[tuple[Entry, ...]] = []
     group: list[Entry] = []
     size = 0
     for entry in entries:
-        if group and (size + size_of(entry) > most or len(group) >= 48):
+        if group and (size + entry_size(entry) > max_bytes or len(group) >= MAX_GOSSIP_ENTRIES):
             groups.append(tuple(group))
             group, size = [], 0
         group.append(entry)
-        size += size_of(entry)
+        size += entry_size(entry)
     return [*groups, tuple(group)] if group else groups
 
 
 class Gossip:
-    """Entries still to be told, by how often they were told.  The newest word of a member replaces others."""
+    """Entries still to be sent, by how often they were sent.  A newer entry of a member replaces an older."""
 
     def __init__(self) -> None:
-        self._levels: list[dict[Id, Entry]] = [{}]
-        self._at: dict[Id, int] = {}
+        self._levels: list[dict[MemberId, Entry]] = [{}]  # by number of transmissions so far
+        self._level_of: dict[MemberId, int] = {}
 
     def __len__(self) -> int:
-        return len(self._at)
+        return len(self._level_of)
 
     def add(self, entry: Entry) -> None:
-        member = id_of(entry)
-        if member in self._at:
-            del self._levels[self._at[member]][member]
+        member = member_id(entry)
+        if member in self._level_of:
+            del self._levels[self._level_of[member]][member]
         self._levels[0][member] = entry
-        self._at[member] = 0
+        self._level_of[member] = 0
 
-    def take(self, members: int, first: Entry | None = None) -> tuple[Entry, ...]:
-        """News for one message to a fleet of so many."""
-        if not self._at:
+    def take(self, member_count: int, first: Entry | None = None) -> tuple[Entry, ...]:
+        """Entries for one message in a fleet of that size, `first` before all others."""
+        if not self._level_of:
             return (first,) if first is not None else ()
-        most = max(TIMES_LEAST, round(TIMES * members.bit_length()))
         chosen = [first] if first is not None else []
-        size = sum(map(size_of, chosen))
-        moved: list[tuple[Id, Entry, int]] = []
+        size = sum(map(entry_size, chosen))
+        sent: list[tuple[MemberId, Entry, int]] = []
         for level, waiting in enumerate(self._levels):
             for member, entry in waiting.items():
-                if size + size_of(entry) > BYTES_MOST or len(chosen) >= 48:
+                if size + entry_size(entry) > MAX_GOSSIP_BYTES or len(chosen) >= MAX_GOSSIP_ENTRIES:
                     break
                 chosen.append(entry)
-                size += size_of(entry)
-                moved.append((member, entry, level))
+                size += entry_size(entry)
+                sent.append((member, entry, level))
             else:
                 continue
             break
-        for member, entry, level in moved:
-            del self._levels[level][member]
-            if level + 1 >= most:
-                del self._at[member]
-                continue
-            if level + 1 == len(self._levels):
-                self._levels.append({})
-            self._levels[level + 1][member] = entry
-            self._at[member] = level + 1
+        max_transmits = max(MIN_RETRANSMITS, round(RETRANSMIT_FACTOR * member_count.bit_length()))
+        for member, entry, level in sent:
+            self._move_up(member, entry, level, max_transmits)
         return tuple(chosen)
+
+    def _move_up(self, member: MemberId, entry: Entry, level: int, max_transmits: int) -> None:
+        """The entry was sent once more; drop it where that is enough."""
+        del self._levels[level][member]
+        if level + 1 >= max_transmits:
+            del self._level_of[member]
+            return
+        if level + 1 == len(self._levels):
+            self._levels.append({})
+        self._levels[level + 1][member] = entry
+        self._level_of[member] = level + 1
--- a/ladderhub/membership/messages.py
+++ b/ladderhub/membership/messages.py
@@ -1,4 +1,6 @@
-"""What members tell each other.  Plain data with bounds on every part; framing and bytes are in `peers`."""
+"""Messages between members.  Plain data with bounds on every field; framing and bytes are in `peers`.
+
+Structs are encoded as arrays with an integer tag: the order of fields and the tags are the wire format."""
 
 from __future__ import annotations
 
@@ -7,20 +9,21 @@
 
 import msgspec
 
-NAME_MOST = 64
-NEWS_MOST = 64  # entries in one message
-BUCKETS = 64  # parts of a view that are compared
-SLOTS_MOST = 4096  # over which the safe number at a fresh node may be dealt
+MAX_NAME_LENGTH = 64
+MAX_MESSAGE_ENTRIES = 64
+DIGEST_BUCKETS = 64  # parts of a view that anti-entropy compares
+BUCKET_DIGEST_BYTES = 4
+MAX_SLOTS = 4096  # slots over which the cold budget of a fresh node may be dealt
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_MOST)]
-Address = Annotated[str, msgspec.Meta(max_length=NAME_MOST, pattern=r"^[^:\s]+:[0-9]{1,5}$")]
-Word64 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
-Count = Annotated[int, msgspec.Meta(ge=0, lt=1 << 31)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Address = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+UInt63 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+UInt31 = Annotated[int, msgspec.Meta(ge=0, lt=1 << 31)]
 
 
 class Status(IntEnum):
-    """In the order in which word of one incarnation overrides other word of it.  RETURNING: the member
-    itself says that it is alive, to those who had it as gone, and nobody has confirmed it."""
+    """In the order in which reports of one incarnation override each other.  RETURNING: the member itself
+    says that it is alive, to those who had it as gone, and nobody has confirmed it."""
 
     RETURNING = 0
     ALIVE = 1
@@ -32,101 +35,111 @@
     """A member as somebody knows it."""
 
     name: Name
-    life: Word64
+    life: UInt63
     address: Address
-    incarnation: Count
+    incarnation: UInt31
     status: Status
 
 
-Bits = Annotated[bytes, msgspec.Meta(max_length=SLOTS_MOST // 8 + 1)]
-News = Annotated[tuple[Entry, ...], msgspec.Meta(max_length=NEWS_MOST)]
+EncodedSlots = Annotated[bytes, msgspec.Meta(max_length=MAX_SLOTS // 8 + 1)]
+Entries = Annotated[tuple[Entry, ...], msgspec.Meta(max_length=MAX_MESSAGE_ENTRIES)]
+EncodedDigests = Annotated[
+    bytes,
+    msgspec.Meta(
+        min_length=BUCKET_DIGEST_BYTES * DIGEST_BUCKETS, max_length=BUCKET_DIGEST_BYTES * DIGEST_BUCKETS
+    ),
+]
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Are you there?  `digest` and `members` sum up the sender's view."""
+    """A direct probe.  `digest` and `members` sum up the sender's view; `gossip` rides along."""
 
-    number: Count
-    digest: Word64
-    members: Count
-    news: News = ()
+    number: UInt31
+    digest: UInt63
+    members: UInt31
+    gossip: Entries = ()
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """I am: the answer to a ping of that number."""
+    """The answer to a ping of that number."""
 
-    number: Count
-    digest: Word64
-    members: Count
-    news: News = ()
+    number: UInt31
+    digest: UInt63
+    members: UInt31
+    gossip: Entries = ()
 
 
-class Seek(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """I can't reach this member; can you?"""
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Asks a proxy to probe a member that does not answer the sender (`ping-req` in SWIM)."""
 
-    number: Count
+    number: UInt31
     target: Entry
 
 
-class Found(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """I heard that member so long ago."""
+class IndirectAck(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The proxy has heard that member so long ago."""
 
-    number: Count
+    number: UInt31
     name: Name
-    life: Word64
-    age_ms: Count
+    life: UInt63
+    age_ms: UInt31
 
 
-class Missed(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """That member did not answer me either."""
+class IndirectNack(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """That member did not answer the proxy either."""
 
-    number: Count
+    number: UInt31
     name: Name
-    life: Word64
+    life: UInt63
 
 
-class Compare(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Sums of the parts of the sender's view, four bytes each."""
+class SyncDigest(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Anti-entropy: digests of the buckets of the sender's view."""
 
-    sums: Annotated[bytes, msgspec.Meta(min_length=4 * BUCKETS, max_length=4 * BUCKETS)]
+    bucket_digests: EncodedDigests
 
 
-class Part(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Entries that the receiver seems not to have, or has otherwise."""
+class SyncEntries(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Anti-entropy: entries that the receiver seems to lack, or has otherwise."""
 
-    entries: News
+    entries: Entries
 
 
-class Taken(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Your name is held by this member: settle with it who stays."""
+class NameConflict(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The receiver's name is held by this member: the two are to settle who stays."""
 
     holder: Entry
 
 
-class Claim(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """To an elector: grant me these slots.  Numbers grow within a life; the answer goes to `address`, and
-    tells of free slots to one that lacks some."""
+class LeaseRequest(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """To a voter: grant or renew leases of these slots.  Numbers grow within a life; the answer goes to
+    `address`, and names free slots where the sender is `lacking` some."""
 
-    number: Count
-    slots: Bits
+    number: UInt31
+    slots: EncodedSlots
     address: Address
     lacking: bool
 
 
-class Granted(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """Of the claim of that number these are granted; `free`, where asked for, anybody may have."""
+class LeaseGrant(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """A voter's answer to the request of that number: these are granted; `free`, where asked for, are
+    held by nobody."""
 
-    number: Count
-    slots: Bits
-    free: Bits
-    elector: Address
+    number: UInt31
+    slots: EncodedSlots
+    free: EncodedSlots
+    voter: Address
 
 
-class Release(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """I use these no more: all that I claimed up to that number."""
+class LeaseRelease(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """The sender no longer uses these slots, by any request up to that number."""
 
-    number: Count
-    slots: Bits
+    number: UInt31
+    slots: EncodedSlots
 
 
-SeatMessage = Claim | Granted | Release
-Message = Ping | Ack | Seek | Found | Missed | Compare | Part | Taken | SeatMessage
+LeaseMessage = LeaseRequest | LeaseGrant | LeaseRelease
+ViewMessage = (
+    Ping | Ack | IndirectProbe | IndirectAck | IndirectNack | SyncDigest | SyncEntries | NameConflict
+)
+Message = ViewMessage | LeaseMessage
--- /dev/null
+++ b/ladderhub/membership/slots.py
@@ -0,0 +1,24 @@
+"""Compact encoding of a set of slots, for messages."""
+
+from __future__ import annotations
+
+_LIST, _BITMAP = 1, 0  # one holder among a thousand has one slot, one alone has all of them
+_SLOT_BYTES = 2
+
+
+def encode_slots(slots: set[int], count: int) -> bytes:
+    """A list of slots or a bitmap over `count`, whichever is shorter; at least one byte, also for none."""
+    bitmap_bytes = (count + 7) // 8
+    if _SLOT_BYTES * len(slots) < bitmap_bytes:
+        return bytes((_LIST,)) + b"".join(slot.to_bytes(_SLOT_BYTES, "big") for slot in sorted(slots))
+    return bytes((_BITMAP,)) + sum(1 << slot for slot in slots).to_bytes(bitmap_bytes, "big")
+
+
+def decode_slots(encoded: bytes, count: int) -> set[int]:
+    """The slots below `count`; anything else is left out."""
+    if encoded[:1] == bytes((_LIST,)):
+        starts = range(1, len(encoded), _SLOT_BYTES)
+        listed = {int.from_bytes(encoded[start : start + _SLOT_BYTES], "big") for start in starts}
+        return {slot for slot in listed if slot < count}
+    bitmap = int.from_bytes(encoded[1:], "big")
+    return {slot for slot in range(count) if bitmap >> slot & 1} if bitmap else set()
--- a/ladderhub/membership/table.py
+++ b/ladderhub/membership/table.py
@@ -1,25 +1,27 @@
-"""One member's view: entries by name and life, merged in any order, any number of times, and its sums.
+"""The entries of one member's view, merged in any order, any number of times, and their digests.
 
-An entry's incarnation and status only grow (`_rank`); a departure by a member's own word is for good.  What
-is over is kept for a while, so that late word of it undoes nothing, and then forgotten."""
+Of two entries for one member the one of higher rank wins: a member's own departure is final, then the
+incarnation counts, then the status.  Entries of departed members are kept for a while, so that a late
+report undoes nothing, and then dropped."""
 
 from __future__ import annotations
 
 from hashlib import blake2b
 from zlib import crc32
 
-from ladderhub.membership.messages import BUCKETS, Entry, Status
-from ladderhub.membership.rings import Id, Rings
+from ladderhub.membership.messages import BUCKET_DIGEST_BYTES, DIGEST_BUCKETS, Entry, Status
+from ladderhub.membership.rings import MemberId, Rings
 
-ENTRIES_MOST = 4096  # of those that are in; as many that are over
-FORGET_PERIODS = 600
+MAX_ENTRIES = 4096  # of living members; as many of departed ones
+FORGET_PERIODS = 600  # after which the entry of a departed member is dropped
+_BUCKET_DIGEST_MASK = 0xFFFF_FFFF
 
 
-def id_of(entry: Entry) -> Id:
+def member_id(entry: Entry) -> MemberId:
     return entry.name, entry.life
 
 
-def is_in(entry: Entry) -> bool:
+def is_alive(entry: Entry) -> bool:
     return entry.status is Status.ALIVE
 
 
@@ -31,52 +33,57 @@
     return _rank(new) > _rank(old)
 
 
-class Table:
-    """All entries, the rings of those that are in, and sums by which two views are compared."""
+def bucket_of(entry: Entry) -> int:
+    return crc32(entry.name.encode()) % DIGEST_BUCKETS
+
+
+class MemberTable:
+    """All entries, the rings of the living members, and the digests by which two views are compared."""
 
     def __init__(self) -> None:
-        self.entries: dict[Id, Entry] = {}
-        self.over: dict[Id, int] = {}  # entries that are not in, since when
+        self.entries: dict[MemberId, Entry] = {}
+        self.departed: dict[MemberId, int] = {}  # entries of members that are not alive, since when
         self.rings = Rings()
-        self.by_name: dict[str, Id] = {}  # of those that are in
-        self.by_address: dict[str, Id] = {}
+        self.by_name: dict[str, MemberId] = {}  # of living members
+        self.by_address: dict[str, MemberId] = {}
         self.digest = 0
-        self.sums = [0] * BUCKETS
+        self.bucket_digests = [0] * DIGEST_BUCKETS
 
-    def get(self, member: Id) -> Entry | None:
+    def get(self, member: MemberId) -> Entry | None:
         return self.entries.get(member)
 
     def members(self) -> list[Entry]:
-        """Those that are in."""
+        """The living members."""
         return [self.entries[member] for member in self.by_name.values()]
 
-    def _mix(self, entry: Entry) -> None:
+    def _toggle_digest(self, entry: Entry) -> None:
+        """Add an entry to the digests, or take it out again: both are the same exclusive or."""
         data = f"{entry.name}/{entry.life}/{entry.incarnation}/{int(entry.status)}/{entry.address}".encode()
-        mixed = int.from_bytes(blake2b(data, digest_size=8).digest(), "big") >> 1
-        self.digest ^= mixed
-        self.sums[bucket_of(entry)] ^= mixed & 0xFFFF_FFFF
+        entry_hash = int.from_bytes(blake2b(data, digest_size=8).digest(), "big") >> 1
+        self.digest ^= entry_hash
+        self.bucket_digests[bucket_of(entry)] ^= entry_hash & _BUCKET_DIGEST_MASK
 
     def put(self, now: int, entry: Entry) -> bool:
         """Keep this entry in place of what was kept of that member; False where there is no room."""
-        member = id_of(entry)
+        member = member_id(entry)
         old = self.entries.get(member)
-        if old is None and len(self.by_name if is_in(entry) else self.over) >= ENTRIES_MOST:
+        if old is None and len(self.by_name if is_alive(entry) else self.departed) >= MAX_ENTRIES:
             return False
         if old is not None:
-            self._mix(old)
-            self._drop(member, old)
+            self._toggle_digest(old)
+            self._unindex(member, old)
         self.entries[member] = entry
-        self._mix(entry)
-        if is_in(entry):
-            self.over.pop(member, None)
+        self._toggle_digest(entry)
+        if is_alive(entry):
+            self.departed.pop(member, None)
             self.rings.add(member)
             self.by_name[entry.name] = self.by_address[entry.address] = member
         else:
-            self.over.setdefault(member, now)
+            self.departed.setdefault(member, now)
         return True
 
-    def _drop(self, member: Id, old: Entry) -> None:
-        if is_in(old):
+    def _unindex(self, member: MemberId, old: Entry) -> None:
+        if is_alive(old):
             self.rings.remove(member)
             if self.by_name.get(old.name) == member:
                 del self.by_name[old.name]
@@ -84,22 +91,19 @@
                 del self.by_address[old.address]
 
     def forget(self, before: int) -> None:
-        """Drop what has been over for long."""
-        for member in [each for each, since in self.over.items() if since < before]:
-            del self.over[member]
-            self._mix(self.entries.pop(member))
-
-    def bucket(self, at: int) -> list[Entry]:
-        return [entry for entry in self.entries.values() if bucket_of(entry) == at]
-
-    def sums_bytes(self) -> bytes:
-        return b"".join(each.to_bytes(4, "big") for each in self.sums)
-
-    def differing(self, sums: bytes) -> list[int]:
-        """Parts of the view that another's sums have otherwise."""
-        theirs = [int.from_bytes(sums[at : at + 4], "big") for at in range(0, 4 * BUCKETS, 4)]
-        return [at for at, mine in enumerate(self.sums) if mine != theirs[at]]
-
-
-def bucket_of(entry: Entry) -> int:
-    return crc32(entry.name.encode()) % BUCKETS
+        """Drop the entries of members that departed before that moment."""
+        for member in [each for each, since in self.departed.items() if since < before]:
+            del self.departed[member]
+            self._toggle_digest(self.entries.pop(member))
+
+    def bucket(self, index: int) -> list[Entry]:
+        return [entry for entry in self.entries.values() if bucket_of(entry) == index]
+
+    def encode_bucket_digests(self) -> bytes:
+        return b"".join(digest.to_bytes(BUCKET_DIGEST_BYTES, "big") for digest in self.bucket_digests)
+
+    def differing_buckets(self, encoded: bytes) -> list[int]:
+        """Buckets that the view with these encoded digests has otherwise."""
+        starts = range(0, BUCKET_DIGEST_BYTES * DIGEST_BUCKETS, BUCKET_DIGEST_BYTES)
+        theirs = [int.from_bytes(encoded[start : start + BUCKET_DIGEST_BYTES], "big") for start in starts]
+        return [index for index, ours in enumerate(self.bucket_digests) if ours != theirs[index]]
--- a/ladderhub/peers/wire.py
+++ b/ladderhub/peers/wire.py
@@ -1,29 +1,39 @@
-"""Frames: who speaks, to which cluster, and one message.  Bytes in, a frame or the kind of fault out."""
+"""Frames: the sender, its cluster, and one message.  Bytes in, a frame or the kind of fault out."""
 
 from __future__ import annotations
 
+from enum import StrEnum
 from zlib import crc32
 
 import msgspec
 
-from ladderhub.membership.messages import Count, Message, Name, Word64
+from ladderhub.membership.messages import Message, Name, UInt31, UInt63
 
 VERSION = 1
-DATAGRAM_MOST = 1200  # below what any path carries whole
+MAX_DATAGRAM_BYTES = 1200  # below what any path carries whole
+
+
+class FrameFault(StrEnum):
+    """Why a datagram is no frame of ours.  The values stand in the log."""
+
+    OVERSIZED = "oversized"
+    FOREIGN_CLUSTER = "foreign cluster"
+    OTHER_VERSION = "other version"
+    MALFORMED = "spoilt"
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
-    """`cluster` is a mark of the cluster's name: fleets that share a network do not mix by mistake."""
+    """`cluster` is a tag of the cluster's name: fleets that share a network do not mix by mistake."""
 
     version: int
     cluster: int
     name: Name
-    life: Word64
-    incarnation: Count
+    life: UInt63
+    incarnation: UInt31
     message: Message
 
 
-class _Head(msgspec.Struct, array_like=True):
+class _Header(msgspec.Struct, array_like=True):
     """The part that all versions share."""
 
     version: int
@@ -31,40 +41,42 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
-_HEAD: msgspec.msgpack.Decoder[_Head] = msgspec.msgpack.Decoder(_Head)
+_FRAME_DECODER: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_HEADER_DECODER: msgspec.msgpack.Decoder[_Header] = msgspec.msgpack.Decoder(_Header)
+_DECODING_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
 
 
-def mark_of(cluster: str) -> int:
+def cluster_tag(cluster: str) -> int:
     return crc32(cluster.encode())
 
 
 def encode(frame: Frame) -> bytes:
     """The datagram.  ValueError where it would be too long: a fault of ours, since messages are bounded."""
     data = _ENCODER.encode(frame)
-    if len(data) > DATAGRAM_MOST:
-        raise ValueError(f"a datagram of {len(data)} bytes; at most {DATAGRAM_MOST} may be")
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise ValueError(f"a datagram of {len(data)} bytes; at most {MAX_DATAGRAM_BYTES} may be")
     return data
 
 
-def decode(data: bytes, cluster: int) -> Frame | str:
-    """The frame, or what is wrong with it: `oversized`, `foreign cluster`, `other version` or `spoilt`."""
-    if len(data) > DATAGRAM_MOST:
-        return "oversized"
+def decode(data: bytes, cluster: int) -> Frame | FrameFault:
+    """The frame, or what is wrong with the datagram."""
+    if len(data) > MAX_DATAGRAM_BYTES:
+        return FrameFault.OVERSIZED
     try:
-        frame = _DECODER.decode(data)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
-        return _fault(data, cluster)
+        frame = _FRAME_DECODER.decode(data)
+    except _DECODING_ERRORS:
+        return _fault_of(data, cluster)
     if frame.version != VERSION:
-        return "other version"
-    return frame if frame.cluster == cluster else "foreign cluster"
+        return FrameFault.OTHER_VERSION
+    return frame if frame.cluster == cluster else FrameFault.FOREIGN_CLUSTER
 
 
-def _fault(data: bytes, cluster: int) -> str:
+def _fault_of(data: bytes, cluster: int) -> FrameFault:
+    """What the header tells of a datagram that can't be decoded."""
     try:
-        head = _HEAD.decode(data)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
-        return "spoilt"
-    if head.cluster != cluster:
-        return "foreign cluster"
-    return "spoilt" if head.version == VERSION else "other version"
+        header = _HEADER_DECODER.decode(data)
+    except _DECODING_ERRORS:
+        return FrameFault.MALFORMED
+    if header.cluster != cluster:
+        return FrameFault.FOREIGN_CLUSTER
+    return FrameFault.MALFORMED if header.version == VERSION else FrameFault.OTHER_VERSION
--- a/ladderhub/server/__init__.py
+++ b/ladderhub/server/__init__.py
@@ -9,7 +9,7 @@
     offer, nodelinks, runs, nodelist   one offer's steps, connections to nodes, what is out, the directory
     site                               what all rooms share, and `Part`: what lives as long as the daemon
     placing, words, owning             carry out the two decision modules; what nodes say of runs
-    fellowship                         the other schedulers, where the settings name peers
+    peers                              the other schedulers, where the settings name peers
     intake, members                    jobs from people; the node list and adoption
     door                               client connections, and the table of requests that rooms join
     submitting, jobrequests, status, operating    what each request does
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -60,9 +60,9 @@
         # are known before nodes say what they run.
         self.parts: list[Part] = [self.door, self.services, self.members, owning]
         if settings.peers is not None:
-            from ladderhub.server.fellowship import Fellowship  # loaded only where there are peers
+            from ladderhub.server.peers import PeerService  # loaded only where there are peers
 
-            self.parts.append(Fellowship(site, settings.peers))
+            self.parts.append(PeerService(site, settings.peers))
         self.on_end: Callable[[], None] | None = None
 
     @property
--- /dev/null
+++ b/ladderhub/server/peers.py
@@ -0,0 +1,194 @@
+"""Membership and leases as a part of the daemon.  Loaded only where the settings name peers."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from ladderhub.errors.tally import Spoilt
+from ladderhub.interface import SeatShare
+from ladderhub.membership import (
+    LeaseHolder,
+    LeaseSettings,
+    LeasesHeld,
+    MemberChanged,
+    MemberSettings,
+    MembershipSummary,
+    MembershipView,
+    Stop,
+)
+from ladderhub.membership.types import Change, Event
+from ladderhub.pbs.batch import Attr
+from ladderhub.peers.carrier import PeerCarrier
+from ladderhub.server.lasting import SpoolError, write_lasting
+from ladderhub.server.settings import PeerSettings
+from ladderhub.server.site import Site
+
+SAVE_INTERVAL_NS = 5_000_000_000
+_WARNED_CHANGES = (Change.DUPLICATE, Change.YIELDED, Change.REPORTED_GONE, Change.UNCONFIRMED)
+
+
+class _PeerState(msgspec.Struct):
+    """What one life leaves to the next: its number, and the addresses of peers."""
+
+    life: int = 0
+    peers: list[str] = []
+
+
+class PeerStateFile:
+    """The file in the spool that keeps it.  Each time it is opened a new life begins."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / "peers.json"
+        try:
+            state: _PeerState = msgspec.json.decode(self._path.read_bytes(), type=_PeerState)
+        except FileNotFoundError:
+            state = _PeerState()
+        except msgspec.MsgspecError as fault:
+            raise SpoolError(str(fault), where=str(self._path), meant="what the scheduler left") from None
+        # Grows also where the wall clock was set back; saved before any peer learns of it.
+        self.life = max(time.time_ns(), state.life + 1)
+        self.peers = state.peers
+        self.save(self.peers)
+
+    def save(self, peers: list[str]) -> None:
+        self.peers = peers
+        write_lasting(self._path, msgspec.json.encode(_PeerState(self.life, peers)))
+
+
+class PeerService:
+    """The group of schedulers, shown in the log, by gauges and in the server's status."""
+
+    def __init__(self, site: Site, settings: PeerSettings) -> None:
+        self._site, self._settings = site, settings
+        self._state_file = PeerStateFile(site.folder)
+        self.view = MembershipView(self._member_settings(), site.settings.file.seed)
+        self.leases: LeaseHolder | None = None
+        self._tell_leases: Callable[[Event | MembershipSummary], None] | None = None
+        self._carrier: PeerCarrier | None = None
+        self._closed = False
+        self._add_gauges()
+        site.status_rows.append(self.status_rows)
+
+    def _member_settings(self) -> MemberSettings:
+        settings, state = self._settings, self._state_file
+        known = tuple(state.peers)
+        return MemberSettings(
+            self._site.name, state.life, settings.advertise, settings.seeds, known, settings.period_ns
+        )
+
+    def _add_gauges(self) -> None:
+        gauge = self._site.metrics.gauge
+        gauge("members", "Schedulers in the view, this one among them", lambda: len(self.view.members()))
+        gauge("members_suspected", "Of those it watches", lambda: len(self.view.suspected()))
+        gauge("membership_sure", "1 while peers confirm the view", lambda: float(self.is_confirmed()))
+        gauge("peer_datagrams_spoilt", "Datagrams that were no message", self._spoilt_total)
+        gauge("peer_datagrams_unsent", "Datagrams that the system did not take", self._unsent_total)
+
+    def is_confirmed(self) -> bool:
+        """Do peers confirm the view, and is the name ours?"""
+        return self.view.confirmed and self.view.yielded_to is None
+
+    def _spoilt_total(self) -> float:
+        return float(sum(self._carrier.tally.total.values())) if self._carrier is not None else 0.0
+
+    def _unsent_total(self) -> float:
+        return float(self._carrier.datagrams.unsent) if self._carrier is not None else 0.0
+
+    def _member_names(self) -> list[str]:
+        return sorted(entry.name for entry in self.view.members())
+
+    def status_rows(self) -> list[Attr]:
+        """Rows of the server's status."""
+        suspected = set(self.view.suspected())
+        shown = [f"{name} (suspected)" if name in suspected else name for name in self._member_names()]
+        return [Attr("members", ", ".join(shown)), Attr("membership", self._state_word())]
+
+    def _state_word(self) -> str:
+        if self.view.yielded_to is not None:
+            return "yielded"
+        return "sure" if self.view.confirmed else "unsure"
+
+    # --- as a part --------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        site, settings = self._site, self._settings
+        carrier = PeerCarrier(
+            site.loop, settings.listen, settings.cluster, self.view, self._log_change, self._log_spoilt
+        )
+        self._carrier = carrier
+        if settings.voters:
+            self._start_leases(carrier)
+        life = self._state_file.life
+        site.log.info("peers", life=life, address=settings.advertise, seeds=len(settings.seeds))
+        carrier.join(site.board.add(self.view, carrier))
+        site.loop.call_later(SAVE_INTERVAL_NS, self._save)
+
+    def _start_leases(self, carrier: PeerCarrier) -> None:
+        """From here on slots are leased, and none is held before voters grant it."""
+        site = self._site
+        self.leases = LeaseHolder(self._lease_settings(), site.settings.file.seed, site.loop.now_ns())
+        site.tell_module(SeatShare((), -1))
+        carrier.on_leases, carrier.on_tick = self._on_leases, self._on_tick
+        self._tell_leases = site.board.add(self.leases, carrier)
+        carrier.tell_leases = self._tell_leases
+        site.metrics.gauge("seats_held", "Slots of the cold budget that may be used", self._usable_slots)
+
+    def _lease_settings(self) -> LeaseSettings:
+        settings, module = self._settings, self._site.settings.module
+        return LeaseSettings(
+            name=self._site.name,
+            life=self._state_file.life,
+            address=settings.advertise,
+            slots=module.schedulers,
+            voters=settings.voters,
+            lease_ns=settings.lease_ns,
+            window_ns=module.cold_window_ns,
+        )
+
+    def _on_tick(self) -> None:
+        if self._tell_leases is not None:
+            names = self._member_names()
+            rank = names.index(self._site.name)
+            self._tell_leases(MembershipSummary(len(names), rank, self.is_confirmed()))
+
+    def _on_leases(self, held: LeasesHeld) -> None:
+        self._site.tell_module(SeatShare(held.slots, held.until_ns))
+        self._site.log.debug("seats", slots=held.slots, until_ns=held.until_ns)
+
+    def _usable_slots(self) -> float:
+        return (
+            float(len(self.leases.usable(self._site.loop.now_ns()).slots)) if self.leases is not None else 0.0
+        )
+
+    def stop(self, now: bool) -> None:
+        return
+
+    def owes(self) -> int:
+        return 0
+
+    def close(self) -> None:
+        self._closed = True
+        if self._carrier is not None:
+            if self._tell_leases is not None:
+                self._tell_leases(Stop())
+            self._carrier.leave()
+
+    def _save(self) -> None:
+        """After a restart of the whole fleet the saved addresses are how it finds itself again."""
+        if self._closed:
+            return
+        peers = self.view.addresses()
+        if peers and peers != self._state_file.peers:
+            self._state_file.save(peers)
+        self._site.loop.call_later(SAVE_INTERVAL_NS, self._save)
+
+    def _log_change(self, change: MemberChanged) -> None:
+        log = self._site.log.warning if change.change in _WARNED_CHANGES else self._site.log.info
+        log("member", change=change.change.value, member=change.name, life=change.life, cause=change.cause)
+
+    def _log_spoilt(self, row: Spoilt) -> None:
+        self._site.log.warning("spoilt", kind=row.kind, peer=row.peer, count=row.count)
--- a/ladderhub/server/settings.py
+++ b/ladderhub/server/settings.py
@@ -148,7 +148,7 @@
     advertise: str = ""
     cluster: str = "ladderhub"
     period: str = "1s"
-    electors: list[str] = []  # peer addresses; none: seats stay with `ordinal`
+    electors: list[str] = []  # peer addresses; they vote on leases; none: slots stay with `ordinal`
     lease: str = "8s"
 
 
@@ -187,7 +187,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerPlaces:
+class PeerSettings:
     """Checked settings of `peers`."""
 
     listen: tuple[str, int]
@@ -195,7 +195,7 @@
     seeds: tuple[str, ...]
     cluster: str
     period_ns: int
-    electors: tuple[str, ...]
+    voters: tuple[str, ...]  # `electors` in the file
     lease_ns: int
 
 
@@ -335,7 +335,7 @@
         except ValueError as fault:
             raise SettingsError(str(fault), where=self.source) from None
 
-    def _peers(self) -> PeerPlaces:
+    def _peers(self) -> PeerSettings:
         given = self.file.peers
         assert given is not None
         for at, seed in enumerate(given.seeds):
@@ -352,7 +352,7 @@
         period_ns = self._span("peers.period", given.period)
         if not 50_000_000 <= period_ns <= 60_000_000_000:
             raise self._wrong("peers.period", given.period, "50ms to 60s")
-        from ladderhub.membership.messages import SLOTS_MOST  # not loaded where there are no peers
+        from ladderhub.membership.messages import MAX_SLOTS  # not loaded where there are no peers
 
         for at, elector in enumerate(given.electors):
             address_of(elector, f"{self.source}: peers.electors[{at}]")
@@ -361,10 +361,10 @@
         lease_ns = self._span("peers.lease", given.lease)
         if given.electors and lease_ns < 4 * period_ns:
             raise self._wrong("peers.lease", given.lease, "four periods or more")
-        if given.electors and self.file.schedulers > SLOTS_MOST:
-            raise self._wrong("schedulers", self.file.schedulers, f"at most {SLOTS_MOST} with electors")
-        electors = tuple(given.electors)
-        return PeerPlaces(listen, advertise, tuple(given.seeds), given.cluster, period_ns, electors, lease_ns)
+        if given.electors and self.file.schedulers > MAX_SLOTS:
+            raise self._wrong("schedulers", self.file.schedulers, f"at most {MAX_SLOTS} with electors")
+        seeds, voters = tuple(given.seeds), tuple(given.electors)
+        return PeerSettings(listen, advertise, seeds, given.cluster, period_ns, voters, lease_ns)
 
     def _rollouts(self) -> RolloutSettings:
         given = self.file.rollouts
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -44,7 +44,7 @@
 
 def test_real_processes_find_each_other_and_keep_their_views_over_faults(recording: list[Row]) -> None:
     verdict = judge(recording, DAY, COUNT, 2.5)
-    assert verdict.seats_told > 10 and verdict.seats_idle < 0.9
+    assert verdict.leases_reported > 10 and verdict.idle_share < 0.9
     assert verdict.good() and 0 <= verdict.equal_s <= 10 and verdict.told > 10
     assert any(row["what"] == "told" and "woke" in row["change"] for row in recording)
 
--- a/tests/membership/test_days.py
+++ b/tests/membership/test_days.py
@@ -6,9 +6,9 @@
 
 from ladderhub.lab.emulator.day import Outcome, Play
 from ladderhub.lab.emulator.net import S
-from ladderhub.lab.emulator.views import hour
+from ladderhub.lab.emulator.membership import hour
 from ladderhub.lab.mesh.days import DAYS, draw
-from ladderhub.membership import Views, watching
+from ladderhub.membership import MembershipView, failure_detector
 from ladderhub.membership.gossip import Gossip
 from ladderhub.membership.types import Change
 
@@ -27,26 +27,28 @@
 
 @pytest.mark.parametrize("count", [3, 5, 40])
 def test_days_hold_at_other_sizes(count: int) -> None:
-    # Guards against verdicts that a fleet of five could never give: three of five gone left one witness.
+    # Guards against verdicts that a fleet of five could never give: three of five gone left one proxy.
     for name in ("pauses", "one-way", "halves", "restart", "twin", *(("storm",) if count > 3 else ())):
         outcome = play(name, 3, count)
         assert outcome.good(), (name, outcome.false_gone[:3], outcome.equal_ns)
 
 
 def test_the_judge_fails_where_silence_is_judged_too_early(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watching, "GONE_PERIODS", 2.0)
-    monkeypatch.setattr(watching, "SUSPECT_PERIODS", 1.2)
-    monkeypatch.setattr(watching, "QUIET_PERIODS", 1.1)
+    monkeypatch.setattr(failure_detector, "GONE_PERIODS", 2.0)
+    monkeypatch.setattr(failure_detector, "SUSPECT_PERIODS", 1.2)
+    monkeypatch.setattr(failure_detector, "INDIRECT_PROBE_PERIODS", 1.1)
     assert any(play("pauses", seed).false_gone for seed in (1, 2, 3))
 
 
 def test_the_judge_fails_where_one_observers_word_is_enough(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watching.Watching, "enough", lambda self, member, now, others: True)
+    monkeypatch.setattr(
+        failure_detector.FailureDetector, "has_enough_nacks", lambda self, member, now, others: True
+    )
     assert play("ring", 1).false_gone
 
 
 def test_the_judge_fails_where_neither_news_nor_comparisons_travel(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Views, "_on_compare", lambda self, address, compare: None)
+    monkeypatch.setattr(MembershipView, "_on_sync_digest", lambda self, address, digest: None)
     monkeypatch.setattr(Gossip, "take", lambda self, members, first=None: (first,) if first else ())
     with pytest.raises(AssertionError, match="did not come together"):
         play("births", 1)
@@ -72,13 +74,13 @@
 
 def test_a_sleeper_accuses_nobody_and_trusts_nothing_until_peers_confirm_it() -> None:
     outcome = play("long-pause", 2)
-    sleepers = {who for who, _ in told(outcome, Change.WOKE)}
+    sleepers = {who for who, _ in told(outcome, Change.PAUSED)}
     assert sleepers
     for sleeper in sleepers:
         own = [(at, said.change) for at, who, said in outcome.told if who == sleeper]
-        woke = next(at for at, change in own if change is Change.WOKE)
+        woke = next(at for at, change in own if change is Change.PAUSED)
         after = [change for at, change in own if at >= woke]
-        assert after.index(Change.UNSURE) < after.index(Change.SURE)
+        assert after.index(Change.UNCONFIRMED) < after.index(Change.CONFIRMED)
         accused = {
             said.name for at, who, said in outcome.told
             if who == sleeper and at < woke + 5 * S and said.change in (Change.GONE, Change.SUSPECTED)
@@ -95,9 +97,9 @@
 
 
 def test_a_small_hour_costs_a_member_as_much_in_a_larger_fleet() -> None:
-    small, large = hour(12, 1, seconds=90, seats=True), hour(48, 1, seconds=90, seats=True)
+    small, large = hour(12, 1, seconds=90, leases=True), hour(48, 1, seconds=90, leases=True)
     for verdict in (small, large):
         assert verdict.good() and verdict.crashes, list(verdict.lines())
-        assert verdict.seats_idle is not None and verdict.seats_idle < 0.1
+        assert verdict.idle_share is not None and verdict.idle_share < 0.1
         assert verdict.p99_s() < 8 and verdict.bytes_s < 2000
     assert large.bytes_s < 1.2 * small.bytes_s
--- /dev/null
+++ b/tests/membership/test_leases.py
@@ -0,0 +1,169 @@
+"""Leases: a bounded exhaustive check, random schedules, planted faults that both must find, shares."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ladderhub.lab.checker.leases import COUNT, SLOTS, Fault, at_random, exhaustive, faults_of, prepared
+from ladderhub.membership import (
+    MessageReceived,
+    LeaseHolder,
+    LeaseSettings,
+    LeasesHeld,
+    MembershipSummary,
+    Stop,
+)
+from ladderhub.membership.messages import LeaseRequest, LeaseGrant
+from ladderhub.membership.slots import decode_slots, encode_slots
+from ladderhub.membership.voter import LeaseVoter
+from ladderhub.peers.wire import VERSION, Frame, encode
+
+
+def test_no_schedule_of_few_faults_gives_a_slot_two_holders() -> None:
+    found = exhaustive(4, faults=1)
+    assert not found.broken, (found.broken, found.schedule)
+    assert found.schedules == 1 + 4 * len(list(faults_of(0))) == 157
+
+
+def test_random_schedules_of_many_faults_give_no_slot_two_holders() -> None:
+    found = at_random(250, seed=11)
+    assert not found.broken, (found.broken, found.schedule)
+
+
+class OneVote(LeaseHolder):
+    """One vote is enough."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self._majority = 1
+
+
+class NoSilence(LeaseHolder):
+    """A voter that starts anew grants at once."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        if self.voter is not None:
+            self.voter._silent_until_ns = 0
+
+
+class FromReceipt(LeaseHolder):
+    """The lease counts from the grant, not from the request."""
+
+    def _on_grant(self, now: int, grant: LeaseGrant) -> None:
+        if grant.number in self._rounds:
+            self._rounds[grant.number].begun_ns = now
+        super()._on_grant(now, grant)
+
+
+class NoRest(LeaseHolder):
+    """A slot is used as soon as it is held."""
+
+    def usable(self, now: int) -> LeasesHeld:
+        slots = tuple(self.held(now))
+        return LeasesHeld(slots, min((self._expires_ns[slot] for slot in slots), default=-1))
+
+
+@pytest.mark.parametrize("planted", [OneVote, NoSilence, FromReceipt, NoRest])
+def test_a_planted_fault_is_found(planted: type[LeaseHolder]) -> None:
+    assert at_random(1500, 1, planted).broken
+
+
+class Generous(LeaseHolder):
+    """A voter that grants what another still holds."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        if self.voter is not None:
+            self.voter._is_free = lambda now, slot, holder: True  # type: ignore[method-assign]
+
+
+def test_the_exhaustive_check_finds_a_planted_fault_too() -> None:
+    found = exhaustive(4, Generous, faults=1)
+    assert found.broken and isinstance(found.schedule[0], Fault)
+
+
+def test_with_no_faults_every_slot_has_a_holder() -> None:
+    world = prepared()
+    for _ in range(30):
+        world.step([])
+    assert not world.broken and world.idle == 0 and world.looked == 30 * SLOTS
+    assert sorted(slot for host in world.hosts for slot in host.held.slots) == list(range(COUNT))
+
+
+def holder(voters: tuple[str, ...] = ("a:1",), slots: int = 7, **changes: Any) -> LeaseHolder:
+    given: dict[str, Any] = {"name": "a", "life": 1, "address": "a:1", "lease_ns": 80, "window_ns": 10}
+    return LeaseHolder(LeaseSettings(**(given | {"slots": slots, "voters": voters} | changes)), 1, 0)
+
+
+def test_one_alone_takes_all_slots_after_a_lease_and_a_window_and_gives_them_up_as_others_come() -> None:
+    alone = holder()
+    first = None
+    for now in range(0, 300):
+        alone.handle(now, MembershipSummary(1, 0, True))
+        first = now if first is None and len(alone.usable(now).slots) == 7 else first
+    assert first is not None and 80 + 10 <= first <= 80 + 10 + 50
+    for now in range(300, 400):
+        alone.handle(now, MembershipSummary(3, 1, True))
+    assert len(alone.usable(399).slots) == 3
+    assert any(isinstance(each, LeasesHeld) and not each.slots for each in alone.handle(400, Stop()))
+    assert alone.usable(400).slots == ()
+
+
+def test_while_the_view_is_unsure_no_slot_is_used_and_after_it_only_what_was_granted_since() -> None:
+    alone = holder()
+    for now in range(0, 200):
+        alone.handle(now, MembershipSummary(1, 0, True))
+    assert alone.usable(199).slots
+    out = alone.handle(200, MembershipSummary(1, 0, False))
+    assert LeasesHeld((), -1) in out and alone.usable(200).slots == ()
+    alone.handle(201, MembershipSummary(1, 0, True))
+    for now in range(202, 240):
+        alone.handle(now, MembershipSummary(1, 0, True))
+    assert len(alone.usable(239).slots) == 7
+
+
+def test_no_answer_of_voters_means_no_slot() -> None:
+    cut = holder(("b:1", "c:1", "d:1"))
+    for now in range(0, 500):
+        cut.handle(now, MembershipSummary(1, 0, True))
+    one = LeaseGrant(cut._number, encode_slots({1}, 7), encode_slots(set(range(7)), 7), "b:1")
+    cut.handle(500, MessageReceived("b", 1, 0, one))
+    assert cut.usable(500).slots == () and cut.held(500) == []
+
+
+def test_slots_and_their_encoding_are_one_to_one() -> None:
+    for count in (7, 1024, 4096):
+        for wanted in (set(), {0}, {6}, {0, 3, 6}, {count - 1}, set(range(count)), set(range(0, count, 2))):
+            assert decode_slots(encode_slots(wanted, count), count) == wanted
+    for nonsense in (b"\x00" + b"\xff" * 600, b"\x01" + b"\xff" * 601, b"\x07\x01", b"\x01\x00"):
+        assert decode_slots(nonsense, 7) <= set(range(7))
+
+
+def test_lease_messages_are_small_in_a_large_fleet_and_fit_a_datagram_in_any() -> None:
+    def size(message: LeaseRequest | LeaseGrant, name: str = "sched100") -> int:
+        return len(encode(Frame(VERSION, 1 << 31, name, 1 << 61, 0, message)))
+
+    one = {count: encode_slots({count - 1}, count) for count in (64, 1024)}
+    small, large = (size(LeaseRequest(9999, one[count], "10.0.0.1:15010", False)) for count in one)
+    assert large <= small + 2  # what a member sends does not grow with the fleet
+    half = encode_slots(set(range(0, 4096, 2)), 4096)
+    assert size(LeaseGrant((1 << 31) - 1, half, half, "h" * 58 + ":65535"), "n" * 64) <= 1200
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [({"slots": 0}, "slots"), ({"slots": 5000}, "slots"), ({"voters": ()}, "voters"),
+     ({"voters": ("a:1", "a:1")}, "voters"), ({"lease_ns": 0}, "lease_ns")],
+)  # fmt: skip
+def test_settings_of_leases_that_make_no_sense_are_told(changes: dict[str, Any], said: str) -> None:
+    with pytest.raises(ValueError, match=said):
+        holder(**changes)
+
+
+def test_a_voter_is_silent_for_a_lease_after_its_start() -> None:
+    voter = LeaseVoter(LeaseSettings("a", 1, "a:1", 3, ("a:1",), 80, 10), 1000)
+    assert voter.request(1079, ("b", 1), LeaseRequest(1, encode_slots({0}, 3), "b:1", True)) is None
+    assert voter.request(1080, ("b", 1), LeaseRequest(1, encode_slots({0}, 3), "b:1", True)) is not None
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -5,12 +5,12 @@
 from collections import Counter
 from itertools import permutations, product
 
-from ladderhub.membership import Heard, MemberSettings, Tick, Views
-from ladderhub.membership.gossip import Gossip, packed, size_of
-from ladderhub.membership.messages import Ack, Entry, Message, Part, Ping, Seek, Status
+from ladderhub.membership import MessageReceived, MemberSettings, Tick, MembershipView
+from ladderhub.membership.gossip import Gossip, pack_entries, entry_size
+from ladderhub.membership.messages import Ack, Entry, Message, SyncEntries, Ping, IndirectProbe, Status
 from ladderhub.membership.rings import RINGS, Rings
-from ladderhub.membership.table import ENTRIES_MOST, Table, id_of, overrides
-from ladderhub.membership.types import Say
+from ladderhub.membership.table import MAX_ENTRIES, MemberTable, member_id, overrides
+from ladderhub.membership.types import SendMessage
 from ladderhub.peers.wire import VERSION, Frame, encode
 
 S = 1_000_000_000
@@ -46,32 +46,32 @@
     words = [entry(incarnation=incarnation, status=status) for incarnation, status in product((0, 1), Status)]
     ends = set()
     for order in permutations(words, 4):
-        table = Table()
+        table = MemberTable()
         for word in (*order, order[0]):
-            old = table.get(id_of(word))
+            old = table.get(member_id(word))
             if old is None or overrides(word, old):
                 table.put(0, word)
         best = max(order, key=lambda each: (each.status is Status.LEFT, each.incarnation, each.status))
         kept = table.get(("a", 1))
         assert kept == best
-        again = Table()
+        again = MemberTable()
         again.put(0, best)
-        assert (table.digest, table.sums) == (again.digest, again.sums)
+        assert (table.digest, table.bucket_digests) == (again.digest, again.bucket_digests)
         ends.add(kept)
     assert len(ends) > 3
 
 
 def test_the_members_are_bounded_whoever_sends_them() -> None:
     # Guards against a sender that invents members until memory is gone.
-    views = Views(MemberSettings("me", 5, "10.9.9.9:1"), 1)
-    views.handle(S, Tick())
-    for at in range(ENTRIES_MOST // 40 + 30):
+    view = MembershipView(MemberSettings("me", 5, "10.9.9.9:1"), 1)
+    view.handle(S, Tick())
+    for at in range(MAX_ENTRIES // 40 + 30):
         many = (Entry(f"x{at}-{each}", 1, f"10.1.{at}.{each}:1", 0, Status.ALIVE) for each in range(40))
-        views.handle(S + at, Heard("nobody", 1, 0, Part(tuple(many))))
-    assert len(views.members()) <= ENTRIES_MOST
-    gone = Part(tuple(Entry(f"y{each}", 1, "10.1.1.1:1", 0, Status.GONE) for each in range(40)))
-    views.handle(2 * S, Heard("nobody", 1, 0, gone))
-    assert len(views.desk.table.entries) <= 2 * ENTRIES_MOST
+        view.handle(S + at, MessageReceived("nobody", 1, 0, SyncEntries(tuple(many))))
+    assert len(view.members()) <= MAX_ENTRIES
+    gone = SyncEntries(tuple(Entry(f"y{each}", 1, "10.1.1.1:1", 0, Status.GONE) for each in range(40)))
+    view.handle(2 * S, MessageReceived("nobody", 1, 0, gone))
+    assert len(view.context.table.entries) <= 2 * MAX_ENTRIES
 
 
 def test_every_message_fits_a_datagram_whatever_is_in_it() -> None:
@@ -82,12 +82,12 @@
     gossip = Gossip()
     for each in long:
         gossip.add(each)
-    messages: list[Message] = [Part(group) for group in packed(long)]
+    messages: list[Message] = [SyncEntries(group) for group in pack_entries(long)]
     for _ in range(20):
         messages.append(Ping((1 << 31) - 1, (1 << 63) - 1, 4096, gossip.take(100, long[0])))
-    for message in [*messages, Seek(1, long[0]), Ack(1, 1, 1, (long[0],))]:
+    for message in [*messages, IndirectProbe(1, long[0]), Ack(1, 1, 1, (long[0],))]:
         assert len(encode(Frame(VERSION, 1 << 31, "n" * 64, 1 << 62, 1 << 30, message))) <= 1200
-    assert sum(map(len, packed(long))) == 100 and all(size_of(each) > 80 for each in long)
+    assert sum(map(len, pack_entries(long))) == 100 and all(entry_size(each) > 80 for each in long)
 
 
 def test_news_told_least_go_first_and_end() -> None:
@@ -105,13 +105,13 @@
 
 def test_a_stranger_gets_no_more_said_than_it_says() -> None:
     # Guards against being used to flood others: each message from a stranger calls for one or two at most.
-    views = Views(MemberSettings("me", 5, "10.9.9.9:1"), 1)
-    views.handle(S, Tick())
+    view = MembershipView(MemberSettings("me", 5, "10.9.9.9:1"), 1)
+    view.handle(S, Tick())
     known = Entry("a", 9, "10.0.0.1:1", 0, Status.ALIVE)
-    views.handle(S, Heard("a", 9, 0, Ping(1, 0, 1, (known,))))
+    view.handle(S, MessageReceived("a", 9, 0, Ping(1, 0, 1, (known,))))
     said = 0
     for at in range(200):
         claim = Entry("a", 3, "10.0.0.2:1", 0, Status.ALIVE)
-        out = views.handle(S + at, Heard("b", 1, 0, Ping(at, 0, 1, (claim,))))
-        said += sum(isinstance(action, Say) for action in out)
+        out = view.handle(S + at, MessageReceived("b", 1, 0, Ping(at, 0, 1, (claim,))))
+        said += sum(isinstance(action, SendMessage) for action in out)
     assert said <= 2 + 200
--- a/tests/peers/test_wire.py
+++ b/tests/peers/test_wire.py
@@ -7,10 +7,10 @@
 import msgspec
 import pytest
 
-from ladderhub.membership.messages import Entry, Part, Ping, Status
-from ladderhub.peers.wire import DATAGRAM_MOST, VERSION, Frame, decode, encode, mark_of
+from ladderhub.membership.messages import Entry, SyncEntries, Ping, Status
+from ladderhub.peers.wire import MAX_DATAGRAM_BYTES, VERSION, Frame, decode, encode, cluster_tag
 
-MARK = mark_of("north")
+MARK = cluster_tag("north")
 FRAME = Frame(VERSION, MARK, "a", 7, 0, Ping(1, 2, 3, (Entry("a", 7, "127.0.0.1:1", 0, Status.ALIVE),)))
 
 
@@ -26,7 +26,7 @@
     ("data", "fault"),
     [
         (b"", "spoilt"),
-        (b"x" * (DATAGRAM_MOST + 1), "oversized"),
+        (b"x" * (MAX_DATAGRAM_BYTES + 1), "oversized"),
         (encode(FRAME)[:-3], "spoilt"),
         (encode(msgspec.structs.replace(FRAME, cluster=1)), "foreign cluster"),
         (encode(msgspec.structs.replace(FRAME, version=9)), "other version"),
@@ -57,4 +57,4 @@
 def test_a_message_of_ours_that_would_not_fit_is_our_fault() -> None:
     entries = tuple(Entry("n" * 64, at, "h" * 50 + ":1", 0, Status.ALIVE) for at in range(20))
     with pytest.raises(ValueError, match="at most 1200"):
-        encode(Frame(VERSION, MARK, "a", 7, 0, Part(entries)))
+        encode(Frame(VERSION, MARK, "a", 7, 0, SyncEntries(entries)))
