--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -62,7 +62,8 @@
         "ladderhub.membership": {"ladderhub.membership"},
         "ladderhub.revision": {"ladderhub.revision"},
         "ladderhub.peers": {
-            "ladderhub.peers", "ladderhub.membership", "ladderhub.revision", "ladderhub.loop", "ladderhub.errors",
+            "ladderhub.peers", "ladderhub.membership", "ladderhub.revision", "ladderhub.loop",
+            "ladderhub.errors",
         },
         "ladderhub.pbs": {"ladderhub.pbs", "ladderhub.errors"},
         "ladderhub.loop": {"ladderhub.loop"},
