Benchmark: what one change of configuration costs by a rolling restart

Need: the capacity plan wants a change of configuration in force everywhere within 4 s, and schedulers take one only by a restart. Before anything is built it has to be known what that costs.

--- /dev/null
+++ b/benchmarks/rolling_restart.py
@@ -0,0 +1,224 @@
+"""What a change of configuration costs by a rolling restart: `python benchmarks/rolling_restart.py [SEED]`.
+
+Seven real `serve` with membership and leases over emulated nodes; jobs are submitted in an open loop to
+schedulers drawn at random, without a second try.  Each scheduler in turn gets SIGTERM, is waited for, and is
+started with the new file; the next one follows as soon as it listens.  Printed: the time until the change
+is in force on all, and jobs, starts and memory before, during and after.  Outside CI: two minutes, loopback.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+
+from ladderhub.lab.client import BatchClient, Submission, attributes
+from ladderhub.lab.mesh.days import Step
+from ladderhub.lab.mesh.fleet import Mesh
+from ladderhub.lab.mesh.judge import Verdict, check_seats
+from ladderhub.loop import Loop
+from ladderhub.node.admission import Admission, Ask
+
+S = 1_000_000_000
+SCHEDULERS, NODES, RATE, SERVICES = 7, 21, 50.0, 240
+LIFE_S = (2.0, 8.0)
+WARM_UP_S, SPAN_S, SETTLE_S = 20, 20, 22
+RESTART_MOST_NS = 20 * S
+PHASES = ("before", "restarts", "after")
+
+
+@dataclass
+class Job:
+    """One submission: its phase, when it was planned (wall clock), and what became of it."""
+
+    phase: str
+    planned: float
+    scheduler: str
+    identifier: str = ""
+    refusal: str = ""
+    answered: bool = False
+
+
+class Run:
+    """One fleet, its load, and what was seen of both."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.loop = Loop()
+        self.mesh = Mesh(self.loop, folder, SCHEDULERS, seed, nodes=NODES)
+        self.fleet, self.random, self.folder = self.mesh.fleet, random.Random(seed), folder
+        self.jobs: list[Job] = []
+        self.phase = "warm-up"
+        self.starts: dict[str, Counter[bool]] = {}
+        self.in_force: list[float] = []
+
+    # --- the load -----------------------------------------------------------------------------------------
+
+    def watch_starts(self) -> None:
+        """Count the nodes' starts by phase and whether the program was warm."""
+        for agent in self.fleet.nodes.values():
+            self._watch(agent.admission)
+
+    def _watch(self, admission: Admission) -> None:
+        following = admission.next_start
+
+        def counted() -> tuple[Ask, bool] | None:
+            found = following()
+            if found is not None:
+                self.starts.setdefault(self.phase, Counter())[found[1]] += 1
+            return found
+
+        admission.next_start = counted  # type: ignore[method-assign]
+
+    def submit(self) -> None:
+        self.loop.call_later(round(S / RATE * self.random.expovariate(1.0)), self.submit)
+        number = self.random.randrange(SERVICES)
+        queue = list(self.fleet.settings["queues"])[number % len(self.fleet.settings["queues"])]
+        tenant = self.random.choice(list(self.fleet.settings["tenants"]))
+        attrs = attributes(
+            f"job{len(self.jobs)}", f"{queue}-{number}", 1.0, 1.0, self.random.uniform(*LIFE_S), tenant
+        )
+        name = self.random.choice(list(self.fleet.schedulers))
+        job = Job(self.phase, datetime.now().timestamp(), name)
+        self.jobs.append(job)
+
+        def done(identifier: str, text: str) -> None:
+            job.answered, job.identifier, job.refusal = True, identifier, "" if identifier else text
+
+        Submission(self.loop, self.fleet.schedulers[name].public, queue, attrs, b"#!/bin/sh\ntrue\n", done)
+
+    # --- the restarts -------------------------------------------------------------------------------------
+
+    def restart_all(self) -> float:
+        """Seconds from the first SIGTERM until all run by the changed file."""
+        begun = self.loop.now_ns()
+        for slot, scheduler in enumerate(self.fleet.schedulers.values()):
+            self.mesh.do(Step(0, "leave", slot))
+            old = scheduler.process
+            assert old is not None
+            if not self.fleet.run_until(lambda old=old: old.poll() is not None, RESTART_MOST_NS):
+                raise RuntimeError(f"{scheduler.name} did not end")
+            settings = json.loads(scheduler.file.read_text())
+            settings["queues"]["web"]["aim"] = "700ms"
+            scheduler.file.write_text(json.dumps(settings))
+            self.mesh.do(Step(0, "start", slot))
+            if not self.fleet.run_until(lambda at=scheduler.name: self.fleet.is_up(at), RESTART_MOST_NS):
+                raise RuntimeError(f"{scheduler.name} did not come up again")
+            self.in_force.append((self.loop.now_ns() - begun) / S)
+        return self.in_force[-1]
+
+    def known_jobs(self) -> int:
+        """How many jobs, finished ones too, the schedulers can tell of."""
+        counts: list[int] = []
+        clients = [BatchClient(self.loop, each.public) for each in self.fleet.schedulers.values()]
+        for client in clients:
+            client.status(lambda reply: counts.append(len(reply.rows) if reply else 0), names=("job_state",))
+        self.fleet.run_until(lambda: len(counts) == len(clients), 10 * S)
+        for client in clients:
+            client.close()
+        return sum(counts)
+
+    def play(self) -> Iterator[str]:
+        """Start, load, restart and tell; lines of the report."""
+        self.mesh.start()
+        self.watch_starts()
+        self.submit()
+        self.fleet.run_for(WARM_UP_S * S)
+        self.phase = "before"
+        self.fleet.run_for(SPAN_S * S)
+        known = self.known_jobs()
+        self.mesh.note("day")
+        self.phase = "restarts"
+        took = self.restart_all()
+        forgotten = known - self.known_jobs()
+        self.phase = "after"
+        self.fleet.run_for(SPAN_S * S)
+        self.mesh.note("settled")
+        self.phase = "settling"
+        self.fleet.run_for(SETTLE_S * S)
+        yield f"in force on all after {took:.1f} s: one after another at {_list(self.in_force)} s"
+        yield from self.report()
+        yield f"jobs that could be asked after: {known} before, {forgotten} fewer after the last restart"
+        verdict = Verdict()
+        until = next(row["at"] for row in self.mesh.rows if row["what"] == "settled")
+        self.mesh.read_logs()
+        rows = [row for row in self.mesh.rows if row["at"] <= until]
+        check_seats(verdict, rows, self.mesh.window_s, SCHEDULERS)
+        idle = 100 * verdict.seats_idle
+        yield f"leases of slots: {idle:.0f} % of slots and time unused from the first restart on"
+
+    # --- the report ---------------------------------------------------------------------------------------
+
+    def answers(self) -> tuple[dict[str, tuple[float, str]], int]:
+        """From the schedulers' logs: when and how each job was answered first, and how many were adopted."""
+        found: dict[str, tuple[float, str]] = {}
+        adopted = 0
+        for name in self.fleet.schedulers:
+            for line in (self.folder / name / "log").read_bytes().splitlines():
+                row = json.loads(line)
+                adopted += row["event"] == "adopted"
+                if row["event"] == "answer" and row["job"] not in found:
+                    at = datetime.fromisoformat(row["timestamp"]).timestamp()
+                    found[row["job"]] = (at, row["answer"])
+        return found, adopted
+
+    def report(self) -> Iterator[str]:
+        answers, adopted = self.answers()
+        for phase in PHASES:
+            jobs = [job for job in self.jobs if job.phase == phase]
+            away = Counter(_kind(job) for job in jobs if not job.identifier)
+            taken = [job for job in jobs if job.identifier]
+            words = Counter(answers.get(job.identifier, (0.0, "never answered"))[1] for job in taken)
+            spans = sorted(
+                answers[job.identifier][0] - job.planned
+                for job in taken
+                if answers.get(job.identifier, (0.0, ""))[1] == "placed"
+            )
+            starts = self.starts.get(phase, Counter())
+            cold = 100 * starts[False] / max(1, starts.total())
+            yield (
+                f"{phase}: {len(jobs)} submitted, not taken {sum(away.values())} {dict(away)}; "
+                f"of those taken {dict(words)}; running after {_quantile(spans, 0.5):.0f} ms p50, "
+                f"{_quantile(spans, 0.99):.0f} ms p99; cold starts {cold:.1f} % of {starts.total()}"
+            )
+        yield f"running jobs taken over from nodes (not rerunnable any more): {adopted}"
+
+    def close(self) -> None:
+        self.mesh.close()
+        self.loop.close()
+
+
+def _kind(job: Job) -> str:
+    if not job.answered:
+        return "no end seen"
+    return "stopping" if "stopping" in job.refusal else job.refusal
+
+
+def _list(values: list[float]) -> str:
+    return ", ".join(f"{value:.1f}" for value in values)
+
+
+def _quantile(ordered: list[float], share: float) -> float:
+    """Milliseconds."""
+    return 1000 * ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def main(seed: int) -> None:
+    print(f"{os.cpu_count()} cores; {SCHEDULERS} schedulers, {NODES} nodes, {RATE:g} jobs/s, seed {seed}")
+    with tempfile.TemporaryDirectory(prefix="ladderhub-restart-") as folder:
+        run = Run(Path(folder), seed)
+        try:
+            for line in run.play():
+                print(line)
+        finally:
+            run.close()
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
