Scale run: the clients' door as a role, and control as all bytes but those of the job path

Need: a scheduler names its messages of membership one by one, so a list of kinds of control would miss new ones. Change: the plan names the kinds of the job path; all others count as control. The clients' door of each scheduler is told apart from the process that it is a part of.

--- a/ladderhub/lab/scale/command.py
+++ b/ladderhub/lab/scale/command.py
@@ -95,6 +95,8 @@
 def _tell_run(run: RunFigures, say: Say) -> None:
     """The figures of a run that are looked at first."""
     for role, figures in run.roles.items():
+        if figures.cores is None or figures.memory_mb is None:
+            continue
         line = f"  {role} ({figures.count}): {figures.cores:.4f} cores, {figures.memory_mb:.1f} MB"
         if figures.control.cores is not None:
             line += f", control {figures.control.cores:.4f} cores"
--- a/ladderhub/lab/scale/measure.py
+++ b/ladderhub/lab/scale/measure.py
@@ -41,6 +41,7 @@
     memory_bytes: int
     descriptors: int
     counted: Counted | None = None
+    connections: float | None = None  # of clients, where the process has a door for them
 
 
 def memory_bytes(pid: int) -> int:
@@ -60,9 +61,17 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
-def read_process(pid: int, counted: Counted | None = None) -> Reading:
+def read_process(pid: int, counted: Counted | None = None, connections: float | None = None) -> Reading:
     """A process as the system tells it, beside what it counted itself."""
-    return Reading(time.monotonic(), cpu_s(pid), memory_bytes(pid), descriptors(pid), counted)
+    return Reading(time.monotonic(), cpu_s(pid), memory_bytes(pid), descriptors(pid), counted, connections)
+
+
+def read_scheduler(pid: int, http: tuple[str, int]) -> Reading:
+    """A `serve` process with what its metrics page tells."""
+    page = fetch(http, "/metrics")
+    if page is None:
+        return read_process(pid)
+    return read_process(pid, counted_on(page), gauge_on(page, "ladderhub_connections"))
 
 
 def fetch(address: tuple[str, int], path: str) -> str | None:
--- a/ladderhub/lab/scale/plan.jsonnet
+++ b/ladderhub/lab/scale/plan.jsonnet
@@ -85,10 +85,11 @@
   quota: { rate_times: 2, cores_times: 2 },  // of a team's even part of the starts and of the cores
   peers: { period: '1s', lease: '8s', electors: 5, seeds: 3 },
 
-  // Our reading of what counts as control: by causes of processor time and by kinds of messages.
+  // Our reading of what counts as control: processor time by these causes, and all bytes but those of the job
+  // path: of clients, and of nodes.
   control: {
     causes: ['lists', 'peers', 'configuration'],
-    kinds: ['lists', 'peers', 'configuration'],
+    job_kinds: ['client', 'node'],
   },
   budgets: [
     { figure: 'scheduler.most.control.cores', limit: 0.033 },
--- a/ladderhub/lab/scale/plan.py
+++ b/ladderhub/lab/scale/plan.py
@@ -118,10 +118,10 @@
 
 
 class Control(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Which causes of processor time and which kinds of messages count as control."""
+    """Which causes of processor time count as control, and which kinds of messages do not."""
 
     causes: list[str]
-    kinds: list[str]
+    job_kinds: list[str]
 
 
 class Budget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -34,11 +34,12 @@
 
 
 class RoleFigures(msgspec.Struct):
-    """The mean over the processes of one role, and in `most` each figure's largest value among them."""
+    """The mean over the processes of one role, and in `most` each figure's largest value among them.  A role
+    that is a part of a process has no memory and no processor time of its own."""
 
     count: int
-    memory_mb: float
-    cores: float
+    memory_mb: float | None
+    cores: float | None
     descriptors: float
     cores_by_cause: dict[str, float] = {}
     bytes_per_s: dict[str, Traffic] = {}
@@ -122,8 +123,10 @@
 
 def role_figures(role: RoleFigures) -> Iterator[tuple[str, float]]:
     """A role's figures by their names within it."""
-    yield "memory_mb", role.memory_mb
-    yield "cores", role.cores
+    if role.memory_mb is not None:
+        yield "memory_mb", role.memory_mb
+    if role.cores is not None:
+        yield "cores", role.cores
     yield "descriptors", role.descriptors
     for cause, cores in role.cores_by_cause.items():
         yield f"cores.{cause}", cores
--- a/ladderhub/lab/scale/roles.py
+++ b/ladderhub/lab/scale/roles.py
@@ -47,12 +47,12 @@
 
 
 def control_figures(figures: RoleFigures, control: Control) -> ControlFigures:
-    """The sums over what counts as control; None where one of the summands was not counted at all."""
+    """The sums over what counts as control; None where a cause, or all bytes, were not counted."""
     told = ControlFigures()
     if set(control.causes) <= set(figures.cores_by_cause):
         told.cores = sum(figures.cores_by_cause[cause] for cause in control.causes)
-    if set(control.kinds) <= set(figures.bytes_per_s):
-        traffic = [figures.bytes_per_s[kind] for kind in control.kinds]
+    if figures.bytes_per_s:
+        traffic = [each for kind, each in figures.bytes_per_s.items() if kind not in control.job_kinds]
         told.bytes_per_s = sum((each.in_ or 0.0) + (each.out or 0.0) for each in traffic)
     return told
 
@@ -66,8 +66,8 @@
     weights = [member.count for member in members]
     return RoleFigures(
         count=sum(weights),
-        memory_mb=_mean([member.memory_mb for member in members], weights),
-        cores=_mean([member.cores for member in members], weights),
+        memory_mb=_mean_of_known([member.memory_mb for member in members], weights),
+        cores=_mean_of_known([member.cores for member in members], weights),
         descriptors=_mean([member.descriptors for member in members], weights),
         cores_by_cause={
             cause: _mean([member.cores_by_cause.get(cause, 0.0) for member in members], weights)
@@ -83,6 +83,19 @@
     )
 
 
+def client_doors(schedulers: Sequence[RoleFigures], connections: Sequence[float], kind: str) -> RoleFigures:
+    """The clients' end of each scheduler: a part of its process, so without memory and time of its own."""
+    none = Traffic()
+    return mean_of_role([
+        RoleFigures(
+            count=1, memory_mb=None, cores=None, descriptors=held,
+            bytes_per_s={kind: scheduler.bytes_per_s.get(kind, none)},
+            messages_per_s={kind: scheduler.messages_per_s.get(kind, none)},
+        )
+        for scheduler, held in zip(schedulers, connections, strict=True)
+    ])  # fmt: skip
+
+
 def _names(tables: Sequence[Mapping[str, object]]) -> list[str]:
     return sorted({name for table in tables for name in table})
 
--- a/ladderhub/lab/scale/run.py
+++ b/ladderhub/lab/scale/run.py
@@ -11,13 +11,15 @@
 from ladderhub.lab.scale.churn import draw_troubles
 from ladderhub.lab.scale.fleet import DIRECTORY, NODE_AGENT, ScaleFleet
 from ladderhub.lab.scale.hollow_nodes import HostResult
-from ladderhub.lab.scale.measure import Counted, Reading, counted_on, fetch, read_process
+from ladderhub.lab.scale.measure import Reading, read_process, read_scheduler
 from ladderhub.lab.scale.plan import Control, Plan, Size
 from ladderhub.lab.scale.report import ChangeFigures, RoleFigures, RunFigures
-from ladderhub.lab.scale.roles import figures_of_process, mean_of_role
+from ladderhub.lab.scale.roles import client_doors, figures_of_process, mean_of_role
 from ladderhub.lab.scale.starts import answers_in, starts_by_class
 
 S = 1_000_000_000
+CLIENT_DOOR = "client_door"
+CLIENT_KIND = "client"  # as schedulers count the messages of clients
 Say = Callable[[str], None]
 
 
@@ -102,7 +104,7 @@
     members = {}
     for scheduler in fleet.schedulers:
         child = scheduler.child
-        members[child.pid] = Member(child.role, 1, read_process(child.pid, _counted(scheduler.http)))
+        members[child.pid] = Member(child.role, 1, read_scheduler(child.pid, scheduler.http))
     for child in fleet.children.of(DIRECTORY):
         members[child.pid] = Member(DIRECTORY, 1, read_process(child.pid))
     for host in fleet.hosts:
@@ -110,21 +112,23 @@
     return members
 
 
-def _counted(http: tuple[str, int]) -> Counted | None:
-    page = fetch(http, "/metrics")
-    return None if page is None else counted_on(page)
-
-
 def roles_between(
     before: dict[int, Member], after: dict[int, Member], control: Control
 ) -> dict[str, RoleFigures]:
     """The figures of each role over the span between two readings."""
     by_role: dict[str, list[RoleFigures]] = {}
+    doors: list[tuple[RoleFigures, float]] = []
     for pid, earlier in before.items():
         later = after[pid]
         figures = figures_of_process(earlier.reading, later.reading, control, earlier.share)
         by_role.setdefault(earlier.role, []).append(figures)
-    return {role: mean_of_role(members) for role, members in by_role.items()}
+        if later.reading.connections is not None:
+            doors.append((figures, later.reading.connections))
+    roles = {role: mean_of_role(members) for role, members in by_role.items()}
+    if doors:
+        schedulers, connections = zip(*doors, strict=True)
+        roles[CLIENT_DOOR] = client_doors(schedulers, connections, CLIENT_KIND)
+    return roles
 
 
 # --- what the nodes saw ---------------------------------------------------------------------------------
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -36,7 +36,8 @@
 
 def test_every_role_is_there_with_as_many_members_as_were_asked_for(played: RunFigures) -> None:
     counts = {role: figures.count for role, figures in played.roles.items()}
-    assert counts == {"elector": 1, "scheduler": REAL - 1, "directory": 1, "node_agent": NODES}
+    processes = {"elector": 1, "scheduler": REAL - 1, "directory": 1, "node_agent": NODES}
+    assert counts == processes | {"client_door": REAL}
 
 
 def test_every_job_that_was_due_is_accounted_for(played: RunFigures) -> None:
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -20,7 +20,7 @@
     overridden, slope_sizes,
 )  # fmt: skip
 from ladderhub.lab.scale.report import ChangeFigures, RoleFigures, RunFigures, figures_of
-from ladderhub.lab.scale.roles import figures_of_process, mean_of_role
+from ladderhub.lab.scale.roles import client_doors, figures_of_process, mean_of_role
 from ladderhub.lab.scale.run import RunPlan, running_at
 from ladderhub.lab.scale.settings import elector_count, host_plans, load_plans, node_plans, teams_settings
 from ladderhub.lab.scale.slopes import beyond, compare, fit, is_straight, predict, slope
@@ -249,23 +249,18 @@
 
 
 def test_a_roles_figures_are_rates_over_the_span_and_control_needs_every_summand() -> None:
-    before = Counted({"jobs": 1.0, "lists": 1.0}, {"lists": Traffic(100.0, 0.0)}, {})
-    after = Counted(
-        {"jobs": 5.0, "lists": 2.0}, {"lists": Traffic(300.0, 20.0), "peers": Traffic(10.0, 10.0)}, {}
-    )
-    spent = figures_of_process(
-        reading(10.0, 4.0, before), reading(20.0, 9.0, after), Control(["lists"], ["lists", "peers"])
-    )
+    lists = {"directory": Traffic(300.0, 20.0), "ping": Traffic(10.0, 10.0), "client": Traffic(9e9, 9e9)}
+    before = Counted({"jobs": 1.0, "lists": 1.0}, {"directory": Traffic(100.0, 0.0)}, {})
+    after = Counted({"jobs": 5.0, "lists": 2.0}, lists, {})
+    readings = reading(10.0, 4.0, before), reading(20.0, 9.0, after)
+    spent = figures_of_process(*readings, Control(["lists"], ["client"]))
     assert (spent.cores, spent.memory_mb, spent.descriptors) == (0.5, 50.0, 12)
     assert spent.cores_by_cause == {"jobs": 0.4, "lists": 0.1}
     assert (spent.control.cores, spent.control.bytes_per_s) == pytest.approx((0.1, 24.0))
-    unknown = figures_of_process(
-        reading(10.0, 4.0, before), reading(20.0, 9.0, after), Control(["lists", "peers"], ["configuration"])
-    )
-    assert (unknown.control.cores, unknown.control.bytes_per_s) == (None, None)
+    assert figures_of_process(*readings, Control(["lists", "peers"], [])).control.cores is None
     uncounted = figures_of_process(reading(10.0, 4.0), reading(20.0, 9.0), Control([], []), share=10)
     assert (uncounted.count, uncounted.memory_mb, uncounted.cores) == (10, 5.0, 0.05)
-    assert uncounted.control.cores is None
+    assert (uncounted.control.cores, uncounted.control.bytes_per_s) == (None, None)
 
 
 def test_a_role_is_the_mean_of_its_processes_and_the_most_of_each_figure() -> None:
@@ -278,6 +273,13 @@
     assert (role.most["memory_mb"], role.most["bytes_per_s.lists.out"]) == (80.0, 2.0)
 
 
+def test_the_clients_door_is_a_part_of_its_scheduler() -> None:
+    scheduler = RoleFigures(1, 40.0, 0.1, 99.0, {}, {"client": Traffic(5.0, 6.0), "node": Traffic(1.0, 1.0)})
+    door = client_doors([scheduler], [7.0], "client")
+    assert (door.count, door.memory_mb, door.cores, door.descriptors) == (1, None, None, 7.0)
+    assert door.bytes_per_s == {"client": Traffic(5.0, 6.0)}
+
+
 def test_starts_are_told_by_class_and_what_never_ran_by_its_answer(tmp_path: Path) -> None:
     rows = [
         {"event": "taken", "job": "4.s", "queue": "web"},
