Module: settings change as an event, and nothing is forgotten

Need: a running scheduler took other settings by a restart alone, which loses warmth, averages and open offers.

Change: the event SettingsChanged, handled by Scheduler.handle. Classes, kinds and tenants keep their index; averages by class come into being when a class is first seen. A task keeps the effect and repeats it was taken with (Task.promise); TaskAsked.effect carries them over to a later ask of the same job.

--- a/ladderhub/decide/accounts.py
+++ b/ladderhub/decide/accounts.py
@@ -1,6 +1,7 @@
 """Room and use: what is asked decides whether a machine refuses, what is used how well it serves."""
 
 import struct
+from collections import defaultdict
 from collections.abc import Iterable
 
 from ladderhub.decide.records import MEMORY_LONG, MS, NOTE_FRESH_NS, Attempt, Machine, Mean, Task
@@ -23,7 +24,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.class_use = [use_means() for _ in settings.classes]
+        self.class_use: defaultdict[int, tuple[Mean, Mean]] = defaultdict(use_means)
         self.use_share = use_means()  # the same over all tasks, for what others hold
 
     def charge(self, now: int, task: Task, attempt: Attempt, running: bool) -> None:
@@ -76,12 +77,10 @@
             return
         size = self.settings.kinds[machine.kind]
         cores, memory = size.cores - report.cores_free, size.memory - report.memory_free
-        if not self.settings.reports_count_use:
-            machine.asked.observe(now, cores, memory)
-            return
-        machine.used.observe(now, cores, memory)
+        of_use = self.settings.reports_count_use
+        (machine.used if of_use else machine.asked).observe(now, cores, memory)
         for at, used in enumerate((cores, memory)):
-            if machine.asked.total[at] > 0:
+            if of_use and machine.asked.total[at] > 0:
                 self.use_share[at].add(min(2.0, used / machine.asked.total[at]))
 
 
--- a/ladderhub/decide/ends.py
+++ b/ladderhub/decide/ends.py
@@ -22,19 +22,16 @@
     if event.reason is Reason.EVICTED:
         machine.notes[1] = (now, 1.0)
     elif leaving or silent or event.outcome is Outcome.UNREACHABLE or (lost and task.placed):
-        # Danger: a machine drains, dies or is cut off seconds before any list tells, and has the shortest
-        # line.  Sending tasks away, silence, or taking none where a standing copy can't be the reason,
-        # shows it.  Harm: a machine that only erred, or whose answers alone are lost, rests for a spell.
+        # Danger: it drains, dies or is cut off seconds before any list tells, and has the shortest line.
+        # Harm: a machine that only erred, or whose answers alone are lost, rests for a spell.
         machine.rest(now, None)
     elif event.outcome is Outcome.REFUSED:
-        # Danger: a machine that turns a class away, for whatever reason or none, keeps an empty line and
-        # draws all of it.  Lack of room is told and passes; what comes with no reason lasts, and at many
-        # schedulers each asking again soon is a flood.  Harm: room that came back is found a little late.
+        # Danger: a machine that turns a class away keeps an empty line and draws all of it.  Lack of room is
+        # told and passes; what comes with no reason lasts.  Harm: room that came back is found a little late.
         machine.rest(now, task.what, REST_FIRST_NS if event.reason else REST_ODD_NS)
     elif erred and task.maybe_ran is None:
-        # Danger: a sick machine errs at once, so its line is the shortest and it draws everything.  One
-        # task that errs wherever it goes speaks against no machine, hence several, each at its first
-        # attempt.  Harm: several broken tasks in a row rest a good machine for a spell.
+        # Danger: a sick machine errs at once, and its shortest line draws everything.  One task may err
+        # everywhere, hence several.  Harm: several broken tasks in a row rest a good machine for a spell.
         machine.errors += 1
         if machine.errors >= ERRORS_ROW:
             machine.rest(now, None)
--- a/ladderhub/decide/estimates.py
+++ b/ladderhub/decide/estimates.py
@@ -1,5 +1,7 @@
 """Times to start: lines of machines, own figures warm and cold, and what starts teach of both."""
 
+from collections import defaultdict
+
 from ladderhub.decide.records import ANSWER_MARGIN_NS, MS, Attempt, Machine, Mean, S, Task
 from ladderhub.decide.warmth import Warmth
 from ladderhub.interface import Effect, Settings
@@ -17,8 +19,8 @@
 
     def __init__(self, settings: Settings, warmth: Warmth) -> None:
         self.settings, self.warmth = settings, warmth
-        self.warm = [Mean(FIRST_WARM_NS) for _ in settings.classes]
-        self.cold = [Mean(FIRST_COLD_NS) for _ in settings.classes]
+        self.warm: defaultdict[int, Mean] = defaultdict(lambda: Mean(FIRST_WARM_NS))
+        self.cold: defaultdict[int, Mean] = defaultdict(lambda: Mean(FIRST_COLD_NS))
         self.accept = Mean(0.0)  # time to acceptance, where that is the first answer
         self.line_share = Mean(1.0)  # how much of a line is really waited: starts run side by side
 
@@ -49,8 +51,7 @@
 
     def timeout(self, now: int, task: Task, attempt: Attempt) -> int | None:
         """Unsafe tasks and last attempts are given all the time there is: giving up leaves only failure."""
-        unsafe = self.settings.classes[task.klass].effect is Effect.UNSAFE
-        if unsafe or task.spent >= self.settings.max_attempts:
+        if task.promise.effect is Effect.UNSAFE or task.spent >= self.settings.max_attempts:
             return None
         if self.settings.first_at_running:
             own = attempt.line_ns + self.cold[task.klass].value
--- a/ladderhub/decide/picking.py
+++ b/ladderhub/decide/picking.py
@@ -66,10 +66,8 @@
             total = share * estimates.line(now, machine) if machine.line else 0.0
             if fill > EASY:
                 total += estimates.crowding(fill, task)
-            if fresh or service in machine.held or service in machine.kept or machine.id in homes:
-                total += estimates.own_figure(now, task, machine, homes.get(machine.id))
-            else:
-                total += cold
+            own = fresh or service in machine.held or service in machine.kept or machine.id in homes
+            total += estimates.own_figure(now, task, machine, homes.get(machine.id)) if own else cold
             if total <= band:
                 near.append((total, fill, machine))
                 band = min(band, total * (1 + NEAR_SHARE) + NEAR_NS)
--- a/ladderhub/decide/records.py
+++ b/ladderhub/decide/records.py
@@ -2,8 +2,9 @@
 
 import zlib
 from collections import OrderedDict, deque
+from dataclasses import replace
 
-from ladderhub.interface import MachineEntry, Outcome, Scope, TaskAsked
+from ladderhub.interface import MachineEntry, Outcome, Scope, Settings, TaskAsked
 
 MS, S = 1_000_000, 1_000_000_000
 GUESS_COUNTS = 4  # a first guess counts as so many values: a scheduler that sees little must leave it soon
@@ -31,9 +32,8 @@
 
 
 class Account:
-    """Cores and memory on one machine: this scheduler's share exactly, the rest from late readings.
-
-    The rest is the gap between the last reading and the own share at the time it speaks of."""
+    """Cores and memory on one machine: the own share exactly, the rest from late readings, less the own share
+    at the time they speak of."""
 
     def __init__(self) -> None:
         self.own, self.other = [0.0, 0.0], [0.0, 0.0]
@@ -134,7 +134,6 @@
         self.level: int | None = None  # how early the machine comes among the service's homes
         self.started: int | None = None
         self.use = [0.0, 0.0]
-        self.place: str | int = ""  # where it counts for its service's spread
 
     def is_current(self) -> bool:
         """The machine has not restarted since."""
@@ -142,10 +141,11 @@
 
 
 class Task:
-    """One task from its asking to the outcome of its last attempt."""
+    """One task from its asking to the outcome of its last attempt; `promise` is its class as it was taken."""
 
-    def __init__(self, asked: TaskAsked, now: int) -> None:
-        self.asked, self.klass = asked, asked.klass
+    def __init__(self, asked: TaskAsked, settings: Settings, now: int) -> None:
+        self.asked, self.klass, klass = asked, asked.klass, settings.classes[asked.klass]
+        self.promise = klass if asked.effect is None else replace(klass, effect=asked.effect)
         self.what = (asked.klass, asked.tenant)
         self.deadline_ns = now + asked.budget_ns
         self.sent = self.spent = 0  # offers, and those of them that count against the most
--- a/ladderhub/decide/scheduler.py
+++ b/ladderhub/decide/scheduler.py
@@ -25,7 +25,7 @@
         self.tasks: dict[int, Task] = {}
         self.held: dict[int, Task] = {}  # those that wait for a machine
         self.warmth = Warmth(settings)
-        self.fleet = Fleet(settings, self.warmth)
+        self.fleet = Fleet(settings)
         self.ledger, self.rules, self.telling = Ledger(settings), Rules(settings), Telling(settings)
         self.estimates = Estimates(settings, self.warmth)
         self.picking = Picking(settings, seed, self.fleet, self.ledger, self.rules, self.estimates)
@@ -36,7 +36,8 @@
             api.TaskPlaced: self._on_news, api.MachineList: self._on_list, api.TimerFired: self._on_timer,
             api.TaskOpen: self._on_open, api.TaskWithdrawn: lambda _, event: self._end(event.task),
             api.SeatShare: lambda _, event: self.rules.share(event), api.ProbeAnswered: lambda _, event: None,
-            api.AttemptLeaving: self._on_leaving, api.AnswerDue: self._on_due,
+            api.AttemptLeaving: self._on_leaving, api.SettingsChanged: self._on_settings,
+            api.AnswerDue: lambda _, event: self._give_up(self.tasks[event.task]),
             api.PeerMessage: lambda _, event: self.telling.hear(event, self.fleet.machines.values()),
         }  # fmt: skip
 
@@ -55,21 +56,26 @@
         return self._out
 
     def _on_list(self, now: int, event: api.MachineList) -> None:
-        moved, forgotten = self.fleet.follow(now, event)
-        if moved:
-            self.rules.recount(self.tasks.values())
-        for name in forgotten:
+        for name in self.fleet.follow(now, event):
             self.telling.changed.pop(name, None)
 
+    def _on_settings(self, now: int, event: api.SettingsChanged) -> None:
+        """Go on by other settings.  Nothing is forgotten but what follows from settings alone."""
+        self.rules.change(now, event.settings)
+        parts: tuple[Any, ...] = (self, self.fleet, self.ledger, self.estimates, self.picking)
+        for part in parts:
+            part.settings = event.settings
+        self.fleet.forget_derived()
+
     def _on_asked(self, now: int, asked: api.TaskAsked) -> None:
         if asked.task in self.tasks:
             return
-        task = self.tasks[asked.task] = Task(asked, now)
+        task = self.tasks[asked.task] = Task(asked, self.settings, now)
         self._out.append(api.SetTimer(max(now, task.deadline_ns - ANSWER_MARGIN_NS), asked.task + 2))
         self._place(now, task)
 
     def _on_open(self, now: int, event: api.TaskOpen) -> None:
-        task = self.tasks[event.asked.task] = Task(event.asked, now)
+        task = self.tasks[event.asked.task] = Task(event.asked, self.settings, now)
         task.sent, task.placed = 1, True
         task.attempt = attempt = Attempt(0, self.fleet.unlisted(event.machine), now)
         attempt.started = now
@@ -117,10 +123,9 @@
             return
         task.attempt = attempt = Attempt(task.sent, machine, now)
         attempt.line_ns = round(self.estimates.line(now, machine))
-        service = task.asked.service
-        attempt.held = service in machine.held
+        attempt.held = task.asked.service in machine.held
         if not attempt.held:
-            attempt.depth = machine.depth_of(service)
+            attempt.depth = machine.depth_of(task.asked.service)
             attempt.level = self.fleet.homes_of(task).get(machine.id)
         attempt.own_ns = round(self.estimates.own_figure(now, task, machine, attempt.level))
         task.sent, task.spent = task.sent + 1, task.spent + 1
@@ -135,8 +140,8 @@
         if task.ended or task.placed:
             return
         self._out.append((api.Refuse if self.rules.may_refuse(task) else api.Fail)(task.asked.task))
-        unsafe = self.settings.classes[task.klass].effect is api.Effect.UNSAFE
-        if task.attempt is not None and self.settings.may_abort and not unsafe:
+        may_abort = self.settings.may_abort and task.promise.effect is not api.Effect.UNSAFE
+        if task.attempt is not None and may_abort:
             self._out.append(api.Abort(task.asked.task, task.attempt.number))
         self._end(task.asked.task)
 
@@ -160,9 +165,6 @@
         if told is not None and not self.rules.may_leave(now, *told):
             self._out.append(api.Abort(event.task, event.attempt))
 
-    def _on_due(self, now: int, event: api.AnswerDue) -> None:
-        self._give_up(self.tasks[event.task])
-
     def _on_news(self, now: int, event: api.TaskPlaced | api.TaskNote) -> None:
         if (told := self._told(event)) is None:
             return
@@ -200,13 +202,13 @@
             self._place(now, task)
 
     def _charge(self, now: int, task: Task, attempt: Attempt, running: bool = False) -> None:
-        self.rules.count(task, attempt)
+        self.rules.count(task, attempt.machine, +1)
         self.telling.changed[attempt.machine.id] = attempt.machine
         self.ledger.charge(now, task, attempt, running)
 
     def _release(self, now: int, task: Task, attempt: Attempt) -> None:
         attempt.machine.line.pop(task.asked.task, None)
-        self.rules.discount(task, attempt)
+        self.rules.count(task, attempt.machine, -1)
         if attempt.is_current():
             self.telling.changed[attempt.machine.id] = attempt.machine
             self.ledger.release(now, task, attempt)
--- a/ladderhub/interface/events.py
+++ b/ladderhub/interface/events.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
+from ladderhub.interface.settings import Effect, Settings
+
 
 class Stage(Enum):
     """Where a machine stands in its life, as the list has it."""
@@ -101,7 +103,8 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskAsked:
-    """A task wants a place.  Exactly one final answer is owed within `budget_ns`."""
+    """A task wants a place.  Exactly one final answer is owed within `budget_ns`.  `effect`: what it was
+    taken as, where settings may say otherwise of its class by now."""
 
     task: int
     key: str
@@ -114,6 +117,7 @@
     life_hint_ns: int | None = None
     repeat: bool = False
     came_again: bool = False
+    effect: Effect | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,6 +221,16 @@
     until_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """From now on these settings hold.  Classes, kinds and tenants keep their index for good: new ones are
+    appended, and one that is gone stays in its place.  What is the scheduler's own stays as it was:
+    `schedulers`, `ordinal`, `zone` and messages between schedulers.  A task keeps the effect, time and
+    repeats that it was taken with."""
+
+    settings: Settings
+
+
 Event = (
     MachineList
     | TaskAsked
@@ -231,4 +245,5 @@
     | ProbeAnswered
     | PeerMessage
     | SeatShare
+    | SettingsChanged
 )
--- a/tests/decide/test_property.py
+++ b/tests/decide/test_property.py
@@ -24,6 +24,7 @@
     Send,
     Settings,
     Stage,
+    TaskClass,
     TaskOpen,
     TaskWithdrawn,
     Tenant,
@@ -48,6 +49,7 @@
         self.waiting: dict[int, tuple[int, int]] = {}  # tasks owed an answer: class, deadline
         self.service: dict[int, str] = {}
         self.klass: dict[int, int] = {}
+        self.promise: dict[int, TaskClass] = {}  # the class as it was when the task was asked for
         self.out: dict[int, tuple[str, int, bool]] = {}  # attempts without outcome: machine, number, placed
         self.sent: dict[int, int] = {}
         self.maybe: dict[int, tuple[str, int]] = {}
@@ -73,13 +75,13 @@
     def check_send(self, at: int, send: Send) -> None:
         task, machine = send.task, send.machine
         stage, zone, cell, ready = self.entry(machine)
-        klass = self.given.classes[self.klass[task]]
+        klass, promise = self.given.classes[self.klass[task]], self.promise[task]
         assert task in self.waiting and task not in self.out and stage is Stage.SERVING
         if task in self.maybe:
-            assert klass.effect is not Effect.UNSAFE
+            assert promise.effect is not Effect.UNSAFE
             first, since = self.maybe[task]
-            if klass.effect is Effect.KEYED:
-                assert at < since + klass.dedupe_window_ns and self.entry(first)[1] == zone
+            if promise.effect is Effect.KEYED:
+                assert at < since + promise.dedupe_window_ns and self.entry(first)[1] == zone
         self.sent[task] = self.sent.get(task, 0) + 1
         assert self.sent[task] <= self.given.max_attempts
         self.sent_at[task] = at
@@ -89,9 +91,9 @@
             assert same.count(machine) <= klass.spread_most
         if klass.spread is Scope.CELL:
             assert [self.entry(other)[2] for other in same].count(cell) <= klass.spread_most
+        offers = self.fresh.setdefault((machine, ready), [])
+        offers.append(at)
         if ready and at - ready <= self.given.cold_span_ns:
-            offers = self.fresh.setdefault((machine, ready), [])
-            offers.append(at)
             window = [when for when in offers if when > at - self.given.cold_window_ns]
             assert len(window) <= math.ceil(self.given.cold_safe_offers / self.given.schedulers)
 
@@ -101,7 +103,7 @@
         assert at < deadline
         unclear = action.task in self.maybe or action.task in self.out
         if isinstance(action, Refuse) and unclear:
-            assert self.given.classes[klass].effect is Effect.SAFE
+            assert self.promise[action.task].effect is Effect.SAFE, klass
 
     def step(self) -> None:
         roll = self.random.random()
@@ -127,13 +129,14 @@
 
     def ask(self) -> None:
         self.number += 1
-        klass = self.random.randrange(3)
+        klass = self.random.randrange(len(self.given.classes))
         service = f"{klass}-{self.random.randrange(4)}"
         budget = self.random.choice((50 * MS, S, 3 * S))
         asked = self.bed.asked(
             self.number, klass=klass, service=service, cores=0.5, budget_ns=budget, tenant=self.number % 2
         )
         self.service[self.number], self.klass[self.number] = service, klass
+        self.promise[self.number] = self.given.classes[klass]
         if self.random.random() < 0.05:
             machine = self.random.choice(self.bed.entries).machine
             self.out[self.number] = (machine, 0, True)
