Owner and rollouts: settings change as an event; asks may pause

Need: new queue rules reached the owner's decisions by a restart alone.

Change: SettingsChanged for the owner. An ask of a job whose effect is not its queue's any more says so, so that the module decides by the one that was promised. A job may be taken by another effect than its queue's, which services need. AsksPaused and AsksResumed: jobs are taken and wait, with the reason, and their limits run on. Rollouts take their common settings the same way.

--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 from ladderhub.interface import Effect
 from ladderhub.owner import types as t
@@ -41,6 +42,7 @@
         self._again = settings.again_burst
         self._top = max((queue.priority for queue in settings.queues), default=0)
         self._ending = False
+        self._paused = ""  # why the module is asked for nothing
         self._out: list[t.Action] = []
 
     # --- what others may look at --------------------------------------------------------------------------
@@ -74,6 +76,12 @@
                 self._on_adopted(now_ns, event)
             case t.MachineAnew() | t.MachineGone():
                 self._on_machine(now_ns, event)
+            case t.SettingsChanged(settings):
+                self._on_settings(settings)
+            case t.AsksPaused(reason):
+                self._paused = reason
+            case t.AsksResumed():
+                self._on_resumed(now_ns)
             case t.Stopping():
                 self._on_stopping(now_ns, event.now)
             case _:
@@ -120,16 +128,36 @@
             case t.Due():
                 self._on_due(now, job)
 
-    # --- taking and asking ----------------------------------------------------------------------------------
+    # --- settings that change -------------------------------------------------------------------------------
+
+    def _on_settings(self, settings: t.OwnerSettings) -> None:
+        self.settings = settings
+        self._again = min(self._again, settings.again_burst)
+        self._top = max((queue.priority for queue in settings.queues), default=0)
+
+    def _on_resumed(self, now: int) -> None:
+        self._paused = ""
+        for job in list(self._jobs.values()):
+            if job.paused:
+                job.paused, job.why = False, ""
+                if job.state == WAITING:
+                    self._ask(now, job)
+
+    def _new_rules(self, job: t.Job) -> t.QueueRules:
+        """Those of a further placing: the queue's as they are now.
 
-    def _rules(self, job: t.Job) -> t.QueueRules:
-        return self.settings.queues[job.queue]
+        Danger: a job taken as unsafe whose queue became safe would be started a second time."""
+        return replace(self.settings.queues[job.queue], effect=job.rules.effect)
+
+    # --- taking and asking ----------------------------------------------------------------------------------
 
     def _on_taken(self, now: int, event: t.Taken) -> None:
         rules = self.settings.queues[event.queue]
+        if event.effect is not None:
+            rules = replace(rules, effect=event.effect)
         job = t.Job(
-            event.job, event.queue, event.rerunnable, HELD if event.held else WAITING, now + rules.limit_ns,
-            event.lasting,
+            event.job, event.queue, rules, event.rerunnable, HELD if event.held else WAITING,
+            now + rules.limit_ns, event.lasting,
         )  # fmt: skip
         self._jobs[event.job] = job
         self._again = min(self.settings.again_burst, self._again + self.settings.again_share)
@@ -144,7 +172,8 @@
     def _on_adopted(self, now: int, event: t.Adopted) -> None:
         if event.job in self._jobs:
             return
-        job = t.Job(event.job, event.queue, event.rerunnable, RUNNING, 0)
+        rules = self.settings.queues[event.queue]
+        job = t.Job(event.job, event.queue, rules, event.rerunnable, RUNNING, 0)
         job.answered, job.main_run, job.placings = True, event.run, 1
         job.runs[event.run] = t.Run(event.machine, accepted=True, since_ns=now)
         self._jobs[event.job] = job
@@ -155,7 +184,7 @@
         if job.hold_wanted:
             self._held(job)
             return
-        rules = self._rules(job)
+        rules = job.rules
         left = job.limit_ns - now - self.settings.margin_ns
         if left <= 0 or job.asks >= rules.asks:
             self._give_up(now, job, "no time is left" if left <= 0 else "asked as often as its queue allows")
@@ -164,11 +193,18 @@
         if job.runs and rules.effect is not Effect.SAFE:
             self._doubt(now, job)
             return
+        if self._paused:
+            job.paused, job.why = True, self._paused
+            self._go(job, WAITING)
+            job.until_ns = job.limit_ns - self.settings.margin_ns
+            self._wake(job, job.until_ns)
+            return
         job.ask += 1
         job.asks += 1
         self._go(job, ASKING)
         job.why = job.why or "being placed"
-        self._out.append(t.Ask(job.number, job.ask, min(left, rules.ask_ns), job.came_again))
+        effect = None if rules.effect is self.settings.queues[job.queue].effect else rules.effect
+        self._out.append(t.Ask(job.number, job.ask, min(left, rules.ask_ns), job.came_again, effect))
         self._wake(job, job.limit_ns - self.settings.margin_ns)
         job.came_again = True
 
@@ -182,7 +218,7 @@
             return
         if job.hold_wanted and not job.runs:
             self._held(job)
-        elif job.runs and self._rules(job).effect is not Effect.SAFE:
+        elif job.runs and job.rules.effect is not Effect.SAFE:
             self._doubt(now, job)
         else:
             self._stay(now, job)
@@ -192,7 +228,7 @@
 
         Danger: all jobs that a bad moment turned away come back at the same time, and again.  Harm: a single
         job that was turned away by bad luck waits up to the first span."""
-        rules, top = self._rules(job), self._rules(job).priority >= self._top
+        rules, top = job.rules, job.rules.priority >= self._top
         if self._ending:
             self._give_up(now, job, "the scheduler is stopping")
             return
@@ -263,7 +299,7 @@
         if event.run == job.main_run:
             return
         # A copy that does no harm is not waited for: it is told to stop and the module goes on.
-        if self._rules(job).effect is Effect.SAFE or job.state == STOPPING:
+        if job.rules.effect is Effect.SAFE or job.state == STOPPING:
             run.stop = True
         self._chase(now, job)
 
@@ -285,7 +321,7 @@
             at = run.asked_ns + run.span_ns if run.asked_ns >= 0 else now
             if run.doubt and not run.stop and run.asked_ns < 0:
                 # A moment for the answer to come by itself: most are late, not lost.
-                at = run.since_ns = now + self._rules(job).settle_ns if not run.span_ns else run.since_ns
+                at = run.since_ns = now + job.rules.settle_ns if not run.span_ns else run.since_ns
                 run.span_ns = run.span_ns or self.settings.query_first_ns
             if at <= now:
                 self._send_word(now, job.number, number, run)
@@ -381,7 +417,7 @@
     def _again_placed(self, now: int, job: t.Job, why: str, at_once: bool) -> None:
         """A placed job lost its place: it is placed anew, which is a placing of its own with its own
         limit."""
-        rules = self._rules(job)
+        rules = job.rules = self._new_rules(job)
         job.main_run, job.why, job.rerun = -1, why, False
         if not job.rerunnable or job.placings > rules.reruns or self._ending:
             self._finish(job, -1, why)
@@ -413,7 +449,7 @@
             self._chase(now, job)
 
     def _place_gone(self, now: int, job: t.Job, run: t.Run) -> None:
-        if self._rules(job).effect is Effect.SAFE:
+        if job.rules.effect is Effect.SAFE:
             # A copy may live on behind a cut: it is told to stop once its machine is reached.
             run.stop = True
             self._again_placed(now, job, f"{run.machine} is gone", at_once=True)
@@ -472,7 +508,7 @@
         if job.answered:
             return
         clean = not job.runs or (
-            self._rules(job).effect is Effect.SAFE and not any(run.accepted for run in job.runs.values())
+            job.rules.effect is Effect.SAFE and not any(run.accepted for run in job.runs.values())
         )
         self._settle(job, t.Answer.REFUSED if clean else t.Answer.FAILED, reason)
 
@@ -533,7 +569,8 @@
     def _on_release(self, now: int, job: t.Job) -> None:
         job.hold_wanted = False
         if job.state == HELD:
-            job.limit_ns, job.asks, job.stay_ns = now + self._rules(job).limit_ns, 0, 0
+            job.rules = self._new_rules(job)
+            job.limit_ns, job.asks, job.stay_ns = now + job.rules.limit_ns, 0, 0
             self._go(job, WAITING)
             job.why = ""
             self._ask(now, job)
--- a/ladderhub/owner/types.py
+++ b/ladderhub/owner/types.py
@@ -96,6 +96,7 @@
     rerunnable: bool = True
     held: bool = False
     lasting: bool = False  # its runs are chased until they are proven away, however long that takes
+    effect: Effect | None = None  # where it is not its queue's: a service keeps the one it was declared with
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +229,27 @@
     job: int
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """From now on these settings hold.  Queues keep their index for good: new ones are appended, and one that
+    is gone stays in its place.  A placing that is owed keeps the rules it was taken by; the next one of the
+    same job has the new ones, but for its effect, which stays."""
+
+    settings: OwnerSettings
+
+
+@dataclass(frozen=True, slots=True)
+class AsksPaused:
+    """Ask the module for nothing until `AsksResumed`; jobs wait, with the reason, and their limits run on."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AsksResumed:
+    """Jobs that waited for this are asked for now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Stopping:
     """The scheduler ends: settle what can be settled; `now`: no more time is left."""
@@ -237,7 +259,8 @@
 
 Event = (
     Taken | Adopted | Altered | Sent | Accepted | Unsent | Doubtful | TurnedAway | Said | Ended | MachineAnew
-    | MachineGone | Cancelled | Hold | Release | Rerun | Due | Stopping
+    | MachineGone | Cancelled | Hold | Release | Rerun | Due | SettingsChanged | AsksPaused | AsksResumed
+    | Stopping
 )  # fmt: skip
 
 
@@ -246,12 +269,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """Hand the job to the module as a new task."""
+    """Hand the job to the module as a new task.  `effect`: what it was taken as, where that is not what its
+    queue says by now."""
 
     job: int
     ask: int
     budget_ns: int
     came_again: bool
+    effect: Effect | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -335,10 +360,11 @@
 
 @dataclass(slots=True)
 class Job:
-    """One job as the owner's decisions see it."""
+    """One job as the owner's decisions see it.  `rules` are those its present placing was taken by."""
 
     number: int
     queue: int
+    rules: QueueRules
     rerunnable: bool
     state: str
     limit_ns: int
@@ -351,6 +377,7 @@
     until_ns: int = 0
     answered: bool = False
     hold_wanted: bool = False
+    paused: bool = False  # it waits for `AsksResumed`
     rerun: bool = False
     came_again: bool = False
     main_run: int = -1
--- a/ladderhub/rollout/decide.py
+++ b/ladderhub/rollout/decide.py
@@ -275,6 +275,8 @@
                 for s, copy in list(self._copies.values()):
                     if copy.node == node and copy.state == AWAY:
                         self._runs(now_ns, s, copy)
+            case t.SettingsChanged(settings):
+                self.settings = settings
             case t.Due():
                 self._woken = -1
             case _:
--- a/ladderhub/rollout/types.py
+++ b/ladderhub/rollout/types.py
@@ -62,6 +62,13 @@
             raise ValueError("back_first_ns: must be from 0 to back_most_ns")
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """From now on these settings hold; updates go on under them."""
+
+    settings: RolloutSettings
+
+
 class IfBusy(Enum):
     """What a new update does to one that is under way."""
 
@@ -208,7 +215,7 @@
 
 Event = (
     Declared | Restored | Found | Settled | Placed | Unplaced | NodeGone | NodeBack | Ended | Proven | Pause
-    | Resume | Abort | Removed | Due
+    | Resume | Abort | Removed | Due | SettingsChanged
 )  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_owner_changes.py
@@ -0,0 +1,123 @@
+"""Queue rules that change under jobs, and asks that pause: what was promised to a job stays."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from ladderhub.interface import Effect
+from ladderhub.owner import Owner
+from ladderhub.owner import types as t
+from ladderhub.rollout import types as rollout
+from tests.test_owner import LIMIT, MS, SAFE, UNSAFE, S, asked, only, settings
+from tests.test_rollout import World
+
+LATER = 60 * S
+
+
+def changed(queue: int, **rules: object) -> t.SettingsChanged:
+    queues = list(settings().queues)
+    queues[queue] = replace(queues[queue], **rules)  # type: ignore[arg-type]
+    return t.SettingsChanged(replace(settings(), queues=tuple(queues)))
+
+
+def test_a_job_that_waits_keeps_its_limit_and_asks_and_a_new_one_has_the_new_rules() -> None:
+    owner = asked(SAFE)
+    owner.handle(S, changed(SAFE, limit_ns=2 * S, ask_ns=S, asks=1))
+    owner.handle(S, t.TurnedAway(1, 1))
+    (again,) = only(owner.handle(5 * S, t.Due(1)), t.Ask)
+    assert again.budget_ns == 3 * S
+    (ask,) = only(owner.handle(5 * S, t.Taken(2, SAFE)), t.Ask)
+    assert ask.budget_ns == S
+    assert only(owner.handle(7 * S, t.Due(2)), t.Settle)
+    assert not only(owner.handle(7 * S, t.Due(1)), t.Settle)
+    assert only(owner.handle(LIMIT, t.Due(1)), t.Settle)
+
+
+def test_the_next_placing_of_a_job_has_the_new_limit_and_its_old_effect() -> None:
+    owner = asked(UNSAFE)
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(S, t.Accepted(1, 1))
+    owner.handle(2 * S, changed(UNSAFE, limit_ns=LATER, effect=Effect.SAFE))
+    actions = owner.handle(3 * S, t.Ended(1, 1, t.End.LOST)) + owner.handle(4 * S, t.Due(1))
+    (again,) = only(actions, t.Ask)
+    assert again.effect is Effect.UNSAFE
+    owner.handle(4 * S, t.Sent(1, again.ask, 2, "b"))
+    owner.handle(5 * S, t.Doubtful(1, 2, "b: lost"))
+    owner.handle(5 * S, t.TurnedAway(1, again.ask, failed=True))
+    assert owner.state(1)[0] == "doubt"  # as unsafe work is, whatever its queue says by now
+    assert not only(owner.handle(LIMIT + 2 * S, t.Due(1)), t.Settle)
+    assert only(owner.handle(3 * S + LATER, t.Due(1)), t.Settle)
+
+
+def test_a_new_queue_is_served_and_a_job_may_be_taken_by_another_effect_than_its_queue() -> None:
+    owner = asked(SAFE)
+    more = (*settings().queues, t.QueueRules(Effect.KEYED, LIMIT, 3 * S))
+    owner.handle(S, t.SettingsChanged(replace(settings(), queues=more)))
+    assert only(owner.handle(S, t.Taken(2, 2)), t.Ask)[0].effect is None
+    assert only(owner.handle(S, t.Taken(3, SAFE, effect=Effect.UNSAFE)), t.Ask)[0].effect is Effect.UNSAFE
+
+
+def test_asks_that_pause_begin_when_they_resume_and_limits_run_on() -> None:
+    owner = asked(SAFE)
+    owner.handle(0, t.AsksPaused("catching up"))
+    assert not only(owner.handle(0, t.Taken(2, SAFE)) + owner.handle(0, t.Taken(3, UNSAFE)), t.Ask)
+    assert owner.state(2) == ("waiting", "catching up")
+    owner.handle(0, t.TurnedAway(1, 1))
+    assert not only(owner.handle(2 * S, t.Due(1)), t.Ask)
+    assert only(owner.handle(S, t.Cancelled(3)), t.Finish)
+    owner.handle(2 * S, t.Taken(4, SAFE, held=True))
+    resumed = only(owner.handle(3 * S, t.AsksResumed()), t.Ask)
+    assert [ask.job for ask in resumed] == [1, 2] and owner.state(2)[1] == "being placed"
+    owner.handle(4 * S, t.AsksPaused("again"))
+    owner.handle(4 * S, t.Taken(5, SAFE))
+    (settled,) = only(owner.handle(4 * S + LIMIT, t.Due(5)), t.Settle)
+    assert settled.answer is t.Answer.REFUSED and "again" in settled.reason
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_job_has_one_answer_in_its_own_time_while_rules_change(seed: int) -> None:
+    chance = random.Random(seed)
+    owner = Owner(settings(), seed)
+    limits: dict[int, int] = {}
+    answered: dict[int, int] = {}
+    out: set[int] = set()
+    rules = {SAFE: LIMIT, UNSAFE: LIMIT}
+    now = 0
+    for job in range(1, 200):
+        now += chance.randrange(300) * MS
+        queue = chance.choice((SAFE, UNSAFE))
+        events: list[t.Event] = [t.Taken(job, queue)]
+        limits[job] = now + rules[queue]
+        if chance.random() < 0.3:
+            rules[queue] = chance.randrange(2, 30) * S
+            events.append(changed(queue, limit_ns=rules[queue], asks=chance.randrange(1, 9)))
+            rules[1 - queue] = LIMIT
+        events.append(chance.choice((t.AsksPaused("held"), t.AsksResumed(), t.AsksResumed())))
+        events += [t.TurnedAway(other, 1) for other in sorted(out) if chance.random() < 0.3]
+        events += [t.Due(other) for other in sorted(limits) if other not in answered]
+        for event in events:
+            for action in owner.handle(now, event):
+                if isinstance(action, t.Settle):
+                    assert action.job not in answered
+                    answered[action.job] = now
+                elif isinstance(action, t.Ask):
+                    out.add(action.job)
+                    assert now + action.budget_ns <= limits[action.job]
+    for job in [job for job in limits if job not in answered]:
+        owner.handle(limits[job], t.Due(job))
+        assert owner.state(job)[0] == "over"
+
+
+def test_updates_go_on_under_a_budget_that_changes() -> None:
+    world = World(rollout.RolloutSettings(most_at_once=1, back_first_ns=0, back_most_ns=S))
+    limits = rollout.Limits(down=4, healthy_ns=S)
+    world.feed(rollout.Declared(rollout.ServiceRules("web", 8, Effect.SAFE), 1, limits))
+    assert world.settle()
+    world.feed(rollout.Declared(rollout.ServiceRules("web", 8, Effect.SAFE), 2, limits))
+    assert len(world.told) == 1
+    world.feed(rollout.SettingsChanged(rollout.RolloutSettings(back_first_ns=0, back_most_ns=S)))
+    assert len(world.told) > 1 and world.settle()
+    assert {copy.version for copy in world.runs.values()} == {2}
