--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -6,7 +6,7 @@
     python benchmarks/losses.py day         # reckoned from measured bytes of the messages
 
 `leases` plays the membership and lease decisions in simulated time.  Schedulers stand in zones in turn; the
-first five lend the leases.  Told is the share of leases that nobody could use, and for how long a region had
+first five vote on leases.  Told is the share of leases that nobody could use, and for how long a region had
 none.  `directory` ends a real directory by SIGKILL under real registrations and reads what it lists first.
 """
 
@@ -28,7 +28,7 @@
 from ladderhub.directory.wire import Entry, Lines, Listed, Register, Room, Watch, encode
 from ladderhub.lab.client import Submission, attributes
 from ladderhub.lab.emulator.net import MS, Faults, S
-from ladderhub.lab.emulator.views import Fleet, address_of
+from ladderhub.lab.emulator.membership import Fleet, address_of
 from ladderhub.lab.fleet import Fleet as ProcessFleet
 from ladderhub.lab.mesh.judge import uses
 from ladderhub.loop import Loop, Stream
@@ -38,7 +38,7 @@
 
 REGIONS = Figure("size.regions", "regions")
 ZONES = Figure("size.zones", "zones over all regions")
-ELECTORS = 5
+VOTERS = 5
 BEFORE_S, STEP_S = 60.0, 0.25
 TAIL_S = 20.0  # after the last sample: a lease's use is known once it was renewed or ran out
 
@@ -61,7 +61,7 @@
 
     def __init__(self, args: argparse.Namespace) -> None:
         self.zones, self.regions = round(args.zones), round(args.regions)
-        self.fleet = Fleet(round(args.schedulers), args.seed, Faults(), warm=True, electors=ELECTORS)
+        self.fleet = Fleet(round(args.schedulers), args.seed, Faults(), warm=True, voters=VOTERS)
         self.fleet.net.run(self.fleet.net.now + 20 * S)
         self.fleet.settle(60 * S)
         self.fleet.net.run(self.fleet.net.now + round(BEFORE_S * S))
@@ -115,15 +115,15 @@
 
 def losses_of(args: argparse.Namespace) -> list[Callable[[Play], Loss]]:
     return [
-        lambda play: play.stop([play.fleet.count - 1], args.machine, "machine without an elector"),
-        lambda play: play.stop([0], args.machine, "machine with an elector"),
-        lambda play: play.stop(play.members(lambda at: play.zone(at) == 0), args.zone, "zone, two electors"),
-        lambda play: play.stop(play.members(lambda at: play.zone(at) == 2), args.zone, "zone, one elector"),
+        lambda play: play.stop([play.fleet.count - 1], args.machine, "machine without a voter"),
+        lambda play: play.stop([0], args.machine, "machine with a voter"),
+        lambda play: play.stop(play.members(lambda at: play.zone(at) == 0), args.zone, "zone, two voters"),
+        lambda play: play.stop(play.members(lambda at: play.zone(at) == 2), args.zone, "zone, one voter"),
         lambda play: play.stop(
-            play.members(lambda at: play.region(at) == 1), args.zone, "region of the fewer electors"
+            play.members(lambda at: play.region(at) == 1), args.zone, "region of the fewer voters"
         ),
         lambda play: play.stop(
-            play.members(lambda at: play.region(at) == 0), args.zone, "region of the more electors"
+            play.members(lambda at: play.region(at) == 0), args.zone, "region of the more voters"
         ),
         lambda play: play.cut(args.link),
     ]
