--- a/benchmarks/teams.py
+++ b/benchmarks/teams.py
@@ -74,7 +74,7 @@
 
 
 def cost_of(args: argparse.Namespace, teams: int, times: float) -> Cost:
-    site = build(args, teams, args.seed)
+    site = build(args, teams, args.seed, args.charged)
     load = load_on(args, site, teams, times, args.seed)
     load.fill(round(args.running))
     load.run(SETTLING_S)
