Peers: revision messages and the sender's newest revision ride on the datagrams of peers

Need: revisions of the configuration are to spread on what is sent anyway.

Change: a frame has a seventh field, the head, which older schedulers neither send nor look at; messages of revisions and heads go to whoever has joined for them, and changes of the view are told once an event. A frame that would be too long with its head (a grant of over 4,000 slots beside the longest name) goes without it.

--- a/ladderhub/lab/emulator/membership.py
+++ b/ladderhub/lab/emulator/membership.py
@@ -28,6 +28,7 @@
 from ladderhub.membership.rings import MemberId
 from ladderhub.membership.types import Action, Change, Event
 from ladderhub.peers.wire import VERSION, Frame, encode
+from ladderhub.revision.messages import RevisionMessage
 
 PAUSE_EVERY_NS = 600 * S  # on average, of each member
 CRASH_EVERY_NS = 60 * S  # of the whole fleet
@@ -66,7 +67,7 @@
         return self.name, self.life
 
     def receive(self, frame: Frame) -> None:
-        if self.alive:
+        if self.alive and not isinstance(frame.message, RevisionMessage):
             self.feed(MessageReceived(frame.name, frame.life, frame.incarnation, frame.message))
 
     def feed(self, event: Event) -> None:
--- a/ladderhub/membership/view.py
+++ b/ladderhub/membership/view.py
@@ -103,6 +103,11 @@
         monitored = self.prober.detector.monitored
         return sorted(name for (name, _), subject in monitored.items() if subject.suspected)
 
+    def address_of(self, name: str, life: int) -> str | None:
+        """Of a member that is known, living or departed."""
+        entry = self.context.table.get((name, life))
+        return entry.address if entry is not None else None
+
     def addresses(self) -> list[str]:
         """Of all other members: worth keeping for a next life."""
         return sorted(map(self.context.address_of, self.context.other_members()))
--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -23,6 +23,8 @@
 )
 from ladderhub.membership.view import MembershipView
 from ladderhub.peers.wire import VERSION, Frame, FrameFault, cluster_tag, decode, encode
+from ladderhub.revision import types as revision_types
+from ladderhub.revision.messages import Head, RevisionMessage
 
 SPOILT_REPORT_INTERVAL_NS = 1_000_000_000
 MAX_PARSED_ADDRESSES = 10_000  # kept; peers choose what addresses we are told of
@@ -59,6 +61,10 @@
         self.tell_leases: Callable[[Event], None] | None = None  # where leases are used
         self.on_leases: Callable[[LeasesHeld], None] | None = None
         self.on_tick: Callable[[], None] | None = None
+        self.on_members: Callable[[], None] | None = None  # after the view has changed
+        self.tell_revisions: Callable[[revision_types.Event], None] | None = None
+        self.current_head: Callable[[], Head] | None = None  # rides on every frame
+        self._members_changed = False
         self._tick_timer: Timer | None = None
         self._parsed_addresses: dict[str, Address] = {}
         try:
@@ -78,12 +84,28 @@
         if isinstance(frame, FrameFault):
             self.tally.count(frame.value, "{}:{}".format(*source))
             return
-        received = MessageReceived(frame.name, frame.life, frame.incarnation, frame.message)
-        if not isinstance(frame.message, LeaseMessage):
+        self._pass_on(frame)
+
+    def _pass_on(self, frame: Frame) -> None:
+        if self.tell_revisions is not None and frame.name != self.view.self_entry.name:
+            self._pass_on_revisions(frame, self.tell_revisions)
+        message = frame.message
+        if isinstance(message, RevisionMessage):
+            return
+        received = MessageReceived(frame.name, frame.life, frame.incarnation, message)
+        if not isinstance(message, LeaseMessage):
             self._tell_view(received)
         elif self.tell_leases is not None:
             self.tell_leases(received)
 
+    def _pass_on_revisions(self, frame: Frame, tell: Callable[[revision_types.Event], None]) -> None:
+        if frame.head is not None:
+            address = self.view.address_of(frame.name, frame.life)
+            if address is not None:
+                tell(revision_types.HeadSeen(address, frame.head))
+        if isinstance(frame.message, RevisionMessage):
+            tell(revision_types.MessageReceived(frame.name, frame.life, frame.message))
+
     def _report_spoilt(self) -> None:
         for row in self.tally.due(self.loop.now_ns()):
             self._on_spoilt(row)
@@ -93,7 +115,7 @@
 
     def carry(self, now_ns: int, action: Action) -> None:
         if isinstance(action, SendMessage):
-            self._send(action.address, action.message)
+            self.send(action.address, action.message)
         elif isinstance(action, WakeAt):
             if self._tick_timer is not None:
                 self._tick_timer.cancel()
@@ -102,15 +124,23 @@
             if self.on_leases is not None:
                 self.on_leases(action)
         else:
+            self._members_changed = True
             self._on_change(action)
 
     def after(self, event: Event) -> None:
+        if self._members_changed:
+            self._members_changed = False
+            if self.on_members is not None:
+                self.on_members()
         if isinstance(event, Tick) and self.on_tick is not None:
             self.on_tick()
 
-    def _send(self, address: str, message: Message) -> None:
-        sender = self.view.self_entry
-        frame = Frame(VERSION, self._cluster_tag, sender.name, sender.life, sender.incarnation, message)
+    def send(self, address: str, message: Message | RevisionMessage) -> None:
+        """Send one message in a frame of ours; it may be lost."""
+        sender, head = self.view.self_entry, self.current_head() if self.current_head is not None else None
+        frame = Frame(
+            VERSION, self._cluster_tag, sender.name, sender.life, sender.incarnation, message, head
+        )  # fmt: skip
         parsed = self._parse(address)
         if parsed is not None:
             self.datagrams.send(encode(frame), parsed)
--- a/ladderhub/peers/wire.py
+++ b/ladderhub/peers/wire.py
@@ -1,4 +1,6 @@
-"""Frames: the sender, its cluster, and one message.  Bytes in, a frame or the kind of fault out."""
+"""Frames: the sender, its cluster, one message, and the head of its revisions.
+
+Bytes in, a frame or the kind of fault out."""
 
 from __future__ import annotations
 
@@ -8,6 +10,7 @@
 import msgspec
 
 from ladderhub.membership.messages import Message, Name, UInt31, UInt63
+from ladderhub.revision.messages import Head, RevisionMessage
 
 VERSION = 1
 MAX_DATAGRAM_BYTES = 1200  # below what any path carries whole
@@ -23,14 +26,18 @@
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
-    """`cluster` is a tag of the cluster's name: fleets that share a network do not mix by mistake."""
+    """`cluster` is a tag of the cluster's name: fleets that share a network do not mix by mistake.
+
+    `head`: the newest revision that the sender knows; None where its fleet has no voters, and from older
+    schedulers."""
 
     version: int
     cluster: int
     name: Name
     life: UInt63
     incarnation: UInt31
-    message: Message
+    message: Message | RevisionMessage
+    head: Head | None = None
 
 
 class _Header(msgspec.Struct, array_like=True):
@@ -51,8 +58,12 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """The datagram.  ValueError where it would be too long: a fault of ours, since messages are bounded."""
+    """The datagram, without the head where there is no room for it.
+
+    ValueError where it would be too long all the same: a fault of ours, since messages are bounded."""
     data = _ENCODER.encode(frame)
+    if len(data) > MAX_DATAGRAM_BYTES and frame.head is not None:
+        data = _ENCODER.encode(msgspec.structs.replace(frame, head=None))
     if len(data) > MAX_DATAGRAM_BYTES:
         raise ValueError(f"a datagram of {len(data)} bytes; at most {MAX_DATAGRAM_BYTES} may be")
     return data
