--- a/ladderhub/revision/__init__.py
+++ b/ladderhub/revision/__init__.py
@@ -23,7 +23,7 @@
 ledger, voter, bodies, ballots, opinions, requests, proposer, sync, confirm, activation, revisions.
 """
 
-from ladderhub.revision.record import SpoiltRecord, decode_record, encode_record
+from ladderhub.revision.record import decode_record, encode_record
 from ladderhub.revision.revisions import Revisions
 from ladderhub.revision.types import (
     Activate, Answer, Apply, BodyChecked, CheckBody, HeadSeen, Hold, MembersChanged, MessageReceived, Notice,
@@ -33,5 +33,5 @@
 __all__ = [
     "Activate", "Answer", "Apply", "BodyChecked", "CheckBody", "HeadSeen", "Hold", "MembersChanged",
     "MessageReceived", "Notice", "Record", "Resume", "Revision", "RevisionSettings", "Revisions", "Send",
-    "SpoiltRecord", "Status", "Store", "Tell", "Tick", "WakeAt", "decode_record", "encode_record",
+    "Status", "Store", "Tell", "Tick", "WakeAt", "decode_record", "encode_record",
 ]  # fmt: skip
--- a/ladderhub/revision/record.py
+++ b/ladderhub/revision/record.py
@@ -17,28 +17,24 @@
 _DECODER: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
 
-class SpoiltRecord(ValueError):
-    """These bytes are not a record as `encode_record` made it."""
-
-
 def encode_record(record: Record) -> bytes:
     data = _ENCODER.encode(record)
     return MARK + blake2b(data, digest_size=SUM_BYTES).digest() + data
 
 
 def decode_record(data: bytes) -> Record:
-    """`SpoiltRecord` where they are cut short, changed, or of another version."""
+    """ValueError where they are cut short, changed, or of another version."""
     if not data.startswith(MARK):
-        raise SpoiltRecord("it does not begin as a record of revisions")
+        raise ValueError("it does not begin as a record of revisions")
     checksum, content = data[len(MARK) : len(MARK) + SUM_BYTES], data[len(MARK) + SUM_BYTES :]
     if blake2b(content, digest_size=SUM_BYTES).digest() != checksum:
-        raise SpoiltRecord("its checksum does not match")
+        raise ValueError("its checksum does not match")
     try:
         record = _DECODER.decode(content)
     except msgspec.DecodeError as fault:
-        raise SpoiltRecord(str(fault)) from None
+        raise ValueError(str(fault)) from None
     if not _is_sound(record):
-        raise SpoiltRecord("its parts do not fit together")
+        raise ValueError("its parts do not fit together")
     return record
 
 
