--- a/benchmarks/kept_jobs.py
+++ b/benchmarks/kept_jobs.py
@@ -1,8 +1,8 @@
 """Memory of the finished jobs that a scheduler keeps: `python benchmarks/kept_jobs.py [JOBS] [STEPS]`.
 
-Outside CI.  One real `ladderhub serve` over emulated nodes.  In each step that many jobs are submitted, run for
-a moment and end; then the scheduler's resident memory is read.  The slope over the steps is what a finished job
-weighs while `keep_finished` lasts.
+Outside CI.  One real `ladderhub serve` over emulated nodes.  In each step that many jobs are submitted, run
+for a moment and end; then the scheduler's resident memory is read.  The slope over the steps is what a
+finished job weighs while `keep_finished` lasts.
 """
 
 from __future__ import annotations
