Test: without leases a fresh machine is held back for its cold span and window, not longer

Need: it was thought that fresh nodes stay unused for as long as no majority of voters answers. A node counts as fresh for its cold span and one and a quarter windows (8.5 s with 6 s and 2 s); from then on it is used.

--- a/tests/decide/test_rules.py
+++ b/tests/decide/test_rules.py
@@ -329,3 +329,13 @@
     bed.wait(2600 * MS)
     bed.feed(SeatShare((2,), bed.now - 1))  # ran out while it stood still
     assert not [each for each in bed.ask(30, service="late") if isinstance(each, Send)]
+
+
+def test_a_machine_without_leases_is_used_once_it_is_no_longer_fresh() -> None:
+    """While no majority of voters answers, a fresh machine is held back for its cold span and a window."""
+    rules = settings(cold_span_ns=6 * S, cold_window_ns=2 * S, cold_safe_offers=8.0)
+    for age_ns, is_used in ((8 * S, False), (9 * S, True)):
+        bed = Bed(rules, machines=1)
+        bed.change("m0", ready_ns=bed.now - age_ns)
+        bed.feed(SeatShare((), -1))
+        assert bool([each for each in bed.ask(1) if isinstance(each, Send)]) == is_used
