Scale run: changes of configuration, timed from the log until the last scheduler acts by them

Need: a change has to be in force everywhere within a stated time, and there was no figure for it. Change: changes come evenly at the plan's sped-up rate, each made by `ladderhub policy apply` at a scheduler in its turn where that command is there; the time runs from the row in which that scheduler takes it to the last scheduler's row of acting by it or by a later one. What was not in force everywhere is counted, and has a budget of its own. Result: not played yet, since the command is not there; the reading of logs has its tests.

--- a/ladderhub/lab/scale/children.py
+++ b/ladderhub/lab/scale/children.py
@@ -27,12 +27,13 @@
 
 @dataclass(slots=True)
 class Child:
-    """One process of the run and what it writes."""
+    """One process of the run and what it writes.  A `brief` one ends by itself."""
 
     name: str
     role: str
     process: subprocess.Popen[bytes]
     log: Path
+    brief: bool = False
 
     @property
     def pid(self) -> int:
@@ -70,16 +71,15 @@
         self.members: list[Child] = []
         self._guard = subprocess.Popen(module("ladderhub.lab.scale.guard"), stdin=subprocess.PIPE)
 
-    def start(self, name: str, role: str, argv: Sequence[str]) -> Child:
+    def start(self, name: str, role: str, argv: Sequence[str], brief: bool = False) -> Child:
         """Start a process whose output goes to a log of its own; `ScaleError` where that is one too many."""
-        if len(self.members) + 2 > self._processes_most:  # this process and the guard count too
-            raise ScaleError(
-                f"{len(self.members)} processes run", where=name, meant=f"{self._processes_most}"
-            )
+        running = sum(child.alive() for child in self.members) + 2  # this process and the guard too
+        if running > self._processes_most:
+            raise ScaleError(f"{running} processes run", where=name, meant=f"at most {self._processes_most}")
         path = self._folder / f"{name}.log"
         with open(path, "ab") as log:
             process = subprocess.Popen(list(argv), stdin=subprocess.PIPE, stdout=log, stderr=log)
-        child = Child(name, role, process, path)
+        child = Child(name, role, process, path, brief)
         self.members.append(child)
         assert self._guard.stdin is not None
         self._guard.stdin.write(f"{process.pid}\n".encode())
@@ -93,7 +93,7 @@
         """`ScaleError` where a process has ended on its own, or all together hold more than they may."""
         total = 0
         for child in self.members:
-            if not child.alive():
+            if not child.alive() and not child.brief:
                 status = child.process.returncode
                 raise ScaleError(f"ended by itself with status {status}", where=str(child.log))
             total += memory_bytes(child.pid)
--- a/ladderhub/lab/scale/fleet.py
+++ b/ladderhub/lab/scale/fleet.py
@@ -18,6 +18,7 @@
 from ladderhub.lab.fleet import free_port
 from ladderhub.lab.process import module
 from ladderhub.lab.scale import settings as tell
+from ladderhub.lab.scale.changes import changed_settings
 from ladderhub.lab.scale.children import Child, Children
 from ladderhub.lab.scale.churn import Trouble
 from ladderhub.lab.scale.hollow_nodes import HostResult
@@ -26,7 +27,7 @@
 from ladderhub.lab.scale.plan import Plan, ScaleError, Size
 
 SCHEDULER, ELECTOR, DIRECTORY, NODE_AGENT = "scheduler", "elector", "directory", "node_agent"
-HOLLOW_SCHEDULERS, LOAD = "hollow_schedulers", "load"
+HOLLOW_SCHEDULERS, LOAD, CHANGE = "hollow_schedulers", "load", "change"
 HOST = "127.0.0.1"
 LOOK_S = 0.25
 Address = tuple[str, int]
@@ -68,6 +69,7 @@
         self.hosts: list[Helper] = []
         self.loads: list[Helper] = []
         self.hollow: Helper | None = None
+        self.changes: list[Child] = []
         self._host_of: dict[str, Helper] = {}
         self._peer_addresses = [(HOST, free_port()) for _ in range(plan.real_schedulers)]
         self.electors = tell.elector_count(plan.peers.electors, plan.real_schedulers)
@@ -188,6 +190,15 @@
         """Have a node's process carry out its trouble."""
         self._host_of[trouble.node].child.tell(trouble.command)
 
+    def change_settings(self, number: int) -> None:
+        """Have one scheduler, each in its turn, put a change of configuration in force everywhere."""
+        asked = self.schedulers[number % len(self.schedulers)]
+        file = self.folder / f"change-{number}.jsonnet"
+        settings = json.loads(asked.file.read_text())
+        file.write_text(json.dumps(changed_settings(settings, number)))
+        argv = module("ladderhub", "policy", "apply", str(file), "--server", tell.text(asked.listen))
+        self.changes.append(self.children.start(f"change-{number}", CHANGE, argv, brief=True))
+
     # --- the end ----------------------------------------------------------------------------------------
 
     def stop_load(self) -> list[Sent]:
--- a/ladderhub/lab/scale/plan.jsonnet
+++ b/ladderhub/lab/scale/plan.jsonnet
@@ -101,5 +101,6 @@
     { figure: 'starts.urgent.p99_ms', limit: 1600 },
     { figure: 'starts.urgent.missed_share', limit: 0.01 },
     { figure: 'change_in_force_s.most', limit: 4 },
+    { figure: 'change_in_force_s.missed_share', limit: 0 },
   ],
 }
--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -64,12 +64,14 @@
 
 
 class ChangeFigures(msgspec.Struct):
-    """How long changes took until they were in force everywhere; None where there were none."""
+    """How long changes took until they were in force everywhere; None where there were none.  `missed_share`:
+    those that were asked for and were not in force everywhere before the run's end."""
 
     count: int = 0
     p50: float | None = None
     p99: float | None = None
     most: float | None = None
+    missed_share: float | None = None
 
 
 class RunFigures(msgspec.Struct):
@@ -157,7 +159,7 @@
         told = {"p50_ms": started.p50_ms, "p99_ms": started.p99_ms, "missed_share": started.missed_share}
         figures |= {f"starts.{name}.{figure}": value for figure, value in told.items() if value is not None}
     change = run.change_in_force_s
-    told = {"p50": change.p50, "p99": change.p99, "most": change.most}
+    told = {"p50": change.p50, "p99": change.p99, "most": change.most, "missed_share": change.missed_share}
     figures |= {f"change_in_force_s.{name}": value for name, value in told.items() if value is not None}
     return figures
 
--- a/ladderhub/lab/scale/run.py
+++ b/ladderhub/lab/scale/run.py
@@ -4,20 +4,25 @@
 
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
+from importlib.util import find_spec
+from operator import itemgetter
 from pathlib import Path
 
 import msgspec
 
+from ladderhub.lab.scale.changes import change_figures, change_moments, times_in_force
 from ladderhub.lab.scale.churn import draw_troubles
 from ladderhub.lab.scale.fleet import DIRECTORY, NODE_AGENT, ScaleFleet
 from ladderhub.lab.scale.hollow_nodes import HostResult
 from ladderhub.lab.scale.measure import Reading, read_process, read_scheduler
 from ladderhub.lab.scale.plan import Control, Plan, Size
-from ladderhub.lab.scale.report import ChangeFigures, RoleFigures, RunFigures
+from ladderhub.lab.scale.report import RoleFigures, RunFigures
 from ladderhub.lab.scale.roles import client_doors, figures_of_process, mean_of_role
 from ladderhub.lab.scale.starts import answers_in, starts_by_class
 
 S = 1_000_000_000
+CHANGES_MODULE = "ladderhub.cli.policy"
 CLIENT_DOOR = "client_door"
 CLIENT_KIND = "client"  # as schedulers count the messages of clients
 Say = Callable[[str], None]
@@ -67,7 +72,8 @@
     fleet.close()
     roles = roles_between(before, after, plan.control)
     notes += crowding(roles, plan.playing.waited_most)
-    answers = answers_in(scheduler.child.log for scheduler in fleet.schedulers)
+    logs = [scheduler.child.log for scheduler in fleet.schedulers]
+    answers = answers_in(logs)
     notes += [f"{count} submissions ended with: {said}" for each in sent for said, count in each.said.items()]
     return RunFigures(
         name=run.name,
@@ -76,7 +82,7 @@
         seed=run.seed,
         roles=roles,
         starts=starts_by_class(plan.load.classes, sent, first_runs(seen), answers, since_ns, until_ns),
-        change_in_force_s=ChangeFigures(),
+        change_in_force_s=change_figures(len(fleet.changes), times_in_force(logs)),
         running=running_at(seen, (since_ns + until_ns) // 2),
         notes=notes,
     )
@@ -86,16 +92,22 @@
     """Let the measured span pass with its troubles; what is to be said of it."""
     racks = {node.name: node.rack for node in fleet.nodes}
     troubles = draw_troubles(plan, list(racks), racks, run.seconds, run.seed, run.lose_a_rack)
-    began = time.monotonic()
-    for trouble in troubles:
-        fleet.children.pause(began + trouble.at_s - time.monotonic())
-        fleet.trouble(trouble)
-    fleet.children.pause(began + run.seconds - time.monotonic())
+    moments = change_moments(run.size.changes_per_h, run.seconds, run.seed)
     notes = [f"{len(troubles)} nodes were lost, restarted or replaced"]
-    if run.size.changes_per_h:
+    if moments and find_spec(CHANGES_MODULE) is None:
         notes.append(
             "changes of configuration were not played: there is no way to make one without a restart"
         )
+        moments = []
+    steps: list[tuple[float, Callable[[], None]]] = [
+        (trouble.at_s, partial(fleet.trouble, trouble)) for trouble in troubles
+    ]
+    steps += [(at_s, partial(fleet.change_settings, number)) for number, at_s in enumerate(moments)]
+    began = time.monotonic()
+    for at_s, step in sorted(steps, key=itemgetter(0)):
+        fleet.children.pause(began + at_s - time.monotonic())
+        step()
+    fleet.children.pause(began + run.seconds - time.monotonic())
     return notes
 
 
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from itertools import pairwise
 from pathlib import Path
 
 import msgspec
@@ -12,6 +13,9 @@
 
 from ladderhub.lab.process import module
 from ladderhub.lab.scale.budgets import BudgetVerdict, all_hold, judge, last_line
+from ladderhub.lab.scale.changes import (
+    change_figures, change_moments, changed_settings, times_in_force,
+)  # fmt: skip
 from ladderhub.lab.scale.churn import draw_troubles
 from ladderhub.lab.scale.load import Sent, SentJob, fill_times
 from ladderhub.lab.scale.measure import Counted, Reading, Traffic, counted_on, gauge_on
@@ -308,6 +312,37 @@
     assert [running_at(seen, moment) for moment in (0, 2, 3, 5, 6, 9)] == [0, 2, 1, 2, 1, 2]
 
 
+def test_changes_come_evenly_by_the_seed_and_each_differs() -> None:
+    moments = change_moments(600.0, 60.0, seed=3)
+    assert moments == change_moments(600.0, 60.0, seed=3) and len(moments) == 10
+    assert all(later - earlier == pytest.approx(6.0) for earlier, later in pairwise(moments))
+    assert change_moments(0.0, 60.0, seed=3) == [] and len(change_moments(1.0, 60.0, seed=3)) == 1
+    plan = load_plan()
+    settings = {"tenants": teams_settings(plan, plan.size, node_plans(plan, plan.size, 1)), "server": "s"}
+    bodies = {msgspec.json.encode(changed_settings(settings, number)) for number in range(500)}
+    assert len(bodies) == 500 and msgspec.json.encode(settings) not in bodies
+
+
+def revision_row(what: str, body: str, second: int, number: int = 0) -> bytes:
+    at = f"2026-01-01T00:00:{second:02d}.250000Z"
+    row = {"event": "revision", "what": what, "body": body, "number": number, "timestamp": at}
+    return msgspec.json.encode(row) + b"\n"
+
+
+def test_a_change_is_in_force_when_the_last_scheduler_acts_by_it_or_a_later_one(tmp_path: Path) -> None:
+    one, two = tmp_path / "one.log", tmp_path / "two.log"
+    one.write_bytes(
+        revision_row("proposed", "a", 1) + revision_row("active", "a", 2, 1)
+        + revision_row("proposed", "b", 3) + revision_row("active", "b", 4, 2) + revision_row("proposed", "c", 8) + b'{"event": "revision"'
+    )  # fmt: skip
+    two.write_bytes(revision_row("active", "b", 9, 2) + revision_row("active", "d", 20, 3))
+    times = times_in_force([one, two])
+    assert times == [8.0, 6.0, None], "the first came into force at the second scheduler with the second"
+    figures = change_figures(4, times)
+    assert (figures.count, figures.most, figures.missed_share) == (2, 8.0, 0.5)
+    assert change_figures(0, []) == ChangeFigures()
+
+
 # --- stages ---------------------------------------------------------------------------------------------
 
 
