--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -6,7 +6,6 @@
 import copy
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -18,6 +17,7 @@
 
 from ladderhub.directory.service import Directory
 from ladderhub.lab.flaky import FlakyAgent
+from ladderhub.lab.ports import free_port
 from ladderhub.lab.process import module
 from ladderhub.lab.tap import Tap
 from ladderhub.loop import Loop
@@ -60,26 +60,6 @@
 }  # fmt: skip
 
 
-_GIVEN: set[int] = set()  # ports that this process gave out: nobody may listen there yet
-
-
-def free_port() -> int:
-    """A port of 127.0.0.1, for streams and datagrams, that nobody has, outside the range that connections
-    take theirs from."""
-    while True:
-        port = random.SystemRandom().randrange(11_000, 32_000)
-        if port in _GIVEN:
-            continue
-        with socket.socket() as sock, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-            try:
-                sock.bind(("127.0.0.1", port))
-                datagrams.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _GIVEN.add(port)
-        return port
-
-
 @dataclass(slots=True)
 class SchedulerProcess:
     """One scheduler daemon as a process."""
--- a/ladderhub/lab/mesh/fleet.py
+++ b/ladderhub/lab/mesh/fleet.py
@@ -10,10 +10,11 @@
 
 from ladderhub.errors.base import SYSTEM, LadderhubError
 from ladderhub.lab.emulator.net import MS, Faults, S
-from ladderhub.lab.fleet import Fleet, free_port
+from ladderhub.lab.fleet import Fleet
 from ladderhub.lab.mesh.days import Day, Step
 from ladderhub.lab.mesh.judge import Replay, Row, Verdict, judge
 from ladderhub.lab.mesh.relay import Relay
+from ladderhub.lab.ports import free_port
 from ladderhub.loop import Loop
 
 COME_NS = 40 * S  # in which all have to come together before the day
--- a/ladderhub/lab/scale/fleet.py
+++ b/ladderhub/lab/scale/fleet.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ladderhub.directory.wire import Lines, Listed, Watch, encode
-from ladderhub.lab.fleet import free_port
+from ladderhub.lab.ports import free_port
 from ladderhub.lab.process import module
 from ladderhub.lab.scale import settings as tell
 from ladderhub.lab.scale.children import Child, Children
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -14,6 +14,7 @@
 from ladderhub.loop import Loop
 from ladderhub.loop.datagram import Datagrams
 
+pytestmark = pytest.mark.xdist_group("mesh")  # one recording for all tests of this file
 COUNT = 5
 
 
--- a/tests/peers/test_peer_service.py
+++ b/tests/peers/test_peer_service.py
@@ -11,6 +11,7 @@
 import pytest
 
 from ladderhub.lab.fleet import SETTINGS
+from ladderhub.lab.ports import free_port
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Request
 from ladderhub.peers.carrier import PeerError
@@ -22,10 +23,8 @@
 from tests.world import World
 
 
-def free_udp() -> str:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+def free_address() -> str:
+    return f"127.0.0.1:{free_port()}"
 
 
 @pytest.fixture
@@ -55,7 +54,7 @@
 
 
 def test_schedulers_find_each_other_and_say_so_in_status_and_metrics(world: World) -> None:
-    addresses = [free_udp(), free_udp()]
+    addresses = [free_address(), free_address()]
     electors = {"electors": addresses[:1], "lease": "1200ms"}
     _, one = start(world, "alpha", addresses[0], addresses, **electors)
     daemon, two = start(world, "beta", addresses[1], addresses, **electors)
@@ -77,7 +76,7 @@
 
 
 def test_what_comes_spoilt_is_counted_and_told_and_harms_nothing(world: World) -> None:
-    address = free_udp()
+    address = free_address()
     daemon, service = start(world, "alpha", address, [address])
     told: list[Any] = []
     assert service._carrier is not None
@@ -117,14 +116,14 @@
 
 
 def test_without_electors_the_module_keeps_its_ordinal(world: World) -> None:
-    address = free_udp()
+    address = free_address()
     daemon, service = start(world, "alpha", address, [address])
     assert service.leases is None and daemon.module.rules.lent_until_ns is None
 
 
 def test_an_unsure_view_uses_no_slot(world: World) -> None:
     # Guards against slots that are used by one that stood still and has heard nobody since.
-    address = free_udp()
+    address = free_address()
     daemon, service = start(world, "alpha", address, [address], electors=[address], lease="1200ms")
     leases = service.leases
     assert leases is not None and daemon.module.rules.lent_until_ns == -1
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from ladderhub.lab.ports import free_port
 from ladderhub.signalling import Kind, Message, encode_line
 from tests.platform.bed import HARMLESS
 from tests.platform.bed import Owner, S
@@ -21,12 +22,6 @@
 ROOT = Path(__file__).parents[2]
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def start(folder: Path, **changes: Any) -> tuple[subprocess.Popen[str], int]:
     port = free_port()
     file = {"journal": f"127.0.0.1:{free_port()}", "settings": settings(), "known": {"pos": 0, "entries": []}}
--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -18,6 +18,8 @@
 
 from .world import MS, S, World
 
+pytestmark = pytest.mark.xdist_group("auditor")  # one recording for all tests of this file
+
 Recording = tuple[list[Record], Charter]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,8 +14,9 @@
 
 from ladderhub.directory.service import Directory
 from ladderhub.lab.client import BatchClient, Submission, attributes
-from ladderhub.lab.fleet import SETTINGS, free_port
+from ladderhub.lab.fleet import SETTINGS
 from ladderhub.lab.flaky import FlakyAgent
+from ladderhub.lab.ports import free_port
 from ladderhub.lab.tap import Tap
 from ladderhub.loop import Loop
 from ladderhub.node.admission import NodeSettings
