Server: settings as a package, and a policy that changes while it runs

Need: one change of a queue or a team meant a restart of every scheduler.

The policy part is what a fleet has in common; its docstring says why schedulers, ordinal, peers, spool and the like are not in it. policy_body gives it as bytes that are the same for equal policies, Loaded.with_policy takes another one beside this process's own part, policy_difference words what differs. Queues, kinds and tenants keep their index for the life of the process; one that vanished is closed: it refuses new jobs by a reply that says so and finishes what it has; nodes of a kind that vanished drain.

Site.change_settings tells the decision module, the owner and all rooms in one turn of the board (Board.one_turn), so no decision bears a revision it was not made by. The revision stands in the log rows of jobs taken, offers, answers and refusals, in the job's record and as policy_revision in `qstat -f`. Site.hold and Site.resume: jobs are taken and wait, with the reason.

A copy of a service is taken by the effect the service was declared with. A job is checked again at its Commit, in the queue that Queue Job named.

--- a/ladderhub/board.py
+++ b/ladderhub/board.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from typing import Any, Protocol
 
 
@@ -41,6 +42,16 @@
 
         return tell
 
+    @contextmanager
+    def one_turn(self) -> Iterator[None]:
+        """Events told within it stand side by side in the queue: nothing is heard between them."""
+        was_busy, self._busy = self._busy, True
+        try:
+            yield
+        finally:
+            self._busy = was_busy
+            self._drain()
+
     def _drain(self) -> None:
         if self._busy:
             return
--- a/ladderhub/cli/daemons.py
+++ b/ladderhub/cli/daemons.py
@@ -18,7 +18,7 @@
 def check(file: Path) -> None:
     """Check a settings FILE without starting anything."""
     settings = load_settings(file)
-    click.echo(f"{file}: good: {len(settings.queue_names)} queues, {len(settings.kind_names)} kinds of node")
+    click.echo(f"{file}: good: {len(settings.file.queues)} queues, {len(settings.file.kinds)} kinds of node")
 
 
 @click.command()
--- a/ladderhub/server/__init__.py
+++ b/ladderhub/server/__init__.py
@@ -5,7 +5,7 @@
 
 One room for one concern, each importing only those above it:
 
-    jobs, board, metrics, settings     state, the queue of events, counters, checked settings
+    jobs, board, metrics, settings/    state, the queue of events, counters, checked settings
     offer, nodelinks, runs, nodelist   one offer's steps, connections to nodes, what is out, the directory
     site                               what all rooms share, and `Part`: what lives as long as the daemon
     placing, words, owning             carry out the two decision modules; what nodes say of runs
--- a/ladderhub/server/intake.py
+++ b/ladderhub/server/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ladderhub.interface import Effect
 from ladderhub.owner import types as own
 from ladderhub.pbs.attributes import unserved
 from ladderhub.pbs.batch import Attr, Reply, refusal
@@ -31,7 +32,7 @@
         record.service = get("Resource_List.service") or get("service") or record.name
         record.rerunnable = get("Rerunable", "y").lower() in ("y", "true")
         resources = {attr.resource: attr.value for attr in attrs if attr.name == "Resource_List"}
-        queue = self._site.settings.file.queues[self._site.settings.queue_names[record.queue]]
+        queue = self._site.settings.queue_at[record.queue]
         found = wanted(resources)
         record.walltime_s, record.mpiprocs, record.ompthreads = (
             found.walltime_s, found.mpiprocs, found.ompthreads,
@@ -49,8 +50,8 @@
                 return refusal(*refused)
         return None
 
-    def check(self, record: JobRecord) -> str:
-        """Why the job could never be placed; "" where it could."""
+    def check(self, record: JobRecord, taken: bool = False) -> str:
+        """Why the job could never be placed; "" where it could.  One that was taken keeps its account."""
         module = self._site.settings.module
         klass = module.classes[record.queue]
         kinds = [kind for at, kind in enumerate(module.kinds) if klass.kind in (-1, at)]
@@ -60,15 +61,27 @@
             for kind in kinds
         ):
             return f"no kind of node here holds {record.cores:g} cores and {record.memory:g} GiB"
-        tenants = self._site.settings.tenant_names
-        if tenants and record.account and record.account not in tenants:
-            return f"unknown account {record.account}; known are " + ", ".join(tenants)
-        return ""
+        tenants, account = self._site.settings.tenants, record.account
+        if not tenants.current or not account or tenants.is_open(account):
+            return ""
+        if not tenants.is_known(account):
+            return f"unknown account {account}; known are " + ", ".join(tenants.current)
+        return "" if taken else f"account {account} {self.removed()}; known are " + ", ".join(tenants.current)
 
-    def take(self, record: JobRecord, held: bool, lasting: bool = False) -> None:
-        """The job was committed."""
-        self._site.metrics.taken += 1
-        self._site.log.info(
-            "taken", job=record.id, queue=self._site.settings.queue_names[record.queue], owner=record.owner
-        )
-        self._site.tell_owner(own.Taken(record.number, record.queue, record.rerunnable, held, lasting))
+    def removed(self) -> str:
+        """What is said of a queue or an account that the policy has no more."""
+        return f"takes no new jobs, the policy (revision {self._site.revision.number}) has it no more"
+
+    def take(
+        self, record: JobRecord, held: bool, lasting: bool = False, effect: Effect | None = None
+    ) -> None:
+        """The job was committed.  `effect`: where it is not what its queue says."""
+        site = self._site
+        site.metrics.taken += 1
+        record.revision = site.revision.number
+        site.log.info(
+            "taken", job=record.id, queue=site.settings.queues.all[record.queue], owner=record.owner,
+            revision=record.revision,
+        )  # fmt: skip
+        event = own.Taken(record.number, record.queue, record.rerunnable, held, lasting, effect)
+        site.tell_owner(event)
--- a/ladderhub/server/jobrequests.py
+++ b/ladderhub/server/jobrequests.py
@@ -21,7 +21,7 @@
 FORWARD_NS = 2_000_000_000
 _READ_ONLY = frozenset((
     "job_state", "exec_host", "placement", "Exit_status", "run_count", "ctime", "substate", "server",
-    "comment", "queue", "Job_Owner", "Hold_Types", "service",
+    "comment", "queue", "Job_Owner", "Hold_Types", "service", "policy_revision",
 ))  # fmt: skip
 _HELD = ("u", "o", "s")
 
@@ -149,7 +149,7 @@
             self._set(record, attr)
         try:
             self._intake.describe(record, list(record.values.values()))
-            never = self._intake.check(record)
+            never = self._intake.check(record, taken=True)
         except ResourceError as fault:
             never = str(fault)
         if never:
--- a/ladderhub/server/jobs.py
+++ b/ladderhub/server/jobs.py
@@ -51,8 +51,8 @@
     __slots__ = (
         "account", "adopted", "answer", "answer_ns", "comment", "cores", "end_ns", "exit_status", "id",
         "made_ns", "memory", "messages", "mpiprocs", "name", "number", "ompthreads", "owner", "pinned",
-        "queue", "rerunnable", "run", "run_machine", "script", "service", "start_ns", "state", "substate",
-        "task", "values", "walltime_s",
+        "queue", "rerunnable", "revision", "run", "run_machine", "script", "service", "start_ns", "state",
+        "substate", "task", "values", "walltime_s",
     )  # fmt: skip
 
     def __init__(self, number: int, id: str, queue: int) -> None:
@@ -67,6 +67,7 @@
         self.state, self.substate, self.comment = "Q", 10, ""
         self.answer = ""
         self.exit_status: int | None = None
+        self.revision = 0  # of the policy by which the last decision on it was made
         self.run = 0  # the last run sent
         self.run_machine = ""  # where it runs, once placed
         self.task = -1  # the module's number for the present ask
@@ -79,7 +80,7 @@
     """All jobs: live ones by number and identifier, finished ones for a set time."""
 
     def __init__(self, keep_ns: int, server: str) -> None:
-        self._keep_ns, self._server = keep_ns, server
+        self.keep_ns, self._server = keep_ns, server
         self.by_id: dict[str, JobRecord] = {}
         self.by_number: dict[int, JobRecord] = {}
         self.live: dict[int, JobRecord] = {}
@@ -108,7 +109,7 @@
         """Forget what finished too long ago."""
         while self.finished:
             record = next(iter(self.finished.values()))
-            if now - record.end_ns < self._keep_ns:
+            if now - record.end_ns < self.keep_ns:
                 return
             self.finished.popitem(last=False)
             if record.pinned:
@@ -152,6 +153,7 @@
     if record.exit_status is not None:
         attrs.append(Attr("Exit_status", str(record.exit_status)))
     attrs += [Attr("run_count", str(record.run)), Attr("ctime", stamp(record.made_ns))]
+    attrs.append(Attr("policy_revision", str(record.revision)))
     if record.start_ns:
         attrs.append(Attr("stime", stamp(record.start_ns)))
     if record.end_ns:
--- a/ladderhub/server/members.py
+++ b/ladderhub/server/members.py
@@ -46,6 +46,8 @@
         self._cells: dict[str, int] = {}
         zone = site.settings.file.zone
         self._zones: dict[str, int] = {zone: 0} if zone else {}
+        self._open_kinds = set(site.settings.kinds.current)
+        site.on_settings.append(self._kinds_changed)
 
     # --- as a part ------------------------------------------------------------------------------------------
 
@@ -67,7 +69,7 @@
             return None
         return {
             name for name, entry in self.list.entries.items()
-            if entry.kind in self._site.settings.kind_names and self._heard.get(name) != entry.ready_ns
+            if self._site.settings.kinds.is_known(entry.kind) and self._heard.get(name) != entry.ready_ns
         }  # fmt: skip
 
     # --- lists ----------------------------------------------------------------------------------------------
@@ -77,7 +79,7 @@
         known: list[api.MachineEntry] = []
         anew: list[str] = []
         for entry in entries:
-            if entry.kind not in self._site.settings.kind_names:
+            if not self._site.settings.kinds.is_known(entry.kind):
                 self._site.log.error("unknown kind of node", node=entry.name, kind=entry.kind)
                 continue
             self._site.links.place(entry.name, parse_address(entry.address))
@@ -95,9 +97,18 @@
         for name in sorted(gone):
             self._site.tell_owner(own.MachineGone(name))
         for entry in entries:
-            if entry.stage != "gone" and entry.kind in self._site.settings.kind_names:
+            if entry.stage != "gone" and self._site.settings.kinds.is_known(entry.kind):
                 self._ask_node(entry.name)
 
+    def _kinds_changed(self) -> None:
+        """Nodes of a kind that is new are known from now on; those of one that is gone get nothing more."""
+        kinds = set(self._site.settings.kinds.current)
+        changed = kinds ^ self._open_kinds
+        self._open_kinds = kinds
+        entries = [entry for entry in self.list.entries.values() if entry.kind in changed]
+        if entries:
+            self._on_list(api.ListKind.CHANGES, self.list.version, entries)
+
     def _tell_nodes(self, kind: api.ListKind, entries: list[Entry], anew: list[str]) -> None:
         listed = {entry.name for entry in entries if entry.stage != "gone"}
         gone = {entry.name for entry in entries if entry.stage == "gone"}
@@ -113,12 +124,13 @@
 
     def _machine(self, entry: Entry) -> api.MachineEntry:
         stage = _STAGES[entry.stage]
-        if entry.name in self.offline and stage is api.Stage.SERVING:
+        kinds = self._site.settings.kinds
+        if stage is api.Stage.SERVING and (entry.name in self.offline or not kinds.is_open(entry.kind)):
             stage = api.Stage.DRAINING
         return api.MachineEntry(
             machine=entry.name,
             stage=stage,
-            kind=self._site.settings.kind_names.index(entry.kind),
+            kind=kinds.index(entry.kind),
             zone=self._zones.setdefault(entry.zone, len(self._zones)),
             cell=self._cells.setdefault(f"{entry.zone}/{entry.rack}", len(self._cells)),
             ready_ns=entry.ready_ns,
@@ -167,8 +179,8 @@
             run = int_of(row.get("run_version"))
             if row.get("server") != self._site.name or row.name in self._site.jobs.by_id:
                 continue
-            queues = self._site.settings.queue_names
-            if self._words.ended_before(row.name, run) or row.get("queue") not in queues:
+            queues = self._site.settings.queues
+            if self._words.ended_before(row.name, run) or not queues.is_known(row.get("queue")):
                 continue
             queue = queues.index(row.get("queue"))
             record = self._site.jobs.add(row.name, queue, int_of(row.get("ctime")) * S)
@@ -177,5 +189,6 @@
             record.run, record.run_machine, record.answer = run, name, own.Answer.PLACED.value
             record.adopted, record.rerunnable = True, False  # its script went with the earlier life
             record.start_ns = self._site.loop.now_ns()
+            record.revision = self._site.revision.number
             self._site.log.info("adopted", job=record.id, node=name, run=run)
             self._site.tell_owner(own.Adopted(record.number, queue, run, name, record.rerunnable))
--- a/ladderhub/server/owning.py
+++ b/ladderhub/server/owning.py
@@ -54,8 +54,8 @@
 
     def _carry_job(self, now: int, record: JobRecord, action: own.Action) -> None:
         match action:
-            case own.Ask(_, ask, budget, again):
-                self._placing.ask(now, record, ask, budget, again)
+            case own.Ask():
+                self._placing.ask(now, record, action)
             case own.Withdraw():
                 if record.task >= 0:
                     self._site.tell_module(api.TaskWithdrawn(record.task))
@@ -64,7 +64,10 @@
             case own.Settle(_, answer, reason):
                 record.answer, record.answer_ns, record.comment = answer.value, now, reason
                 self._site.metrics.answered(answer)
-                self._site.log.info("answer", job=record.id, answer=answer.value, reason=reason)
+                record.revision = revision = self._site.revision.number
+                self._site.log.info(
+                    "answer", job=record.id, answer=answer.value, reason=reason, revision=revision
+                )
             case own.Finish(_, status, reason):
                 self._finish(now, record, status, reason)
 
@@ -87,6 +90,10 @@
 
     def after(self, event: own.Event) -> None:
         """State, place and reason as `qstat` gives them."""
+        if isinstance(event, own.AsksResumed):
+            for waiting in list(self._site.jobs.live.values()):
+                self._show(waiting)
+            return
         number = getattr(event, "job", None)
         record = self._site.jobs.live.get(number) if number is not None else None
         if record is None:
@@ -94,6 +101,9 @@
                 for hears in self._site.on_news:
                     hears(number)
             return
+        self._show(record)
+
+    def _show(self, record: JobRecord) -> None:
         state, why = self._site.owner.state(record.number)
         ran = record.state == "R"
         record.state, record.substate = _LETTERS.get(state, ("Q", 14 if state == "asking" else 16))
--- a/ladderhub/server/peers.py
+++ b/ladderhub/server/peers.py
@@ -138,15 +138,15 @@
         site.metrics.gauge("seats_held", "Slots of the cold budget that may be used", self._usable_slots)
 
     def _lease_settings(self) -> LeaseSettings:
-        settings, module = self._settings, self._site.settings.module
+        settings, loaded = self._settings, self._site.settings
         return LeaseSettings(
             name=self._site.name,
             life=self._state_file.life,
             address=settings.advertise,
-            slots=module.schedulers,
+            slots=loaded.module.schedulers,
             voters=settings.voters,
             lease_ns=settings.lease_ns,
-            window_ns=module.cold_window_ns,
+            window_ns=loaded.lease_rest_ns,
         )
 
     def _on_tick(self) -> None:
--- a/ladderhub/server/placing.py
+++ b/ladderhub/server/placing.py
@@ -28,11 +28,12 @@
 
     # --- what others want placed ----------------------------------------------------------------------------
 
-    def ask(self, now: int, record: JobRecord, ask: int, budget: int, again: bool) -> None:
+    def ask(self, now: int, record: JobRecord, action: own.Ask) -> None:
         """Hand one ask of the job to the module, in place of an earlier one."""
         self.leave(record)
-        task = self._site.runs.new_task(record, ask, now + budget)
-        self._site.tell_module(self._asked_event(record, task, budget, again))
+        task = self._site.runs.new_task(record, action.ask, now + action.budget_ns)
+        event = self._asked_event(record, task, action.budget_ns, action.came_again, action.effect)
+        self._site.tell_module(event)
 
     def adopt(self, now: int, record: JobRecord, ask: int, run: int, machine: str) -> None:
         """Hand the module a run that stands already."""
@@ -58,8 +59,9 @@
         self._site.tell_module(api.TaskWithdrawn(record.task))
         record.task = -1
 
-    def _asked_event(self, record: JobRecord, task: int, budget: int, again: bool) -> api.TaskAsked:
-        tenants = self._site.settings.tenant_names
+    def _asked_event(
+        self, record: JobRecord, task: int, budget: int, again: bool, effect: api.Effect | None = None
+    ) -> api.TaskAsked:
         return api.TaskAsked(
             task=task,
             key=record.id,
@@ -68,9 +70,10 @@
             cores=record.cores,
             memory=record.memory,
             budget_ns=budget,
-            tenant=tenants.index(record.account) if record.account in tenants else 0,
+            tenant=self._site.settings.tenant_index(record.account),
             life_hint_ns=record.walltime_s * S or None,
             came_again=again,
+            effect=effect,
         )
 
     # --- what the module decides ----------------------------------------------------------------------------
@@ -102,6 +105,8 @@
     def after(self, event: api.Event) -> None:
         if isinstance(event, api.TaskWithdrawn):
             self._site.runs.tasks.pop(event.task, None)
+        elif isinstance(event, api.SettingsChanged):
+            self._site.settings_in_force(event)
 
     def _send(self, now: int, task: int, machine: str, timeout: int | None) -> None:
         asked = self._site.runs.tasks[task]
@@ -114,12 +119,13 @@
         record.run += 1
         run = record.run
         out = OutRun(task, attempt, machine, now)
+        out.revision = record.revision = self._site.revision.number
         self._site.runs.add(record.number, run, out)
         left = asked.until_ns - now
         span = left if timeout is None else min(left, timeout)
         self._site.tell_owner(own.Sent(record.number, asked.ask, run, machine))
         self._site.metrics.offers += 1
-        self._site.log.debug("offer", job=record.id, run=run, node=machine)
+        self._site.log.debug("offer", job=record.id, run=run, node=machine, revision=out.revision)
         request = self._queue_job(record, run)
         out.call = self._site.links.offer(
             machine, request, record.script, span, lambda result: self._offer_done(record, run, out, result)
@@ -128,7 +134,7 @@
     def _queue_job(self, record: JobRecord, run: int) -> Request:
         attrs = [
             Attr("Job_Name", record.name), Attr("Job_Owner", record.owner), Attr("service", record.service),
-            Attr("queue", self._site.settings.queue_names[record.queue]), Attr("run_version", str(run)),
+            Attr("queue", self._site.settings.queues.all[record.queue]), Attr("run_version", str(run)),
             Attr("server", self._site.name), Attr("server_address", self._site.advertise),
             Attr("Rerunable", "True" if record.rerunnable else "False"), Attr("ctime", stamp(record.made_ns)),
             Attr("Resource_List", f"{record.cores:g}", "ncpus"),
@@ -158,7 +164,7 @@
         self._site.metrics.ended(result.outcome)
         self._site.log.info(
             "turned away", job=record.id, run=run, node=out.machine, outcome=result.outcome.name,
-            reason=result.reason.name, text=words,
+            reason=result.reason.name, text=words, revision=out.revision,
         )  # fmt: skip
         if result.outcome in NEVER_RAN:
             self._site.runs.forget(record.number, run)
--- a/ladderhub/server/runs.py
+++ b/ladderhub/server/runs.py
@@ -9,12 +9,13 @@
 class OutRun:
     """A run that is out: the module's task and attempt it stands for, until the module was told its end."""
 
-    __slots__ = ("attempt", "call", "machine", "open", "placed", "sent_ns", "task")
+    __slots__ = ("attempt", "call", "machine", "open", "placed", "revision", "sent_ns", "task")
 
     def __init__(self, task: int, attempt: int, machine: str, sent_ns: int) -> None:
         self.task, self.attempt, self.machine, self.sent_ns = task, attempt, machine, sent_ns
         self.call: OfferCall | None = None
         self.open, self.placed = True, False
+        self.revision = 0  # of the policy by which it was sent
 
 
 class TaskOut:
--- a/ladderhub/server/services.py
+++ b/ladderhub/server/services.py
@@ -88,6 +88,7 @@
         site.on_finished.append(self._finished)
         site.on_node.append(lambda node, back: self._tell((t.NodeBack if back else t.NodeGone)(node)))
         site.on_news.append(self._news)
+        site.on_settings.append(lambda: self._tell(t.SettingsChanged(site.settings.rollouts)))
         site.metrics.gauge("services", "Services declared", lambda: len(self._books))
         site.metrics.gauge("copies_down", "Copies of services without a healthy run", self._down)
 
@@ -105,7 +106,7 @@
         except msgspec.MsgspecError as fault:
             raise SpoolError(str(fault), where=str(self._path), meant="what the scheduler left") from None
         for book in books:
-            if book.queue not in self._site.settings.queue_names:
+            if not self._site.settings.queues.is_known(book.queue):
                 where = f"{self._path}: service {book.name}"
                 raise SpoolError(f"the queue {book.queue} is not known", where=where)
             self._books[book.name] = book
@@ -168,13 +169,14 @@
             self._site.log.error("no job number", exc_info=fault)
             self._tell(t.Ended(action.copy, t.End.REFUSED))
             return
-        record = self._site.jobs.add(job, self._site.settings.queue_names.index(book.queue), now)
+        record = self._site.jobs.add(job, self._site.settings.queues.index(book.queue), now)
         attrs = [Attr(name, value, resource) for name, resource, value in version.attrs]
         attrs += [Attr(SLOT, str(action.slot)), Attr(VERSION, str(action.version))]
         self._intake.describe(record, attrs)
         record.script = version.script
         self._record_of[action.copy], self._copy_of[record.number] = record, action.copy
-        self._intake.take(record, held=False, lasting=True)
+        effect = self.rollouts.services[action.service].rules.effect
+        self._intake.take(record, held=False, lasting=True, effect=effect)
 
     def _keep(self, name: str) -> None:
         service = self.rollouts.services.get(name)
@@ -264,7 +266,10 @@
         self._tell(event)
 
     def _rules(self, name: str, queue: str, count: int) -> t.ServiceRules:
-        klass = self._site.settings.module.classes[self._site.settings.queue_names.index(queue)]
+        known = self.rollouts.services.get(name)
+        if known is not None:  # its copies run, and are started, by what it was declared with
+            return t.ServiceRules(name, count, known.rules.effect, known.rules.repeat_ns)
+        klass = self._site.settings.module.classes[self._site.settings.queues.index(queue)]
         repeat = klass.dedupe_window_ns if klass.effect is Effect.KEYED else 0
         return t.ServiceRules(name, count, klass.effect, repeat)
 
@@ -279,8 +284,8 @@
             why = "took up its services anew, and nodes have not all said what they run"
             raise ServiceError(f"{site.name} {why}")
         queue = request.get("queue") or site.settings.default_queue
-        if queue not in site.settings.queue_names:
-            meant = f"one of {', '.join(site.settings.queue_names)}"
+        if not site.settings.queues.is_open(queue):
+            meant = f"one of {', '.join(site.settings.queues.current)}"
             raise ServiceError(f"found {queue!r}", where="queue", meant=meant)
         book = self._books.get(name)
         if book is not None and queue != book.queue:
@@ -298,7 +303,7 @@
         attrs += [Attr("service", name), Attr("Job_Owner", request.user)]
         if not request.get("Job_Name"):
             attrs.append(Attr("Job_Name", name if name[0].isalpha() else f"S{name}"))
-        probe = JobRecord(0, "", site.settings.queue_names.index(queue))
+        probe = JobRecord(0, "", site.settings.queues.index(queue))
         self._intake.describe(probe, attrs)
         never = self._intake.check(probe)
         if never:
--- a/ladderhub/server/site.py
+++ b/ladderhub/server/site.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import hashlib
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -22,7 +25,15 @@
 from ladderhub.server.metrics import Metrics
 from ladderhub.server.nodelinks import NodeLinks
 from ladderhub.server.runs import Runs
-from ladderhub.server.settings import Loaded
+from ladderhub.server.settings import Loaded, policy_body
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyRevision:
+    """Which policy is in force."""
+
+    number: int
+    digest: bytes
 
 
 class Part(Protocol):
@@ -46,11 +57,15 @@
 
     `on_finished` hears of each job that is over, `on_placed` of each that runs, `on_unplaced` of each that
     lost its place and is placed again, `on_node` of each node that is gone (False) or back (True), also where
-    it began anew without being missed, `on_news` of the number of each finished job that a node spoke of."""
+    it began anew without being missed, `on_news` of the number of each finished job that a node spoke of,
+    `on_settings` of settings that have come into force."""
 
     def __init__(self, loop: Loop, settings: Loaded, log: Any) -> None:
         self.loop, self.settings, self.log = loop, settings, log
         self.name = settings.file.server
+        self.revision = PolicyRevision(1, hashlib.sha256(policy_body(settings.file)).digest())
+        self.held = ""  # why jobs are taken and not yet asked for
+        self._changes: deque[tuple[Loaded, PolicyRevision]] = deque()
         self.folder = Path(settings.file.spool)
         self.lock = FolderLock(self.folder)
         self.jobs = JobTable(settings.keep_finished_ns, self.name)
@@ -67,6 +82,7 @@
         self.on_unplaced: list[Callable[[JobRecord], None]] = []
         self.on_node: list[Callable[[str, bool], None]] = []
         self.on_news: list[Callable[[int], None]] = []
+        self.on_settings: list[Callable[[], None]] = []
         self.status_rows: list[Callable[[], list[Attr]]] = []  # of rooms that tell of themselves there
         self._module: Callable[[api.Event], None] = _nobody
         self._owner: Callable[[own.Event], None] = _nobody
@@ -82,6 +98,39 @@
     def tell_owner(self, event: own.Event) -> None:
         self._owner(event)
 
+    # --- settings that change -------------------------------------------------------------------------------
+
+    def change_settings(self, loaded: Loaded, number: int, digest: bytes) -> None:
+        """Go on by other settings, made by `Loaded.with_policy` of those before.
+
+        All of it happens in one turn of the board, and at once where nothing is being decided: what was told
+        before is decided by the old settings and bears their revision, all after it by the new ones."""
+        self._changes.append((loaded, PolicyRevision(number, digest)))
+        with self.board.one_turn():
+            self._module(api.SettingsChanged(loaded.module))
+            self._owner(own.SettingsChanged(loaded.owner))
+
+    def settings_in_force(self, event: api.SettingsChanged) -> None:
+        """The decision module has taken them: so do all rooms."""
+        loaded, revision = self._changes.popleft()
+        while loaded.module is not event.settings:
+            loaded, revision = self._changes.popleft()
+        self.settings, self.revision = loaded, revision
+        self.links.connect_ns, self.jobs.keep_ns = loaded.connect_ns, loaded.keep_finished_ns
+        self.log.info("policy", revision=revision.number, digest=revision.digest.hex())
+        for told in self.on_settings:
+            told()
+
+    def hold(self, reason: str) -> None:
+        """From now on jobs are taken and wait, with this reason; nothing is asked of the decision module."""
+        self.held = reason
+        self._owner(own.AsksPaused(reason))
+
+    def resume(self) -> None:
+        """Jobs that were held back are asked for."""
+        self.held = ""
+        self._owner(own.AsksResumed())
+
     def _fault(self, event: Any, fault: Exception) -> None:
         self.metrics.troubles += 1
         self.log.error("decision", event=repr(event), exc_info=fault)
--- a/ladderhub/server/status.py
+++ b/ladderhub/server/status.py
@@ -30,7 +30,7 @@
         }  # fmt: skip
 
     def _rows(self, records: list[JobRecord], attrs: list[Attr]) -> Reply | Iterator[bytes]:
-        names, server = self._site.settings.queue_names, self._site.name
+        names, server = self._site.settings.queues.all, self._site.name
         wanted = frozenset(attr.name for attr in attrs)
         known = wanted and wanted <= SHORT
 
@@ -53,12 +53,12 @@
         jobs, name = self._site.jobs, request.job
         if not name or name.startswith("@") or name[0].isalpha():
             queue = name.partition("@")[0]
-            if queue and queue not in self._site.settings.queue_names:
+            if queue and not self._site.settings.queues.is_known(queue):
                 answer(refusal(n.UNKNOWN_QUEUE, f"Unknown queue {queue}"))
                 return
             records = list(jobs.by_id.values() if "x" in request.extension else jobs.live.values())
             if queue:
-                at = self._site.settings.queue_names.index(queue)
+                at = self._site.settings.queues.index(queue)
                 records = [record for record in records if record.queue == at]
             answer(self._rows(records, request.attrs))
             return
@@ -85,7 +85,7 @@
             return (record.state in attr.value) != (attr.op == n.OP_NE)
         own_value: str
         if attr.name in ("queue", "destination"):
-            own_value, attr = self._site.settings.queue_names[record.queue], Attr(
+            own_value, attr = self._site.settings.queues.all[record.queue], Attr(
                 attr.name, attr.value.partition("@")[0], "", attr.op
             )  # fmt: skip
             if not attr.value:
@@ -105,22 +105,23 @@
 
     def status_queue(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
         site = self._site
-        names = (
-            [request.name.partition("@")[0]] if request.name.partition("@")[0] else site.settings.queue_names
-        )
+        queues, wanted = site.settings.queues, request.name.partition("@")[0]
+        if wanted and not queues.is_known(wanted):
+            answer(refusal(n.UNKNOWN_QUEUE, f"Unknown queue {wanted}"))
+            return
         rows = []
-        for name in names:
-            if name not in site.settings.queue_names:
-                answer(refusal(n.UNKNOWN_QUEUE, f"Unknown queue {name}"))
-                return
-            at = site.settings.queue_names.index(name)
-            queue = site.settings.file.queues[name]
+        for name in [wanted] if wanted else queues.all:
+            at = queues.index(name)
+            queue, is_open = site.settings.queue_at[at], queues.is_open(name)
             records = [record for record in site.jobs.live.values() if record.queue == at]
+            if not (wanted or is_open or records):
+                continue  # it was removed, and has finished what it had
             rows.append(
                 Row(n.OBJ_QUEUE, name, [
                     Attr("queue_type", "Execution"), Attr("total_jobs", str(len(records))),
                     Attr("state_count", _counts(records)), Attr("Priority", str(queue.priority)),
-                    Attr("enabled", "False" if site.stopping else "True"), Attr("started", "True"),
+                    Attr("enabled", "True" if is_open and not site.stopping else "False"),
+                    Attr("started", "True"),
                     Attr("effect", queue.effect), Attr("limit", queue.limit),
                 ])
             )  # fmt: skip
--- a/ladderhub/server/submitting.py
+++ b/ladderhub/server/submitting.py
@@ -35,28 +35,44 @@
             answer(refusal(n.SERVER_BUSY, f"{site.name} holds {len(site.jobs.live)} jobs, as many as it may"))
             return
         name = request.destination.partition("@")[0] or site.settings.default_queue
-        if name not in site.settings.queue_names:
-            known = ", ".join(site.settings.queue_names)
-            answer(refusal(n.UNKNOWN_QUEUE, f"Unknown queue {name}; known are {known}"))
+        closed = self._closed(name)
+        if closed is not None:
+            answer(closed)
             return
         refused = self._intake.unserved(request.attrs)
         if refused is not None:
             answer(refused)
             return
-        probe = JobRecord(0, "", site.settings.queue_names.index(name))
-        try:
-            self._intake.describe(probe, request.attrs)
-        except ResourceError as fault:
-            answer(refusal(fault.code, str(fault)))
-            return
-        never = self._intake.check(probe)
-        if never:
-            answer(refusal(n.BAD_RESOURCE_VALUE, never))
+        refused = self._refused(name, request)
+        if refused is not None:
+            answer(refused)
             return
         job = f"{self._intake.numbers.take()}.{site.name}"
+        request.destination = name  # as answered, also where another queue is the default by its Commit
         connection.draft = Draft(job, request)
         answer(Reply(0, n.R_QUEUE, job=job))
 
+    def _refused(self, name: str, request: Request) -> Reply | None:
+        """The refusal of a job that could never be placed."""
+        probe = JobRecord(0, "", self._site.settings.queues.index(name))
+        try:
+            self._intake.describe(probe, request.attrs)
+        except ResourceError as fault:
+            return refusal(fault.code, str(fault))
+        never = self._intake.check(probe)
+        return refusal(n.BAD_RESOURCE_VALUE, never) if never else None
+
+    def _closed(self, name: str) -> Reply | None:
+        """The refusal of a queue that takes no jobs."""
+        queues = self._site.settings.queues
+        if queues.is_open(name):
+            return None
+        known = ", ".join(queues.current)
+        if queues.is_known(name):
+            text = f"Queue {name} {self._intake.removed()}; known are {known}"
+            return refusal(n.QUEUE_NOT_ENABLED, text)
+        return refusal(n.UNKNOWN_QUEUE, f"Unknown queue {name}; known are {known}")
+
     def job_script(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
         draft = connection.draft
         assert draft is not None
@@ -80,9 +96,14 @@
         if site.stopping:
             answer(refusal(n.SERVER_BUSY, f"{site.name} is stopping; submit to another scheduler"))
             return
-        name = draft.request.destination.partition("@")[0] or site.settings.default_queue
-        now = site.loop.now_ns()
-        record = site.jobs.add(draft.job, site.settings.queue_names.index(name), now)
+        # The settings may have changed since Queue Job was answered.
+        name = draft.request.destination
+        refused = self._closed(name) or self._refused(name, draft.request)
+        if refused is not None:
+            connection.drop_draft()
+            answer(refused)
+            return
+        record = site.jobs.add(draft.job, site.settings.queues.index(name), site.loop.now_ns())
         self._intake.describe(record, draft.request.attrs)
         record.owner = record.owner or draft.request.user
         record.script = bytes(draft.script)
