--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -34,17 +34,20 @@
 
 
 class RoleFigures(msgspec.Struct):
-    """The mean over the processes of one role, and in `most` each figure's largest value among them."""
+    """The mean over the processes of one role, and in `most` each figure's largest value among them.  A role
+    that is a part of a process has no memory and no processor time of its own.  `waited`: the share of the
+    time in which it was ready and no processor was free; where it is large, times tell of the machine."""
 
     count: int
-    memory_mb: float
-    cores: float
+    memory_mb: float | None
+    cores: float | None
     descriptors: float
     cores_by_cause: dict[str, float] = {}
     bytes_per_s: dict[str, Traffic] = {}
     messages_per_s: dict[str, Traffic] = {}
     control: ControlFigures = msgspec.field(default_factory=ControlFigures)
     most: dict[str, float] = {}
+    waited: float | None = None
 
 
 class ClassFigures(msgspec.Struct):
@@ -122,9 +125,13 @@
 
 def role_figures(role: RoleFigures) -> Iterator[tuple[str, float]]:
     """A role's figures by their names within it."""
-    yield "memory_mb", role.memory_mb
-    yield "cores", role.cores
+    if role.memory_mb is not None:
+        yield "memory_mb", role.memory_mb
+    if role.cores is not None:
+        yield "cores", role.cores
     yield "descriptors", role.descriptors
+    if role.waited is not None:
+        yield "waited", role.waited
     for cause, cores in role.cores_by_cause.items():
         yield f"cores.{cause}", cores
     for name, table in (("bytes_per_s", role.bytes_per_s), ("messages_per_s", role.messages_per_s)):
--- a/ladderhub/lab/scale/run.py
+++ b/ladderhub/lab/scale/run.py
@@ -11,13 +11,15 @@
 from ladderhub.lab.scale.churn import draw_troubles
 from ladderhub.lab.scale.fleet import DIRECTORY, NODE_AGENT, ScaleFleet
 from ladderhub.lab.scale.hollow_nodes import HostResult
-from ladderhub.lab.scale.measure import Counted, Reading, counted_on, fetch, read_process
+from ladderhub.lab.scale.measure import Reading, read_process, read_scheduler
 from ladderhub.lab.scale.plan import Control, Plan, Size
 from ladderhub.lab.scale.report import ChangeFigures, RoleFigures, RunFigures
-from ladderhub.lab.scale.roles import figures_of_process, mean_of_role
+from ladderhub.lab.scale.roles import client_doors, figures_of_process, mean_of_role
 from ladderhub.lab.scale.starts import answers_in, starts_by_class
 
 S = 1_000_000_000
+CLIENT_DOOR = "client_door"
+CLIENT_KIND = "client"  # as schedulers count the messages of clients
 Say = Callable[[str], None]
 
 
@@ -63,13 +65,16 @@
     sent = fleet.stop_load()
     seen = fleet.stop_nodes()
     fleet.close()
+    roles = roles_between(before, after, plan.control)
+    notes += crowding(roles, plan.playing.waited_most)
     answers = answers_in(scheduler.child.log for scheduler in fleet.schedulers)
+    notes += [f"{count} submissions ended with: {said}" for each in sent for said, count in each.said.items()]
     return RunFigures(
         name=run.name,
         dimensions=run.size,
         seconds=(until_ns - since_ns) / S,
         seed=run.seed,
-        roles=roles_between(before, after, plan.control),
+        roles=roles,
         starts=starts_by_class(plan.load.classes, sent, first_runs(seen), answers, since_ns, until_ns),
         change_in_force_s=ChangeFigures(),
         running=running_at(seen, (since_ns + until_ns) // 2),
@@ -97,12 +102,21 @@
 # --- readings -------------------------------------------------------------------------------------------
 
 
+def crowding(roles: dict[str, RoleFigures], most: float) -> list[str]:
+    """What is to be said of roles whose processes waited for a processor more than they may."""
+    return [
+        f"{role} waited for a processor {figures.waited:.0%} of the time: its times tell of the machine"
+        for role, figures in roles.items()
+        if figures.waited is not None and figures.waited > most
+    ]
+
+
 def read_members(fleet: ScaleFleet) -> dict[int, Member]:
     """Each measured process by its id."""
     members = {}
     for scheduler in fleet.schedulers:
         child = scheduler.child
-        members[child.pid] = Member(child.role, 1, read_process(child.pid, _counted(scheduler.http)))
+        members[child.pid] = Member(child.role, 1, read_scheduler(child.pid, scheduler.http))
     for child in fleet.children.of(DIRECTORY):
         members[child.pid] = Member(DIRECTORY, 1, read_process(child.pid))
     for host in fleet.hosts:
@@ -110,21 +124,23 @@
     return members
 
 
-def _counted(http: tuple[str, int]) -> Counted | None:
-    page = fetch(http, "/metrics")
-    return None if page is None else counted_on(page)
-
-
 def roles_between(
     before: dict[int, Member], after: dict[int, Member], control: Control
 ) -> dict[str, RoleFigures]:
     """The figures of each role over the span between two readings."""
     by_role: dict[str, list[RoleFigures]] = {}
+    doors: list[tuple[RoleFigures, float]] = []
     for pid, earlier in before.items():
         later = after[pid]
         figures = figures_of_process(earlier.reading, later.reading, control, earlier.share)
         by_role.setdefault(earlier.role, []).append(figures)
-    return {role: mean_of_role(members) for role, members in by_role.items()}
+        if later.reading.connections is not None:
+            doors.append((figures, later.reading.connections))
+    roles = {role: mean_of_role(members) for role, members in by_role.items()}
+    if doors:
+        schedulers, connections = zip(*doors, strict=True)
+        roles[CLIENT_DOOR] = client_doors(schedulers, connections, CLIENT_KIND)
+    return roles
 
 
 # --- what the nodes saw ---------------------------------------------------------------------------------
