--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -15,6 +15,7 @@
 from ladderhub.lab.scale.run import RunPlan, play
 
 NODES, REAL, HOLLOW = 60, 2, 20
+pytestmark = pytest.mark.xdist_group("scale run")  # one worker plays the run that these tests look at
 
 
 def small_plan() -> Plan:
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -333,7 +333,8 @@
     one, two = tmp_path / "one.log", tmp_path / "two.log"
     one.write_bytes(
         revision_row("proposed", "a", 1) + revision_row("active", "a", 2, 1)
-        + revision_row("proposed", "b", 3) + revision_row("active", "b", 4, 2) + revision_row("proposed", "c", 8) + b'{"event": "revision"'
+        + revision_row("proposed", "b", 3) + revision_row("active", "b", 4, 2)
+        + revision_row("proposed", "c", 8) + b'{"event": "revision"'
     )  # fmt: skip
     two.write_bytes(revision_row("active", "b", 9, 2) + revision_row("active", "d", 20, 3))
     times = times_in_force([one, two])
