--- a/ladderhub/lab/scale/children.py
+++ b/ladderhub/lab/scale/children.py
@@ -65,8 +65,11 @@
 class Children:
     """All processes of one run.  `close` ends them, whatever happened before."""
 
-    def __init__(self, folder: Path, processes_most: int, memory_gib_most: float) -> None:
+    def __init__(
+        self, folder: Path, processes_most: int, memory_gib_most: float, seconds_most: float
+    ) -> None:
         self._folder = folder
+        self._seconds_most, self._began_s = seconds_most, time.monotonic()
         self._processes_most, self._memory_most = processes_most, memory_gib_most * _GIB
         self.members: list[Child] = []
         self._guard = subprocess.Popen(module("ladderhub.lab.scale.guard"), stdin=subprocess.PIPE)
@@ -90,7 +93,11 @@
         return [child for child in self.members if child.role == role]
 
     def check(self) -> None:
-        """`ScaleError` where a process has ended on its own, or all together hold more than they may."""
+        """`ScaleError` where a process has ended on its own, or all together take more than they may."""
+        if time.monotonic() - self._began_s > self._seconds_most:
+            raise ScaleError(
+                "the run takes too long", where=str(self._folder), meant=f"{self._seconds_most:g} s"
+            )
         total = 0
         for child in self.members:
             if not child.alive() and not child.brief:
--- a/ladderhub/lab/scale/fleet.py
+++ b/ladderhub/lab/scale/fleet.py
@@ -61,7 +61,8 @@
     def __init__(self, plan: Plan, size: Size, folder: Path, seed: int) -> None:
         self.plan, self.size, self.folder, self.seed = plan, size, folder, seed
         folder.mkdir(parents=True, exist_ok=True)
-        self.children = Children(folder, plan.playing.processes_most, plan.playing.memory_gib_most)
+        bounds = plan.playing
+        self.children = Children(folder, bounds.processes_most, bounds.memory_gib_most, bounds.run_s_most)
         self.nodes = tell.node_plans(plan, size, seed)
         self.directory_address: Address = (HOST, free_port())
         self.directory_stats = folder / "directory.json"
--- a/ladderhub/lab/scale/plan.jsonnet
+++ b/ladderhub/lab/scale/plan.jsonnet
@@ -26,17 +26,18 @@
   },
 
   playing: {
-    fill_s: 20,  // in which the tasks that run come up
+    fill_s: 15,  // in which the tasks that run come up
     measure_s: 20,
     full_measure_s: 60,
     settle_s: 7,  // more than the longest deadline
     register_s: 60,
     ready_s: 60,
-    join_s: 20,  // for schedulers to find each other and to take their leases
+    join_s: 14,  // for schedulers to find each other and to take their leases
     node_processes: 6,
     load_processes: 2,
     memory_gib_most: 12,
     processes_most: 200,
+    run_s_most: 400,  // of one run, from its first process on
     waited_most: 0.1,  // share of the time; above it a run's times tell of a machine that others use
   },
 
--- a/ladderhub/lab/scale/plan.py
+++ b/ladderhub/lab/scale/plan.py
@@ -70,6 +70,7 @@
     load_processes: int
     memory_gib_most: float
     processes_most: int
+    run_s_most: float
     waited_most: float  # how long processes may wait for a processor before a run's times say nothing
 
 
--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -48,6 +48,7 @@
     control: ControlFigures = msgspec.field(default_factory=ControlFigures)
     most: dict[str, float] = {}
     waited: float | None = None
+    memory_growth_mb_per_s: float | None = None
 
 
 class ClassFigures(msgspec.Struct):
@@ -129,6 +130,8 @@
     """A role's figures by their names within it."""
     if role.memory_mb is not None:
         yield "memory_mb", role.memory_mb
+    if role.memory_growth_mb_per_s is not None:
+        yield "memory_growth_mb_per_s", role.memory_growth_mb_per_s
     if role.cores is not None:
         yield "cores", role.cores
     yield "descriptors", role.descriptors
--- a/ladderhub/lab/scale/roles.py
+++ b/ladderhub/lab/scale/roles.py
@@ -19,6 +19,7 @@
         memory_mb=after.memory_bytes / MB / share,
         cores=(after.processor_s - before.processor_s) / seconds,
         descriptors=after.descriptors / share,
+        memory_growth_mb_per_s=(after.memory_bytes - before.memory_bytes) / MB / seconds,
         waited=(after.waited_s - before.waited_s) / (after.at_s - before.at_s),
     )
     if before.counted is None or after.counted is None:
@@ -71,6 +72,7 @@
         cores=_mean_of_known([member.cores for member in members], weights),
         descriptors=_mean([member.descriptors for member in members], weights),
         waited=_mean_of_known([member.waited for member in members], weights),
+        memory_growth_mb_per_s=_mean_of_known([member.memory_growth_mb_per_s for member in members], weights),
         cores_by_cause={
             cause: _mean([member.cores_by_cause.get(cause, 0.0) for member in members], weights)
             for cause in _names([member.cores_by_cause for member in members])
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -57,7 +57,7 @@
 
 
 def test_a_process_that_ends_by_itself_ends_the_run(tmp_path: Path) -> None:
-    children = Children(tmp_path, processes_most=10, memory_gib_most=1.0)
+    children = Children(tmp_path, processes_most=10, memory_gib_most=1.0, seconds_most=600.0)
     try:
         child = children.start("short", "load", [sys.executable, "-c", "raise SystemExit(3)"])
         child.process.wait()
@@ -69,7 +69,7 @@
 
 def test_more_processes_or_memory_than_allowed_end_the_run_and_nothing_is_left(tmp_path: Path) -> None:
     sleeper = [sys.executable, "-c", "import time; time.sleep(600)"]
-    children = Children(tmp_path, processes_most=2, memory_gib_most=0.0)
+    children = Children(tmp_path, processes_most=2, memory_gib_most=0.0, seconds_most=600.0)
     try:
         child = children.start("one", "load", sleeper)
         with pytest.raises(ScaleError, match="GiB"):
@@ -81,6 +81,15 @@
     assert child.process.returncode is not None and children.members == []
 
 
+def test_a_run_that_takes_too_long_is_ended(tmp_path: Path) -> None:
+    children = Children(tmp_path, processes_most=10, memory_gib_most=1.0, seconds_most=-1.0)
+    try:
+        with pytest.raises(ScaleError, match="too long"):
+            children.check()
+    finally:
+        children.close()
+
+
 def test_the_command_ends_with_a_status_of_its_own_where_the_plan_is_wrong(tmp_path: Path) -> None:
     file = tmp_path / "plan.jsonnet"
     file.write_text("{}")
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -259,6 +259,7 @@
     readings = reading(10.0, 4.0, before), reading(20.0, 9.0, after)
     spent = figures_of_process(*readings, Control(["lists"], ["client"]))
     assert (spent.cores, spent.memory_mb, spent.descriptors) == (0.5, 50.0, 12)
+    assert spent.memory_growth_mb_per_s == 0.0
     assert spent.cores_by_cause == {"jobs": 0.4, "lists": 0.1}
     assert (spent.control.cores, spent.control.bytes_per_s) == pytest.approx((0.1, 24.0))
     assert figures_of_process(*readings, Control(["lists", "peers"], [])).control.cores is None
