--- /dev/null
+++ b/tests/server/test_policy.py
@@ -0,0 +1,133 @@
+"""The policy part of the settings: bytes that are the same for equal policies, and another one taken over."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from ladderhub.lab.fleet import SETTINGS
+from ladderhub.server.settings import Loaded, SettingsError, check, policy_body, policy_difference
+
+OWN = {"server": "alpha", "listen": "127.0.0.1:1", "directory": "127.0.0.1:2", "spool": "spool"}
+
+
+def loaded(**own: Any) -> Loaded:
+    return check(copy.deepcopy(SETTINGS) | OWN | own, "file")
+
+
+def edited(settings: Loaded, edit: Callable[[dict[str, Any]], None]) -> bytes:
+    value = json.loads(policy_body(settings.file))
+    edit(value)
+    return json.dumps(value).encode()
+
+
+def without_mail(value: dict[str, Any]) -> None:
+    del value["queues"]["mail"]
+    del value["tenants"]["south"]
+
+
+def test_equal_policies_have_the_same_bytes_and_nothing_of_one_process_is_in_them() -> None:
+    given = copy.deepcopy(SETTINGS) | OWN
+    given["queues"] = dict(reversed(given["queues"].items()))
+    given["nodes"] = dict(reversed(given["nodes"].items()))
+    other = check(given | {"server": "beta", "spool": "elsewhere", "seed": 9, "schedulers": 3}, "file")
+    body = policy_body(loaded().file)
+    assert policy_body(other.file) == body
+    fields = set(json.loads(body))
+    assert fields.isdisjoint({*OWN, "schedulers", "ordinal", "peers", "zone", "seed", "log", "most_jobs"})
+    assert policy_body(loaded().with_policy(body, "revision 1").file) == body
+
+
+def test_names_keep_their_index_and_what_vanished_is_closed() -> None:
+    first = loaded()
+
+    def edit(value: dict[str, Any]) -> None:
+        without_mail(value)
+        value["queues"]["aaa"] = value["queues"]["web"] | {"limit": "9s", "default_mem": "3gb"}
+        value["tenants"]["aaa"] = {"share": 0.1}
+        value["kinds"]["aaa"] = {"cores": 1, "memory": "1gb"}
+
+    second = first.with_policy(edited(first, edit), "revision 2")
+    for one, two in (
+        (first.queues, second.queues),
+        (first.kinds, second.kinds),
+        (first.tenants, second.tenants),
+    ):
+        assert two.all == [*one.all, "aaa"]
+    assert not second.queues.is_open("mail") and second.queues.is_known("mail")
+    assert not second.tenants.is_open("south") and second.tenant_index("south") == first.tenant_index("south")
+    mail, new = first.queues.index("mail"), second.queues.index("aaa")
+    assert second.module.classes[mail] == first.module.classes[mail]
+    assert second.owner.queues[mail] == first.owner.queues[mail]
+    assert second.owner.queues[new].limit_ns == 9_000_000_000 and second.default_memory[new] == 3.0
+    third = second.with_policy(policy_body(first.file), "revision 3")
+    assert third.queues.all == second.queues.all and third.queues.is_open("mail")
+    assert (third.file.server, third.file.spool) == ("alpha", "spool")
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "said"),
+    [
+        (("queues", "web", "limit"), "soon", "revision 2: queues.web.limit: found 'soon'"),
+        (("queues", "web", "limit"), 3, "revision 2: queues[...].limit"),
+        (("queues", "web", "colour"), "red", "colour"),
+        (("queues", "billing", "kind"), "huge", "queues.billing.kind: found 'huge'; one of"),
+        (("queues",), {}, "queues: found {}; at least one queue"),
+        (("default_queue",), "gone", "default_queue: found 'gone'; one of"),
+        (("nodes", "admit_cores"), 0, "admit_cores: must be above 0"),
+        (("server",), "beta", "server"),
+    ],
+)
+def test_a_policy_that_cannot_be_taken_is_refused_by_field(
+    path: tuple[str, ...], value: Any, said: str
+) -> None:
+    def edit(whole: dict[str, Any]) -> None:
+        for key in path[:-1]:
+            whole = whole[key]
+        whole[path[-1]] = value
+
+    first = loaded()
+    with pytest.raises(SettingsError) as fault:
+        first.with_policy(edited(first, edit), "revision 2")
+    assert said in str(fault.value)
+    with pytest.raises(SettingsError, match="revision 2"):
+        first.with_policy(b'{"queues": ', "revision 2")
+
+
+def test_where_leases_are_on_the_cold_window_grows_by_a_restart_alone() -> None:
+    peers = {"listen": "127.0.0.1:3", "seeds": [], "electors": ["127.0.0.1:3"]}
+    first = loaded(peers=peers)
+
+    def window(span: str) -> bytes:
+        return edited(first, lambda value: value["nodes"]["cold"].update(window=span))
+
+    assert first.with_policy(window("1s"), "revision 2").lease_rest_ns == 2_000_000_000
+    with pytest.raises(SettingsError, match=r"nodes.cold.window: found '3s'; at most 2000ms"):
+        first.with_policy(window("1s"), "revision 2").with_policy(window("3s"), "revision 3")
+    assert loaded().with_policy(window("3s"), "revision 2").module.cold_window_ns == 3_000_000_000
+
+
+def test_a_difference_is_told_by_queue_tenant_and_setting() -> None:
+    first = loaded()
+
+    def edit(value: dict[str, Any]) -> None:
+        without_mail(value)
+        value["queues"]["new"] = value["queues"]["web"]
+        value["queues"]["web"] = value["queues"]["web"] | {"limit": "9s", "spread": None}
+        value["nodes"]["cold"]["safe_offers"] = 12
+        value["default_queue"] = "new"
+
+    second = first.with_policy(edited(first, edit), "revision 2")
+    assert policy_difference(policy_body(first.file), policy_body(second.file)) == [
+        "default_queue web -> new",
+        "nodes.cold.safe_offers 24.0 -> 12.0",
+        "queue mail: removed",
+        "queue new: added",
+        'queue web: limit 20s -> 9s, spread {"most":6,"over":"rack"} -> none',
+        "tenant south: removed",
+    ]
+    assert policy_difference(policy_body(first.file), policy_body(first.file)) == []
