Server: names that the file has not are kept over a restart

Cause: a scheduler that starts anew knows its file alone until the policy of now is told. Jobs that ran in a queue of a later policy were not taken over, and a service there kept the scheduler from starting.

--- a/ladderhub/server/__init__.py
+++ b/ladderhub/server/__init__.py
@@ -11,6 +11,7 @@
     placing, words, owning             carry out the two decision modules; what nodes say of runs
     peers                              the other schedulers, where the settings name peers
     intake, members                    jobs from people; the node list and adoption
+    kept_names                         queues and kinds that the file has not, over a restart
     door                               client connections, and the table of requests that rooms join
     submitting, jobrequests, status, operating    what each request does
     daemon                             puts the rooms together; start and clean stop
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -16,6 +17,7 @@
 from ladderhub.server.door import ClientDoor
 from ladderhub.server.intake import Intake
 from ladderhub.server.jobrequests import JobRequests
+from ladderhub.server.kept_names import KeptNames, with_kept_names
 from ladderhub.server.members import Members
 from ladderhub.server.operating import Operating
 from ladderhub.server.owning import Owning
@@ -39,7 +41,7 @@
     def __init__(self, loop: Loop, settings: Loaded, log: Any = None) -> None:
         self.loop = loop
         self.log = log or structlog.get_logger()
-        self.site = site = Site(loop, settings, self.log)
+        self.site = site = Site(loop, with_kept_names(settings, Path(settings.file.spool)), self.log)
         self.jobs, self.metrics, self.owner, self.module = site.jobs, site.metrics, site.owner, site.module
         placing = Placing(site)
         words = Words(site, placing)
@@ -49,6 +51,7 @@
         self.members = Members(site, words, intake)
         self.nodes = self.members.list
         self.services = Services(site, intake, self.members)
+        KeptNames(site, self.services.queues, self.members.kinds)
         self.door = ClientDoor(site)
         operating = Operating(site, self.members, self.shut)
         operating.join(n.OBJ_SERVICE, self.services.serve)
--- a/ladderhub/server/members.py
+++ b/ladderhub/server/members.py
@@ -63,6 +63,10 @@
     def close(self) -> None:
         self.list.close()
 
+    def kinds(self) -> set[str]:
+        """Kinds of the nodes that are listed."""
+        return {entry.kind for entry in self.list.entries.values()}
+
     def unheard(self) -> set[str] | None:
         """Nodes that have not said yet what they run; None before the directory has told all nodes."""
         if not self._whole:
--- a/ladderhub/server/services.py
+++ b/ladderhub/server/services.py
@@ -92,6 +92,10 @@
         site.metrics.gauge("services", "Services declared", lambda: len(self._books))
         site.metrics.gauge("copies_down", "Copies of services without a healthy run", self._down)
 
+    def queues(self) -> set[str]:
+        """Queues that have services."""
+        return {book.queue for book in self._books.values()}
+
     def _down(self) -> int:
         return sum(service.down() for service in self.rollouts.services.values())
 
--- a/ladderhub/server/settings/loaded.py
+++ b/ladderhub/server/settings/loaded.py
@@ -14,7 +14,7 @@
 from ladderhub.server.settings.names import NameTable
 from ladderhub.server.settings.peers import peer_settings
 from ladderhub.server.settings.policy import read_policy
-from ladderhub.server.settings.schema import File, Policy, Queue
+from ladderhub.server.settings.schema import File, Kind, Policy, Queue
 from ladderhub.server.settings.terms import (
     Names,
     by_index,
@@ -49,6 +49,7 @@
         self.stop_within_ns = check.span("stop_within", file.stop_within)
         self.connect_ns = check.span("nodes.connect", file.nodes.connect)
         self.queue_at: tuple[Queue, ...] = by_index(self.queues, file.queues, known.queue_at if known else ())
+        self.kind_at: tuple[Kind, ...] = by_index(self.kinds, file.kinds, known.kind_at if known else ())
         memory = {
             name: check.size(f"queues.{name}.default_mem", queue.default_mem)
             for name, queue in file.queues.items()
@@ -75,6 +76,16 @@
         fields = {field: getattr(policy, field) for field in Policy.__struct_fields__}
         return Loaded(msgspec.structs.replace(self.file, **fields), source, known=self)
 
+    def with_closed(self, queues: dict[str, Queue], kinds: dict[str, Kind]) -> Loaded:
+        """The same settings, with queues and kinds that an earlier life knew and these do not have."""
+        before = msgspec.structs.replace(
+            self.file,
+            queues=queues | self.file.queues,
+            kinds=kinds | self.file.kinds,
+            default_queue=self.default_queue,
+        )
+        return Loaded(self.file, self.source, known=Loaded(before, self.source))
+
     def tenant_index(self, account: str) -> int:
         """The tenant that a job of this account counts for."""
         return self.tenants.index(account) if self.tenants.is_known(account) else 0
--- a/tests/server/test_settings_change.py
+++ b/tests/server/test_settings_change.py
@@ -193,6 +193,27 @@
     assert len(services.rollouts.services["ledger"].healthy) == 2
 
 
+@pytest.mark.parametrize("removed", [True, False])
+def test_a_restart_takes_over_what_runs_in_a_queue_that_its_file_has_not(make: Make, removed: bool) -> None:
+    world = make(2, limit="60s")
+    change(world, lambda value: value["queues"].update(late=value["queues"]["web"]))
+    job = world.submit("late", service="alone")
+    assert not declare(world, "shop", "late", 2, "one").code
+    world.wait(job, "R")
+    world.until(lambda: len(world.daemons["alpha"].services.rollouts.services["shop"].healthy) == 2)
+    if removed:
+        change(world, lambda value: value["queues"].pop("late"), 3)
+    world.daemons.pop("alpha").close()
+    daemon = world.daemon()
+    world.until(lambda: len(daemon.services.rollouts.services["shop"].healthy) == 2)
+    world.until(lambda: job in daemon.jobs.by_id)
+    row = world.row(job)
+    assert (row.get("job_state"), row.get("queue"), row.get("policy_revision")) == ("R", "late", "1")
+    assert "takes no new jobs" in refused(world, "late")  # until somebody tells the policy of now
+    change(world, lambda value: value["queues"].update(late=value["queues"]["web"]), 4)
+    assert world.submit("late") and world.row(job).get("job_state") == "R"
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_day_of_changes_keeps_the_five_rules(make: Make, seed: int) -> None:
     world = make(4, limit="20s", record=True)
