Node agent: its sockets, jobs and directory link in files of their own

Need: node/agent.py had 627 lines with five concerns, and names that need explaining (Door, Post, Held).

Change: connection.py serves one connection and knows the agent by a protocol of six calls, outbox.py tells one scheduler, directory_link.py keeps the node registered, jobs.py reads an offer; the agent keeps offers, starts, ends and questions, 395 lines. States of a job and ended runs are types in place of letters and tuples.

| old | new | | --- | --- | | Door, make_door | AgentConnection, make_connection | | Post, posts | Outbox, outboxes | | Held, its state letters | HeldJob, JobState | | _DirectoryLink | DirectoryLink |

In test_hard_cases.py a name alone changes (Post).

--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -33,7 +33,7 @@
 from ladderhub.lab.mesh.judge import uses
 from ladderhub.loop import Loop, Stream
 from ladderhub.loop.stream import connect
-from ladderhub.node.agent import RETRY_NS
+from ladderhub.node.directory_link import RECONNECT_NS
 from ladderhub.node.runners import EmulatedSettings
 
 REGIONS = Figure("size.regions", "regions")
@@ -205,7 +205,7 @@
         return
 
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
-        self._loop.call_later(RETRY_NS[0], self._connect)
+        self._loop.call_later(RECONNECT_NS, self._connect)
 
 
 class Watcher:
@@ -232,7 +232,7 @@
             self.lists.append((self._loop.now_ns(), message))
 
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
-        self._loop.call_later(RETRY_NS[0], self._connect)
+        self._loop.call_later(RECONNECT_NS, self._connect)
 
 
 def start_directory(port: int) -> subprocess.Popen[bytes]:
--- a/ladderhub/lab/flaky.py
+++ b/ladderhub/lab/flaky.py
@@ -5,7 +5,9 @@
 import socket
 
 from ladderhub.node.admission import Refusal
-from ladderhub.node.agent import Agent, Door, Held
+from ladderhub.node.agent import Agent
+from ladderhub.node.connection import AgentConnection
+from ladderhub.node.jobs import HeldJob
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Request
 
@@ -24,10 +26,10 @@
     keyed: frozenset[str] = frozenset()
     peers: dict[str, FlakyAgent] | None = None
 
-    def make_door(self, sock: socket.socket) -> Door:
-        return FlakyDoor(self, sock)
+    def make_connection(self, sock: socket.socket) -> AgentConnection:
+        return FlakyConnection(self, sock)
 
-    def refuse_first(self, held: Held) -> Refusal | None:
+    def refuse_first(self, held: HeldJob) -> Refusal | None:
         if held.ask.tenant in self.full_for:
             return Refusal("CORES", "no room for " + held.ask.tenant)
         if held.ask.queue in self.keyed and self.peers is not None:
@@ -43,21 +45,21 @@
     def stall(self, span_ns: int) -> None:
         """Connections stay open and nothing is read or written for so long."""
         self.stalled = True
-        for door in self.doors:
-            door.stream.pause(True)
+        for connection in self.connections:
+            connection.stream.pause(True)
         self.loop.call_later(span_ns, self.wake)
 
     def wake(self) -> None:
         self.stalled = False
-        for door in list(self.doors):
-            door.stream.pause(False)
-            assert isinstance(door, FlakyDoor)
-            kept, door.kept = door.kept, []
+        for connection in list(self.connections):
+            connection.stream.pause(False)
+            assert isinstance(connection, FlakyConnection)
+            kept, connection.kept = connection.kept, []
             for request, data in kept:
-                door.send(request, data)
+                connection.send(request, data)
 
 
-class FlakyDoor(Door):
+class FlakyConnection(AgentConnection):
     """One connection of a flaky agent."""
 
     def __init__(self, agent: FlakyAgent, sock: socket.socket) -> None:
--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -1,5 +1,4 @@
-"""The node agent's sockets: the batch protocol towards schedulers, the directory's lines towards the
-directory.
+"""The node agent: offers, starts, ends and questions about jobs, between its sockets, admission and runner.
 
 A scheduler offers a job by Queue Job (answered after a look: taken in, or refused with a code and text), Job
 Script and Commit (answered once the job runs, or at once, by `answers`).  Status Job with the extension
@@ -12,53 +11,37 @@
 import random
 import signal as signals
 import socket
-from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections import OrderedDict
+from dataclasses import dataclass
 from functools import partial
 
-from ladderhub.directory.wire import Entry, Register, Room, State, encode
-from ladderhub.loop import Listener, Loop, Stream, Timer, parse_address
-from ladderhub.loop.stream import Address, connect
-from ladderhub.node.admission import Admission, Ask, Key, NodeSettings, Refusal
-from ladderhub.node.runners import Runner, Work
+from ladderhub.directory.wire import Entry, State
+from ladderhub.loop import Listener, Loop
+from ladderhub.loop.stream import Address
+from ladderhub.node.admission import Admission, Key, NodeSettings, Refusal
+from ladderhub.node.connection import AgentConnection, Answer
+from ladderhub.node.directory_link import DirectoryLink
+from ladderhub.node.jobs import HeldJob, JobState, held_job, run_of
+from ladderhub.node.outbox import Outbox
+from ladderhub.node.runners import Runner
 from ladderhub.pbs import names as n
-from ladderhub.pbs.attributes import variables_of
-from ladderhub.pbs.batch import Attr, Reply, ReplyParser, Request, Row, encode_request, refusal
-from ladderhub.pbs.connection import SUBMITTING, Exchange, ServerConnection
-from ladderhub.pbs.dis import DisError
-from ladderhub.pbs.resources import GIB, ResourceError, wanted
+from ladderhub.pbs.batch import Attr, Reply, Request, Row, refusal
+from ladderhub.pbs.resources import ResourceError
 
 MS, S = 1_000_000, 1_000_000_000
-UNCOMMITTED_NS = 10 * S
-CONNECT_NS = 1 * S
-RETRY_NS = (200 * MS, 5 * S)
-DONE_KEPT = 5000
-ROOM_NS = LOAD_NS = 500 * MS
-
-
-class Held:
-    """A job that this node took in."""
-
-    __slots__ = (
-        "ask",
-        "attrs",
-        "commit",
-        "key",
-        "pending",
-        "reason",
-        "server",
-        "started_ns",
-        "state",
-        "work",
-    )
-
-    def __init__(self, key: Key, ask: Ask, work: Work, attrs: list[Attr], server: str) -> None:
-        self.key, self.ask, self.work, self.attrs, self.server = key, ask, work, attrs, server
-        self.state = "T"
-        self.commit: Callable[[Reply], None] | None = None
-        self.pending: Timer | None = None
-        self.reason = ""
-        self.started_ns = 0
+COMMIT_TIMEOUT_NS = 10 * S  # after which an offer that is not committed is withdrawn
+MAX_ENDED_RUNS = 5000  # remembered, to answer questions about them
+LOAD_INTERVAL_NS = 500 * MS
+ANSWERS_ACCEPTED = "accepted"  # Commit is answered at once; else when the job runs
+FENCE = "fence:"  # extension of Status Job: bar the run where it is not known
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """How a run on this node ended."""
+
+    status: int
+    reason: str
 
 
 class Agent:
@@ -72,51 +55,38 @@
         seed: int = 1,
     ) -> None:  # fmt: skip
         self.loop, self.name, self.settings, self.runner = loop, name, settings, runner
-        self.rack, self.zone, self.look_ns, self.cold_times, self.answers = (
-            rack,
-            zone,
-            look_ns,
-            cold_times,
-            answers,
-        )
+        self.rack, self.zone = rack, zone
+        self.look_ns, self.cold_times, self.answers = look_ns, cold_times, answers
         self.ready_ns = loop.now_ns()
         self.admission = Admission(settings, self.ready_ns)
-        self.slow = 1.0
-        self._load_ns, self._figures = 0, (0.0, 0.0)
-        self.jobs: dict[Key, Held] = {}
-        self._done: OrderedDict[Key, tuple[int, str]] = OrderedDict()
+        self.slow = 1.0  # factor on all times, for laboratories
+        self._load_ns, self._load = 0, (0.0, 0.0)
+        self.jobs: dict[Key, HeldJob] = {}
+        self._ended_runs: OrderedDict[Key, EndedRun] = OrderedDict()
         self._random = random.Random(seed)
-        self._looked: dict[Key, Callable[[Reply], None]] = {}
-        self.doors: set[Door] = set()
-        self.posts: dict[str, Post] = {}
+        self._admitting: dict[Key, Answer] = {}  # answers to offers that were not looked at yet
+        self.connections: set[AgentConnection] = set()
+        self.outboxes: dict[str, Outbox] = {}
         self.listener = Listener(loop, address, self._accept)
         self.advertise = advertise or "{}:{}".format(*self.listener.address)
         self.closed = False
-        self._directory: _DirectoryLink | None = None
+        self._directory: DirectoryLink | None = None
         if directory is not None:
-            self._directory = _DirectoryLink(self, directory)
+            self._directory = DirectoryLink(loop, directory, self.entry, lambda: self.admission.free())
 
     def entry(self) -> Entry:
+        """The node's row in the directory."""
         cores, memory = self.admission.free()
         stage = "draining" if self.admission.draining else "serving"
-        return Entry(
-            self.name,
-            self.advertise,
-            self.settings.kind,
-            self.rack,
-            self.zone,
-            self.ready_ns,
-            stage,
-            cores,
-            memory,
-        )
+        kind, rack, zone = self.settings.kind, self.rack, self.zone
+        return Entry(self.name, self.advertise, kind, rack, zone, self.ready_ns, stage, cores, memory)
 
     def _accept(self, sock: socket.socket) -> None:
-        self.doors.add(self.make_door(sock))
+        self.connections.add(self.make_connection(sock))
 
-    def make_door(self, sock: socket.socket) -> Door:
+    def make_connection(self, sock: socket.socket) -> AgentConnection:
         """The serving end of one connection; stand-ins with faults put their own here."""
-        return Door(self, sock)
+        return AgentConnection(self, sock)
 
     def close(self) -> None:
         """End without a word, as a machine that lost its power."""
@@ -126,59 +96,47 @@
         for held in self.jobs.values():
             if held.pending is not None:
                 held.pending.cancel()
-        for door in list(self.doors):
-            door.stream.abort()
-        for post in self.posts.values():
-            post.close()
+        for connection in list(self.connections):
+            connection.stream.abort()
+        for outbox in self.outboxes.values():
+            outbox.close()
         if self._directory is not None:
             self._directory.close()
 
-    # --- asks -----------------------------------------------------------------------------------------------
+    # --- offers -----------------------------------------------------------------------------------------
 
-    def offered(self, request: Request, answer: Callable[[Reply], None]) -> None:
+    def offered(self, request: Request, answer: Answer) -> None:
         """Queue Job: put it in line; `answer` is called after the look."""
-        key = (request.job, _run_of(request))
-        held = self._read(key, request)
-        if isinstance(held, Reply):
-            answer(held)
+        try:
+            held = held_job(request, self.name)
+        except ResourceError as fault:
+            answer(refusal(n.BAD_RESOURCE_VALUE, str(fault)))
+            return
+        if held.key in self.jobs:
+            answer(refusal(n.JOB_EXISTS))
+            return
+        if held.key in self._ended_runs:
+            answer(refusal(n.NODE_REJECTED, "NOT_HERE the run has ended here"))
             return
-        self.jobs_offered(held, answer)
-
-    def jobs_offered(self, held: Held, answer: Callable[[Reply], None]) -> None:
         refused = self.refuse_first(held) or self.admission.offer(self.loop.now_ns(), held.ask)
         if refused is not None:
             answer(_refused(refused))
             return
         self.jobs[held.key] = held
-        self._looked[held.key] = answer
+        self._admitting[held.key] = answer
         self._look()
 
-    def refuse_first(self, held: Held) -> Refusal | None:
+    def refuse_first(self, held: HeldJob) -> Refusal | None:
         """Nothing by itself; stand-ins with faults refuse here what they should not."""
         return None
 
-    def _read(self, key: Key, request: Request) -> Held | Reply:
-        resources = {attr.resource: attr.value for attr in request.attrs if attr.name == "Resource_List"}
-        try:
-            found = wanted(resources)
-        except ResourceError as fault:
-            return refusal(n.BAD_RESOURCE_VALUE, str(fault))
+    def set_script(self, key: Key, script: bytes) -> None:
+        """The whole script of an offered job."""
         if key in self.jobs:
-            return refusal(n.JOB_EXISTS)
-        if key in self._done:
-            return refusal(n.NODE_REJECTED, "NOT_HERE the run has ended here")
-        get = request.get
-        cores, memory = 1.0 if found.cores is None else found.cores, found.memory / GIB
-        ask = Ask(key, get("service") or get("Job_Name"), cores, memory, get("queue"), get("Account_Name"))
-        umask = get("umask")
-        work = Work(
-            request.job, key[1], get("Job_Name") or "STDIN", ask.queue, get("Job_Owner"), b"", cores, memory,
-            found.walltime_s, variables_of(get("Variable_List")), get("Output_Path"), get("Error_Path"),
-            get("Join_Path", "n"), get("Shell_Path_List"), get("Keep_Files", "n"),
-            int(umask, 8) if umask and not set(umask) - set("01234567") else -1,
-            self.name, found.mpiprocs, found.ompthreads,
-        )  # fmt: skip
-        return Held(key, ask, work, request.attrs, get("server_address"))
+            self.jobs[key].work.script = script
+
+    def connection_closed(self, connection: AgentConnection) -> None:
+        self.connections.discard(connection)
 
     def _look(self) -> None:
         ask = self.admission.next_look()
@@ -186,7 +144,7 @@
             span = self._random.randint(*self.look_ns)
             self.loop.call_later(round(span * self.slow), self._look_over, ask.key, self.jobs.get(ask.key))
 
-    def _look_over(self, key: Key, held: Held | None) -> None:
+    def _look_over(self, key: Key, held: HeldJob | None) -> None:
         if self.closed:
             return
         refused = self.admission.looked(self.loop.now_ns())
@@ -196,37 +154,37 @@
                 self.admission.ended(key)
             self._look()
             return
-        answer = self._looked.pop(key)
+        answer = self._admitting.pop(key)
         if refused is not None:
             del self.jobs[key]
             answer(_refused(refused))
         else:
-            held.pending = self.loop.call_later(UNCOMMITTED_NS, self.withdraw, key)
+            held.pending = self.loop.call_later(COMMIT_TIMEOUT_NS, self.withdraw, key)
             answer(Reply(0, n.R_QUEUE, job=key[0]))
         self._look()
 
     def withdraw(self, key: Key) -> None:
         """An offer that was not committed, and whose connection ended or time passed, leaves nothing."""
         held = self.jobs.get(key)
-        if held is None or held.state != "T":
+        if held is None or held.state is not JobState.OFFERED:
             return
         if held.pending is not None:
             held.pending.cancel()
         del self.jobs[key]
         self.admission.withdraw(key)
-        answer = self._looked.pop(key, None)
+        answer = self._admitting.pop(key, None)
         if answer is not None:
             # Replies leave in order: a request that is never answered would silence its connection for good.
             answer(refusal(n.NODE_REJECTED, "NOT_HERE the offer was withdrawn"))
 
     # --- starts, ends ---------------------------------------------------------------------------------------
 
-    def committed(self, key: Key, answer: Callable[[Reply], None]) -> None:
+    def committed(self, key: Key, answer: Answer) -> None:
         held = self.jobs.get(key)
         if held is None:
             answer(refusal(n.UNKNOWN_JOB))
             return
-        if held.state != "T":
+        if held.state is not JobState.OFFERED:
             answer(Reply(0, n.R_COMMIT, job=key[0]))
             return
         if self.admission.is_barred(self.loop.now_ns(), key):
@@ -235,9 +193,9 @@
             return
         if held.pending is not None:
             held.pending.cancel()
-        held.state = "Q"
+        held.state = JobState.WAITING
         self.admission.commit(key)
-        if self.answers == "accepted":
+        if self.answers == ANSWERS_ACCEPTED:
             answer(Reply(0, n.R_COMMIT, job=key[0]))
         else:
             held.commit = answer
@@ -247,7 +205,7 @@
         while (following := self.admission.next_start()) is not None:
             ask, warm = following
             held = self.jobs[ask.key]
-            held.state = "S"
+            held.state = JobState.STARTING
             pace = self.admission.pace(self.loop.now_ns())
             slowness = (1.0 if warm else self.cold_times) / pace * self.slow
             key = ask.key
@@ -260,16 +218,16 @@
         held = self.jobs.get(key)
         if held is None or self.closed:
             return
-        held.state, held.started_ns = "R", self.loop.now_ns()
+        held.state, held.started_ns = JobState.RUNNING, self.loop.now_ns()
         self.admission.started(key)
         if held.commit is not None:
             held.commit(Reply(0, n.R_COMMIT, job=key[0]))
             held.commit = None
         else:
-            self._post(held, self._update(held))
+            self._tell_server(held, self._running_update(held))
         self._start()
 
-    def _update(self, held: Held) -> Request:
+    def _running_update(self, held: HeldJob) -> Request:
         attrs = [Attr("job_state", "R"), Attr("run_version", str(held.key[1])), Attr("exec_host", self.name)]
         return Request(
             n.MODIFY_JOB, f"node@{self.name}", held.key[0], attrs, command=n.CMD_SET, object_type=n.OBJ_JOB
@@ -286,78 +244,94 @@
             held.commit(refusal(n.NODE_REJECTED, f"NOT_HERE {reason}"))
             self._start()
             return
-        self._done[key] = (status, reason)
-        while len(self._done) > DONE_KEPT:
-            self._done.popitem(last=False)
-        self._post(held, self.obituary(key, status, reason))
+        self._ended_runs[key] = ended = EndedRun(status, reason)
+        while len(self._ended_runs) > MAX_ENDED_RUNS:
+            self._ended_runs.popitem(last=False)
+        self._tell_server(held, self._obituary(key, ended))
         self._start()
 
-    def obituary(self, key: Key, status: int, reason: str) -> Request:
-        cores, memory = self._load()
+    def _obituary(self, key: Key, ended: EndedRun) -> Request:
+        cores, memory = self._recent_load()
         attrs = [
-            Attr("run_version", str(key[1])), Attr("exit_reason", reason), Attr("exec_host", self.name),
+            Attr("run_version", str(key[1])), Attr("exit_reason", ended.reason), Attr("exec_host", self.name),
             Attr("load", f"{cores:g}", "cores_free"), Attr("load", f"{memory:g}", "memory_free"),
         ]  # fmt: skip
-        return Request(n.JOB_OBIT, f"node@{self.name}", key[0], attrs, status=status)
+        return Request(n.JOB_OBIT, f"node@{self.name}", key[0], attrs, status=ended.status)
 
-    def _load(self) -> tuple[float, float]:
+    def _recent_load(self) -> tuple[float, float]:
         """The node's figures as of some moments ago: they are taken at intervals, not for each answer."""
         now = self.loop.now_ns()
-        if now - self._load_ns >= LOAD_NS:
-            self._load_ns, self._figures = now, self.admission.free()
-        return self._figures
+        if now - self._load_ns >= LOAD_INTERVAL_NS:
+            self._load_ns, self._load = now, self.admission.free()
+        return self._load
 
-    def _post(self, held: Held, request: Request) -> None:
+    def _tell_server(self, held: HeldJob, request: Request) -> None:
         if not held.server:
             return
-        if held.server not in self.posts:
-            self.posts[held.server] = Post(self.loop, held.server)
-        self.posts[held.server].send(request)
+        if held.server not in self.outboxes:
+            self.outboxes[held.server] = Outbox(self.loop, held.server)
+        self.outboxes[held.server].send(request)
 
     # --- other requests -------------------------------------------------------------------------------------
 
+    def answer_of(self, request: Request) -> Reply:
+        """The reply to a request that is no step of an offer."""
+        match request.type:
+            case n.DELETE_JOB:
+                return self.stop_job(request)
+            case n.STATUS_JOB:
+                return self.status_job(request)
+            case n.STATUS_NODE:
+                return self.status_node()
+            case n.SIGNAL_JOB:
+                return self.signal_job(request)
+            case n.MESSAGE_JOB:
+                return self.message(request)
+            case n.MANAGER:
+                return self.manage(request)
+            case n.CONNECT:
+                return Reply()
+        return refusal(n.UNKNOWN_REQUEST, f"{n.REQUESTS[request.type]} is not served by nodes")
+
     def stop_job(self, request: Request) -> Reply:
         """Delete Job: end the run, or bar it where it is not known (the text says which)."""
-        run = _run_of(request)
+        run = run_of(request)
         for key in [key for key in self.jobs if key[0] == request.job and run in (0, key[1])]:
-            if self.jobs[key].state == "T":
+            if self.jobs[key].state is JobState.OFFERED:
                 self.withdraw(key)
             elif self.runner.stop(key[0], n.END_KILLED):
                 return Reply()
             else:  # committed and waiting for a start slot: it never ran
                 self._ended(key, n.JOB_EXEC_RETRY, "called off before it started")
                 return refusal(n.UNKNOWN_JOB)
-        if (request.job, run) in self._done:
+        if (request.job, run) in self._ended_runs:
             return refusal(n.BAD_STATE, "the run has ended here")
         self.admission.bar(self.loop.now_ns(), (request.job, run))
         return refusal(n.UNKNOWN_JOB)
 
     def status_job(self, request: Request) -> Reply:
-        if request.extension.startswith("fence:"):
-            word = request.extension[6:]
-            key = (request.job, int(word) if word.isascii() and word.isdigit() else 0)
-            held = self.jobs.get(key)
-            if held is not None and held.state != "T":
-                return Reply(0, n.R_STATUS, rows=[self._row(held)])
-            if key in self._done:
-                status, reason = self._done[key]
-                attrs = [
-                    Attr("job_state", "F"),
-                    Attr("Exit_status", str(status)),
-                    Attr("exit_reason", reason),
-                ]
-                return Reply(0, n.R_STATUS, rows=[Row(n.OBJ_JOB, key[0], attrs)])
-            self.withdraw(key)
-            self.admission.bar(self.loop.now_ns(), key)
-            return refusal(n.UNKNOWN_JOB)
+        """Status Job: the jobs here but for those that are only offered, or one run that is fenced."""
+        if request.extension.startswith(FENCE):
+            return self._fence((request.job, _fenced_run(request.extension)))
         rows = [self._row(held) for key, held in self.jobs.items() if request.job in ("", key[0])]
         if request.job and not rows:
             return refusal(n.UNKNOWN_JOB)
-        return Reply(0, n.R_STATUS, rows=[row for row in rows if row.get("job_state") != "T"])
+        return Reply(0, n.R_STATUS, rows=[row for row in rows if row.get("job_state") != JobState.OFFERED])
+
+    def _fence(self, key: Key) -> Reply:
+        """What became of one run; where it is not known here it is barred from now on."""
+        held = self.jobs.get(key)
+        if held is not None and held.state is not JobState.OFFERED:
+            return Reply(0, n.R_STATUS, rows=[self._row(held)])
+        if key in self._ended_runs:
+            return Reply(0, n.R_STATUS, rows=[_ended_row(key, self._ended_runs[key])])
+        self.withdraw(key)
+        self.admission.bar(self.loop.now_ns(), key)
+        return refusal(n.UNKNOWN_JOB)
 
-    def _row(self, held: Held) -> Row:
-        state = {"S": "Q"}.get(held.state, held.state)
-        return Row(n.OBJ_JOB, held.key[0], [Attr("job_state", state), *held.attrs])
+    def _row(self, held: HeldJob) -> Row:
+        shown = JobState.WAITING if held.state is JobState.STARTING else held.state
+        return Row(n.OBJ_JOB, held.key[0], [Attr("job_state", shown.value), *held.attrs])
 
     def status_node(self) -> Reply:
         cores, memory = self.admission.free()
@@ -403,225 +377,19 @@
             self.runner.stop(held.key[0], reason)
 
 
-def _run_of(request: Request) -> int:
-    text = request.get("run_version", "0")
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
-
-
-def _refused(refused: Refusal) -> Reply:
-    return refusal(n.NODE_REJECTED, f"{refused.code} {refused.text}")
-
-
-class Door:
-    """The serving end of one connection to the agent; answers leave in the order of the requests.
-
-    The steps of an offer wait until its Queue Job is answered: what they mean follows from that answer."""
-
-    def __init__(self, agent: Agent, sock: socket.socket) -> None:
-        self.agent, self._connection = agent, ServerConnection()
-        self._open: Key | None = None
-        self._script = bytearray()
-        self._looking = self._serving = False  # a Queue Job is not answered yet; inside `_serve_next`
-        self._behind: deque[Exchange] = deque()
-        self.stream = Stream(agent.loop, sock, self)
-
-    def on_data(self, stream: Stream, data: bytes) -> None:
-        for exchange in self._connection.receive(data):
-            self._behind.append(exchange)
-        self._serve_next()
-        if self._connection.trouble is not None:
-            self._leave(self._connection.ready())
-        elif sum(len(exchange.request.data) for exchange in self._behind) > 2 * n.SCRIPT_MOST:
-            stream.abort(BufferError("too much was sent without waiting for an answer"))
+def _fenced_run(extension: str) -> int:
+    text = extension.removeprefix(FENCE)
+    return int(text) if text.isascii() and text.isdigit() else 0
 
-    def _serve_next(self) -> None:
-        if self._serving:
-            return
-        self._serving = True
-        try:
-            while self._behind and not self.stream.closed:
-                if self._looking and self._behind[0].request.type in SUBMITTING:
-                    return
-                exchange = self._behind.popleft()
-                if exchange.request.type == n.DISCONNECT:
-                    self._leave(self._connection.disconnect(exchange))
-                else:
-                    self.serve(exchange.request, partial(self._answer, exchange))
-        finally:
-            self._serving = False
-
-    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
-        self.agent.doors.discard(self)
-        if self._open is not None:
-            self.agent.withdraw(self._open)
-
-    def _queued(self, answer: Callable[[Reply], None], reply: Reply) -> None:
-        """Queue Job has its answer: the steps behind it have their turn."""
-        self._looking = False
-        if reply.code:
-            self._open = None
-        answer(reply)
-        self._serve_next()
-
-    def serve(self, request: Request, answer: Callable[[Reply], None]) -> None:
-        agent, kind = self.agent, request.type
-        if kind == n.QUEUE_JOB:
-            if self._open is not None:
-                agent.withdraw(self._open)
-            self._open, self._script = (request.job, _run_of(request)), bytearray()
-            self._looking = True
-            agent.offered(request, partial(self._queued, answer))
-        elif kind == n.JOB_SCRIPT:
-            self._script += request.data
-            good = self._open is not None and len(self._script) <= n.SCRIPT_MOST
-            if not good and self._open is not None:
-                agent.withdraw(self._open)  # a Commit behind it must not start half a script
-                self._open = None
-            answer(Reply() if good else refusal(n.BAD_SCRIPT))
-        elif kind == n.COMMIT:
-            key, self._open = self._open, None
-            if key is None or key[0] != request.job:
-                answer(refusal(n.UNKNOWN_JOB))
-                return
-            if key in agent.jobs:
-                agent.jobs[key].work.script = bytes(self._script)
-            agent.committed(key, answer)
-        elif kind == n.DELETE_JOB:
-            answer(agent.stop_job(request))
-        elif kind == n.STATUS_JOB:
-            answer(agent.status_job(request))
-        elif kind == n.STATUS_NODE:
-            answer(agent.status_node())
-        elif kind == n.SIGNAL_JOB:
-            answer(agent.signal_job(request))
-        elif kind == n.MESSAGE_JOB:
-            answer(agent.message(request))
-        elif kind == n.MANAGER:
-            answer(agent.manage(request))
-        elif kind == n.CONNECT:
-            answer(Reply())
-        else:
-            answer(refusal(n.UNKNOWN_REQUEST, f"{n.REQUESTS[kind]} is not served by nodes"))
-
-    def _answer(self, exchange: Exchange, reply: Reply) -> None:
-        self._leave(self._connection.answer(exchange, reply))
-
-    def _leave(self, ready: list[Exchange]) -> None:
-        for exchange in ready:
-            if self.stream.closed:
-                return
-            assert isinstance(exchange.reply, bytes)  # nodes have no long replies
-            if exchange.reply:
-                self.send(exchange.request, exchange.reply)
-            if exchange.last:
-                self.stream.close()
-
-    def send(self, request: Request, data: bytes) -> None:
-        """Write one reply; stand-ins with faults lose, cut or repeat it here."""
-        self.stream.write(data)
-
-
-class Post:
-    """Obituaries and updates to one scheduler: in order, each until it is acknowledged."""
-
-    def __init__(self, loop: Loop, address: str) -> None:
-        self._loop, self._address = loop, parse_address(address)
-        self._queue: list[Request] = []
-        self._stream: Stream | None = None
-        self._parser = ReplyParser()
-        self._span = RETRY_NS[0]
-        self._out = 0
-        self._closed = False
-
-    def send(self, request: Request) -> None:
-        self._queue.append(request)
-        if self._stream is None:
-            self._connect()
-        elif self._stream.connected:
-            self._pump()
-
-    def waiting(self) -> int:
-        return len(self._queue)
-
-    def _connect(self) -> None:
-        if self._closed or self._stream is not None or not self._queue:
-            return
-        self._parser, self._out = ReplyParser(), 0
-        self._stream = connect(self._loop, self._address, self, CONNECT_NS, lambda _: self._pump())
-
-    def _pump(self) -> None:
-        while self._out < len(self._queue) and self._stream is not None:
-            self._stream.write(encode_request(self._queue[self._out]))
-            self._out += 1
 
-    def on_data(self, stream: Stream, data: bytes) -> None:
-        self._parser.feed(data)
-        try:
-            while self._parser.next() is not None:
-                if not self._out:
-                    raise DisError("an answer that nothing was asked for")
-                # Any answer will do: a scheduler that does not know the run has nothing to learn.
-                del self._queue[0]
-                self._out -= 1
-                self._span = RETRY_NS[0]
-        except DisError as fault:
-            stream.abort(fault)
-
-    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
-        self._stream = None
-        if not self._closed and self._queue:
-            self._loop.call_later(self._span, self._connect)
-            self._span = min(RETRY_NS[1], 2 * self._span)
+def _ended_row(key: Key, ended: EndedRun) -> Row:
+    attrs = [
+        Attr("job_state", "F"),
+        Attr("Exit_status", str(ended.status)),
+        Attr("exit_reason", ended.reason),
+    ]
+    return Row(n.OBJ_JOB, key[0], attrs)
 
-    def close(self) -> None:
-        self._closed = True
-        if self._stream is not None:
-            self._stream.abort()
-
-
-class _DirectoryLink:
-    """Keeps the node registered; a lost connection is made anew."""
-
-    def __init__(self, agent: Agent, address: Address) -> None:
-        self._agent, self._address = agent, address
-        self._stream: Stream | None = None
-        self._timer: Timer | None = None
-        self._told: tuple[float, float] | None = None
-        self._closed = False
-        self._connect()
-
-    def _connect(self) -> None:
-        if not self._closed:
-            self._stream = connect(self._agent.loop, self._address, self, CONNECT_NS, self._connected)
-
-    def _connected(self, stream: Stream) -> None:
-        stream.write(encode(Register(self._agent.entry())))
-        self._tell()
-
-    def _tell(self) -> None:
-        free = self._agent.admission.free()
-        if free != self._told:
-            self._told = free
-            self.send(Room(*free))
-        self._timer = self._agent.loop.call_later(ROOM_NS, self._tell)
-
-    def send(self, message: Room | State) -> None:
-        if self._stream is not None and self._stream.connected:
-            self._stream.write(encode(message))
-
-    def on_data(self, stream: Stream, data: bytes) -> None:
-        return
-
-    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
-        self._stream, self._told = None, None
-        if self._timer is not None:
-            self._timer.cancel()
-        if not self._closed:
-            self._agent.loop.call_later(RETRY_NS[0], self._connect)
 
-    def close(self) -> None:
-        self._closed = True
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._stream is not None:
-            self._stream.abort()
+def _refused(refused: Refusal) -> Reply:
+    return refusal(n.NODE_REJECTED, f"{refused.code} {refused.text}")
--- /dev/null
+++ b/ladderhub/node/outbox.py
@@ -0,0 +1,76 @@
+"""What a node tells one scheduler of its own accord: updates and obituaries of jobs."""
+
+from __future__ import annotations
+
+from ladderhub.loop import Loop, Stream, parse_address
+from ladderhub.loop.stream import connect
+from ladderhub.pbs.batch import ReplyParser, Request, encode_request
+from ladderhub.pbs.dis import DisError
+
+MS, S = 1_000_000, 1_000_000_000
+CONNECT_TIMEOUT_NS = 1 * S
+FIRST_RETRY_NS = 200 * MS
+MAX_RETRY_NS = 5 * S
+
+
+class Outbox:
+    """Requests to one scheduler: in order, each sent again until it is acknowledged."""
+
+    def __init__(self, loop: Loop, address: str) -> None:
+        self._loop, self._address = loop, parse_address(address)
+        self._queue: list[Request] = []  # not acknowledged yet
+        self._sent_count = 0  # of these, how many this connection has sent
+        self._stream: Stream | None = None
+        self._parser = ReplyParser()
+        self._retry_ns = FIRST_RETRY_NS
+        self._closed = False
+
+    def send(self, request: Request) -> None:
+        self._queue.append(request)
+        if self._stream is None:
+            self._connect()
+        elif self._stream.connected:
+            self._send_queued()
+
+    def waiting(self) -> int:
+        return len(self._queue)
+
+    def _connect(self) -> None:
+        if self._closed or self._stream is not None or not self._queue:
+            return
+        self._parser, self._sent_count = ReplyParser(), 0
+        self._stream = connect(
+            self._loop, self._address, self, CONNECT_TIMEOUT_NS, lambda _: self._send_queued()
+        )
+
+    def _send_queued(self) -> None:
+        while self._sent_count < len(self._queue) and self._stream is not None:
+            self._stream.write(encode_request(self._queue[self._sent_count]))
+            self._sent_count += 1
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        self._parser.feed(data)
+        try:
+            while self._parser.next() is not None:
+                self._acknowledged()
+        except DisError as fault:
+            stream.abort(fault)
+
+    def _acknowledged(self) -> None:
+        """Any reply will do: a scheduler that does not know the run has nothing to learn."""
+        if not self._sent_count:
+            raise DisError("an answer that nothing was asked for")
+        del self._queue[0]
+        self._sent_count -= 1
+        self._retry_ns = FIRST_RETRY_NS
+
+    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+        self._stream = None
+        if not self._closed and self._queue:
+            self._loop.call_later(self._retry_ns, self._connect)
+            self._retry_ns = min(MAX_RETRY_NS, 2 * self._retry_ns)
+
+    def close(self) -> None:
+        self._closed = True
+        if self._stream is not None:
+            self._stream.abort()
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -21,7 +21,7 @@
 from ladderhub.loop import Stream
 from ladderhub.loop.http import HttpDoor
 from ladderhub.loop.stream import connect
-from ladderhub.node.agent import Post
+from ladderhub.node.outbox import Outbox
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, ReplyParser, Request, encode_request
 from ladderhub.pbs.dis import number, string
@@ -217,12 +217,12 @@
     daemon = world.daemon()
     job = world.submit("billing")
     row = world.wait(job, "R")
-    post = Post(world.loop, "{}:{}".format(*world.public))
+    outbox = Outbox(world.loop, "{}:{}".format(*world.public))
     stale = [Attr("run_version", "99"), Attr("exit_reason", n.END_DONE)]
-    post.send(Request(n.JOB_OBIT, "node@node-1", job, stale, status=3))
-    post.send(Request(n.JOB_OBIT, "node@node-1", "77.nowhere", stale, status=3))
-    world.until(lambda: not post.waiting())
-    post.close()
+    outbox.send(Request(n.JOB_OBIT, "node@node-1", job, stale, status=3))
+    outbox.send(Request(n.JOB_OBIT, "node@node-1", "77.nowhere", stale, status=3))
+    world.until(lambda: not outbox.waiting())
+    outbox.close()
     assert world.row(job).get("job_state") == "R" and len(daemon.jobs.live) == 1
     assert world.live(job) == [row.get("exec_host").partition("/")[0]]
 
