Services keep their class over a restart; log rows bear their revision

Cause: a restart read the effect of a service from its queue as it is now. A service declared in an unsafe queue that became safe would be updated as safe work, with copies that overlap.

Change: the service's file has the effect and the repeats it was declared with; a file without them is read as before. A test holds that the rows taken, offer, turned away and answer bear the revision that the decision was made by.

--- a/ladderhub/server/services.py
+++ b/ladderhub/server/services.py
@@ -59,6 +59,8 @@
     limits: dict[str, float]
     versions: dict[int, Version]
     queued: tuple[int, dict[str, float]] | None = None
+    effect: str = ""  # of the class it was declared with, and for how long repeats are discarded
+    repeat_ns: int = 0
 
 
 class ServiceError(LadderhubError):
@@ -116,6 +118,8 @@
             self._books[book.name] = book
             queued = (book.queued[0], _limits_back(book.queued[1])) if book.queued is not None else None
             rules = self._rules(book.name, book.queue, book.count)
+            if book.effect:
+                rules = t.ServiceRules(book.name, book.count, Effect(book.effect), book.repeat_ns)
             limits, stage = _limits_back(book.limits), t.Stage(book.stage)
             self._tell(t.Restored(rules, book.version, book.previous, limits, stage, book.why, queued))
         if books:
@@ -189,6 +193,7 @@
         else:
             book = self._books[name]
             book.count, book.version, book.previous = service.rules.count, service.version, service.previous
+            book.effect, book.repeat_ns = service.rules.effect.value, service.rules.repeat_ns
             book.stage, book.why, book.limits = service.stage.value, service.why, _limits_out(service.limits)
             book.queued = (service.queued[0], _limits_out(service.queued[1])) if service.queued else None
             used = {copy.version for copy in self.rollouts.copies(name)} | {book.version, book.previous}
--- a/tests/server/test_settings_change.py
+++ b/tests/server/test_settings_change.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 import pytest
+import structlog
+from structlog.testing import LogCapture
 
 from ladderhub.board import Board
 from ladderhub.interface import Effect
@@ -115,6 +117,20 @@
     world.wait(new, "R")
 
 
+def test_log_rows_of_decisions_bear_the_revision_they_were_made_by(make: Make) -> None:
+    world = make(1)
+    capture = LogCapture()
+    world.daemons["alpha"].site.log = structlog.wrap_logger(structlog.ReturnLogger(), processors=[capture])
+    world.wait(world.submit("web", cpus=WHOLE, life_s=60), "R")
+    change(world, lambda value: value["nodes"].update(admit_cores=4.0))  # more than the node itself admits
+    world.wait_answer(world.submit("web", cpus=WHOLE), "refused")
+    seen: dict[str, set[int]] = {}
+    for row in capture.entries:
+        seen.setdefault(row["event"], set()).add(row.get("revision", 0))
+    assert seen["taken"] == seen["offer"] == seen["answer"] == {1, 2}
+    assert seen["turned away"] == seen["policy"] == {2}
+
+
 def test_quotas_change_and_a_team_that_is_removed_finishes_what_it_has(make: Make) -> None:
     world = make(1, limit="60s")
     runs = world.submit("web", cpus=WHOLE, account="south")
@@ -201,16 +217,18 @@
     assert not declare(world, "shop", "late", 2, "one").code
     world.wait(job, "R")
     world.until(lambda: len(world.daemons["alpha"].services.rollouts.services["shop"].healthy) == 2)
+    change(world, lambda value: value["queues"]["late"].update(effect="unsafe"), 3)
     if removed:
-        change(world, lambda value: value["queues"].pop("late"), 3)
+        change(world, lambda value: value["queues"].pop("late"), 4)
     world.daemons.pop("alpha").close()
     daemon = world.daemon()
     world.until(lambda: len(daemon.services.rollouts.services["shop"].healthy) == 2)
+    assert daemon.services.rollouts.services["shop"].rules.effect is Effect.SAFE  # as it was declared
     world.until(lambda: job in daemon.jobs.by_id)
     row = world.row(job)
     assert (row.get("job_state"), row.get("queue"), row.get("policy_revision")) == ("R", "late", "1")
     assert "takes no new jobs" in refused(world, "late")  # until somebody tells the policy of now
-    change(world, lambda value: value["queues"].update(late=value["queues"]["web"]), 4)
+    change(world, lambda value: value["queues"].update(late=value["queues"]["web"]), 5)
     assert world.submit("late") and world.row(job).get("job_state") == "R"
 
 
