--- a/benchmarks/load_of_site.py
+++ b/benchmarks/load_of_site.py
@@ -93,7 +93,7 @@
     seed: int
     urgent: float = 0.1
     deadline_s: float = 6.0
-    services_of_team: int = 2
+    services: int = 460  # over all teams
     weights: list[float] = field(default_factory=list)  # of teams; empty: all alike
 
     def __post_init__(self) -> None:
@@ -106,7 +106,7 @@
         else:
             team = dice.randrange(self.teams)
         klass = URGENT if dice.random() < self.urgent else ORDINARY
-        service = f"t{team}-{dice.randrange(self.services_of_team)}"
+        service = f"t{team}-{dice.randrange(max(1, self.services // self.teams))}"
         cores = dice.choices(SIZES, SIZE_WEIGHTS)[0]
         life_ns = round(dice.expovariate(1 / self.life_s) * S)
         return Work(klass, team, service, cores, cores * MEMORY_A_CORE, life_ns, round(self.deadline_s * S))
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -61,7 +61,7 @@
 
     def __init__(self, args: argparse.Namespace) -> None:
         self.zones, self.regions = round(args.zones), round(args.regions)
-        self.fleet = Fleet(round(args.schedulers), args.seed, Faults(), warm=True, voters=VOTERS)
+        self.fleet = Fleet(round(args.schedulers), args.seed, Faults(), voters=VOTERS)
         self.fleet.net.run(self.fleet.net.now + 20 * S)
         self.fleet.settle(60 * S)
         self.fleet.net.run(self.fleet.net.now + round(BEFORE_S * S))
