Rollout decisions: cut by concern, and states and kinds of slots as types

Texts, events and actions are as they were.

| old | new | | --- | --- | | copy: away, doubt, over | unreachable, unknown, ended (CopyState) | | slot: hole, back, leaving, lame, fresh, done | empty, backing off, terminating, unplaced, starting, updated (SlotKind) | | Pace: asked, calm, rest, started, pressed, free | StartPace: pending, ..., on_started, on_pressure, may_start | | taken, trusted, most_alive, racks | replacing, max_replacing, max_alive, replaceable | | _go, _sort, _kind, _tend, _at | transition, reclassify, _classify, _maintain, set_timer |

In tests names alone change (taken, asked).

--- /dev/null
+++ b/ladderhub/rollout/service.py
@@ -0,0 +1,158 @@
+"""The state of one service: its slots, classed by what each of them is against the version that is wanted."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+
+from ladderhub.interface import Effect
+from ladderhub.rollout import types as t
+from ladderhub.rollout.types import CopyState
+
+COPIES_TRIED_PER_HEALTHY = 4  # of a new version
+NO_VERSION = -1
+
+
+class SlotKind(Enum):
+    """What a slot is, against the version that is wanted."""
+
+    EMPTY = "empty"  # nothing is alive
+    BACKING_OFF = "backing off"  # nothing is alive, and it is too soon after an end to try again
+    TERMINATING = "terminating"  # all that may be alive was told to end
+    UNPLACED = "unplaced"  # an old copy that is not placed
+    OLD = "old"  # an old copy that runs
+    STARTING = "starting"  # a new copy that is not healthy yet
+    SURGED = "surged"  # a new healthy copy beside an old one
+    UPDATED = "updated"  # a new healthy copy alone
+
+
+class Service:
+    """One service.  Its tables of slots are kept in step by `reclassify` alone."""
+
+    def __init__(self, rules: t.ServiceRules, version: int, limits: t.Limits) -> None:
+        self.rules, self.version, self.limits = rules, version, limits
+        self.previous = NO_VERSION
+        self.stage, self.why = t.Stage.GOING, ""
+        self.queued: tuple[int, t.Limits] | None = None  # the update that follows
+        self.removed = False
+        self.frozen = False  # nodes have not all said what they run
+        self.slots = [t.Slot(index) for index in range(rules.count)]
+        self.by_kind: dict[SlotKind, dict[int, None]] = {kind: {} for kind in SlotKind}
+        self.by_kind[SlotKind.EMPTY] = dict.fromkeys(range(rules.count))
+        self.kind_of = [SlotKind.EMPTY] * rules.count
+        self.replaceable: dict[str, dict[int, None]] = {}  # slots with a healthy old copy, by rack
+        self._rack_of: dict[int, str] = {}  # of the same slots
+        self.healthy: set[int] = set()  # slots with a healthy copy
+        self.alive = 0  # copies that may be alive
+        self.replacing: dict[int, None] = {}  # slots in replacement
+        self.wave_left = limits.wave
+        self.next_wave_ns = 0
+        self.failed: deque[int] = deque()  # when copies of the new version failed
+        self.tried: deque[int] = deque()  # when copies of the new version were started
+        self.last_grant = 0
+
+    # --- figures ----------------------------------------------------------------------------------------
+
+    def down(self) -> int:
+        """Slots without a healthy copy."""
+        return self.rules.count - len(self.healthy)
+
+    def max_alive(self) -> int:
+        return self.rules.count + self.limits.surplus
+
+    def may_surge(self) -> bool:
+        """May a new copy run beside an old one?"""
+        return self.rules.effect is Effect.SAFE and self.alive < self.max_alive()
+
+    def limits_allow_replacement(self) -> bool:
+        """Whether the limits let one more healthy old copy be replaced."""
+        return self.may_surge() or self.down() < self.limits.down
+
+    def max_replacing(self) -> int:
+        """How many slots may be in replacement while the version has yet to show that it runs.
+
+        Danger: a version that fails everywhere takes all that the limits allow down at once.  At first twice
+        the failure budget is tried, then so many for each healthy copy."""
+        healthy = len(self.by_kind[SlotKind.UPDATED]) + len(self.by_kind[SlotKind.SURGED])
+        return max(2 * self.limits.failures, COPIES_TRIED_PER_HEALTHY * healthy)
+
+    def forget_old_failures(self, now: int) -> None:
+        """Drop what lies before the window in which failures are counted."""
+        for times in (self.failed, self.tried):
+            while times and now - times[0] > self.limits.window_ns:
+                times.popleft()
+
+    # --- changes ----------------------------------------------------------------------------------------
+
+    def grow(self, rules: t.ServiceRules) -> None:
+        """Take new rules with as many slots or more."""
+        for index in range(self.rules.count, rules.count):
+            self.slots.append(t.Slot(index))
+            self.kind_of.append(SlotKind.EMPTY)
+            self.by_kind[SlotKind.EMPTY][index] = None
+        self.rules = rules
+
+    def begin_update(self, version: int, limits: t.Limits) -> None:
+        """From now on this version is wanted.  What ran last everywhere stays the one to go back to, also
+        where a third version takes the place of a second."""
+        if self.stage is t.Stage.OVER:
+            self.previous = self.version
+        self.version, self.limits = version, limits
+        self.stage, self.why = t.Stage.GOING, ""
+        self.wave_left, self.next_wave_ns = limits.wave, 0
+        self.replacing.clear()
+        self.forgive_failures()
+
+    def forgive_failures(self) -> None:
+        self.failed.clear()
+        self.tried.clear()
+        self.reclassify_all()
+
+    def reclassify_all(self) -> None:
+        for slot in self.slots:
+            self.reclassify(slot)
+
+    def reclassify(self, slot: t.Slot) -> None:
+        """Class the slot anew, and keep all tables in step with it."""
+        index, kind = slot.index, self._classify(slot)
+        del self.by_kind[self.kind_of[index]][index]
+        self.by_kind[kind][index] = None
+        self.kind_of[index] = kind
+        healthy = [copy for copy in slot.copies if copy.state is CopyState.HEALTHY]
+        if healthy:
+            self.healthy.add(index)
+        else:
+            self.healthy.discard(index)
+        self._set_replaceable(index, healthy[0].rack if kind is SlotKind.OLD and healthy else None)
+        if kind is SlotKind.UPDATED:
+            self.replacing.pop(index, None)
+        elif kind in (SlotKind.OLD, SlotKind.UNPLACED) and index in self.replacing:
+            # Its new copy came to nothing: it stands where it stood, and its place in the wave is free again.
+            del self.replacing[index]
+            self.wave_left += self.limits.wave > 0
+
+    def _set_replaceable(self, index: int, rack: str | None) -> None:
+        """The slot has a healthy old copy in this rack, or none."""
+        before = self._rack_of.pop(index, None)
+        if before is not None:
+            del self.replaceable[before][index]
+            if not self.replaceable[before]:
+                del self.replaceable[before]
+        if rack is not None:
+            self._rack_of[index] = rack
+            self.replaceable.setdefault(rack, {})[index] = None
+
+    def _classify(self, slot: t.Slot) -> SlotKind:
+        copies = slot.copies
+        if not copies:
+            return SlotKind.BACKING_OFF if slot.not_before_ns > 0 else SlotKind.EMPTY
+        wanted = [copy for copy in copies if copy.state not in (CopyState.STOPPING, CopyState.UNKNOWN)]
+        if not wanted:
+            return SlotKind.TERMINATING
+        new = [copy for copy in wanted if copy.version == self.version]
+        if any(copy.state is CopyState.HEALTHY for copy in new):
+            return SlotKind.UPDATED if len(copies) == 1 else SlotKind.SURGED
+        if new:
+            return SlotKind.STARTING
+        unplaced = all(copy.state is CopyState.ASKED for copy in wanted)
+        return SlotKind.UNPLACED if unplaced else SlotKind.OLD
--- a/ladderhub/rollout/types.py
+++ b/ladderhub/rollout/types.py
@@ -268,6 +268,51 @@
 # --- state ------------------------------------------------------------------------------------------------
 
 
+class CopyState(Enum):
+    """Where a copy stands."""
+
+    ASKED = "asked"  # being placed
+    RUNNING = "running"
+    HEALTHY = "healthy"
+    UNREACHABLE = "unreachable"  # its node is gone; it may run there
+    STOPPING = "stopping"  # told to end; its node has not said that it has
+    UNKNOWN = "unknown"  # its job is over and it may still be alive
+    ENDED = "ended"
+
+    def may_become(self, state: CopyState) -> bool:
+        return state in _TRANSITIONS[self]
+
+
+_TRANSITIONS = {
+    CopyState.ASKED: {CopyState.RUNNING, CopyState.STOPPING, CopyState.UNKNOWN, CopyState.ENDED},
+    CopyState.RUNNING: {
+        CopyState.HEALTHY,
+        CopyState.UNREACHABLE,
+        CopyState.ASKED,
+        CopyState.STOPPING,
+        CopyState.UNKNOWN,
+        CopyState.ENDED,
+    },
+    CopyState.HEALTHY: {
+        CopyState.UNREACHABLE,
+        CopyState.ASKED,
+        CopyState.STOPPING,
+        CopyState.UNKNOWN,
+        CopyState.ENDED,
+    },
+    CopyState.UNREACHABLE: {
+        CopyState.RUNNING,
+        CopyState.ASKED,
+        CopyState.STOPPING,
+        CopyState.UNKNOWN,
+        CopyState.ENDED,
+    },
+    CopyState.STOPPING: {CopyState.UNKNOWN, CopyState.ENDED},
+    CopyState.UNKNOWN: {CopyState.ENDED},
+    CopyState.ENDED: set(),
+}
+
+
 @dataclass(slots=True)
 class Copy:
     """One copy: a job that was asked for and may run."""
@@ -275,13 +320,16 @@
     number: int
     slot: int
     version: int
-    state: str
+    state: CopyState
     asked_ns: int
     node: str = ""
     rack: str = ""
     placed_ns: int = 0
     stopped_ns: int = 0
 
+    def is_healthy(self, version: int) -> bool:
+        return self.state is CopyState.HEALTHY and self.version == version
+
 
 @dataclass(slots=True)
 class Slot:
@@ -293,6 +341,9 @@
     back_ns: int = 0
     not_before_ns: int = 0
 
+    def has_healthy(self, version: int) -> bool:
+        return any(copy.is_healthy(version) for copy in self.copies)
+
 
 @dataclass(frozen=True, slots=True)
 class View:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -292,7 +292,7 @@
     for name, priority in names.items():
         limits = t.Limits(down=10, healthy_ns=S, priority=priority)
         world.feed(declared(2, 40, name=name, limits=limits))
-        assert sum(len(s.taken) for s in world.rollouts.services.values()) <= 4
+        assert sum(len(s.replacing) for s in world.rollouts.services.values()) <= 4
     over: list[str] = []
     for _ in range(300):
         for number in list(world.told):
@@ -300,7 +300,7 @@
         for number in list(world.asked):
             world.place(number)
         world.wait(S)
-        assert sum(len(s.taken) for s in world.rollouts.services.values()) <= 4
+        assert sum(len(s.replacing) for s in world.rollouts.services.values()) <= 4
         views = {name: world.rollouts.view(world.now, name) for name in names}
         if views["high"].stage is t.Stage.OVER and "high" not in over:
             over.append("high")
@@ -501,7 +501,7 @@
     def books_agree_with_the_world(self) -> None:
         s = self.world.rollouts.services["svc"]
         assert s.alive == len(self.world.alive("svc")) <= self.count + self.limits.surplus
-        assert self.world.rollouts.pace.asked == len(self.world.asked)
+        assert self.world.rollouts.pace.pending == len(self.world.asked)
         assert s.down() >= self.count - len(self.world.serving("svc"))
         assert sorted(at for slots in s.by_kind.values() for at in slots) == list(range(self.count))
 
