Auditor: a package of model, reader and judge, with rules and notices as types

Judging updates takes no rules of the site any more, since it never used them; its tests lose that argument, and else change names alone.

| old | new | | --- | --- | | Charter, QueueCharter, charter_of | AuditRules, QueueRules, audit_rules | | ServiceCharter | ServiceLimits | | Auditor, told | RecordingReader, notices |

--- a/ladderhub/lab/day.py
+++ b/ladderhub/lab/day.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ladderhub.lab import tap
-from ladderhub.lab.auditor import Charter, QueueCharter, Verdict, audit
+from ladderhub.lab.auditor import AuditRules, QueueRules, Verdict, audit
 from ladderhub.lab.client import BatchClient, Submission, attributes
 from ladderhub.lab.fleet import Fleet
 from ladderhub.lab.flaky import FlakyAgent
@@ -77,17 +77,17 @@
     return value
 
 
-def charter_of(settings: dict[str, Any]) -> Charter:
+def audit_rules(settings: dict[str, Any]) -> AuditRules:
     """The rules in the auditor's terms."""
     queues = {}
     for name, queue in settings["queues"].items():
         spread, repeats = queue.get("spread"), queue.get("repeats")
-        queues[name] = QueueCharter(
+        queues[name] = QueueRules(
             queue["effect"], span_ns(queue["limit"], name),
             span_ns(repeats["window"], name) if repeats else 0, spread["most"] if spread else 0,
         )  # fmt: skip
     cold = settings["nodes"]["cold"]
-    return Charter(
+    return AuditRules(
         queues, span_ns(settings["nodes"]["drain_grace"], "drain_grace"), span_ns(cold["span"], "span"),
         span_ns(cold["window"], "window"), cold["safe_offers"],
     )  # fmt: skip
@@ -151,7 +151,7 @@
             self.fleet.run_for(3 * POLL_NS)
         finally:
             self.fleet.close()
-        verdict = audit(tap.read(self.recording), charter_of(self.fleet.settings))
+        verdict = audit(tap.read(self.recording), audit_rules(self.fleet.settings))
         seconds = (self.loop.now_ns() - start) / S
         return Outcome(verdict, self.submitted, len(self.jobs), self.told, seconds, str(self.recording))
 
--- a/ladderhub/lab/load.py
+++ b/ladderhub/lab/load.py
@@ -24,7 +24,7 @@
 from ladderhub.lab import tap
 from ladderhub.lab.auditor import Verdict, audit
 from ladderhub.lab.client import BatchClient, Submission
-from ladderhub.lab.day import charter_of
+from ladderhub.lab.day import audit_rules
 from ladderhub.lab.fleet import Fleet
 from ladderhub.lab.generator import QUEUES, Sent, submission
 from ladderhub.lab.nodehost import HostPlan, NodePlan
@@ -356,7 +356,7 @@
             fleet.run_for(1 * S)
         finally:
             fleet.close()
-        verdict = audit(tap.read(folder / "recording.tap"), charter_of(fleet.settings))
+        verdict = audit(tap.read(folder / "recording.tap"), audit_rules(fleet.settings))
     by_qstat: dict[str, int] = {}
     for job in jobs:
         word = told.get(job, "not told")
--- a/ladderhub/lab/rollout_audit.py
+++ b/ladderhub/lab/rollout_audit.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ladderhub.lab.auditor import Attempt, Auditor, Charter
+from ladderhub.lab.auditor import Attempt, RecordingReader, read
+from ladderhub.lab.auditor.model import GONE
 from ladderhub.lab.tap import Record
 
 HEALTH_SLACK_NS = 60_000_000  # the tap sees an acceptance a little later or earlier than the scheduler
@@ -17,7 +18,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServiceCharter:
+class ServiceLimits:
     """What an update of a service must keep to; times in nanoseconds."""
 
     count: int
@@ -29,6 +30,8 @@
 
 @dataclass(slots=True)
 class RolloutVerdict:
+    """What was checked of updates, and each breach in words."""
+
     checked: dict[str, int] = field(default_factory=lambda: dict.fromkeys(CHECKS, 0))
     breaches: dict[str, list[str]] = field(default_factory=lambda: {check: [] for check in CHECKS})
     most_down: dict[str, int] = field(default_factory=dict)  # by an update's own hand
@@ -52,9 +55,11 @@
 
 
 class _Judge:
-    def __init__(self, auditor: Auditor, name: str, charter: ServiceCharter, verdict: RolloutVerdict) -> None:
-        self._auditor, self._name, self._charter, self._verdict = auditor, name, charter, verdict
-        self._attempts = [a for a in auditor.attempts if a.service == name and a.slot and a.committed_ns >= 0]
+    def __init__(
+        self, seen: RecordingReader, name: str, limits: ServiceLimits, verdict: RolloutVerdict
+    ) -> None:
+        self._seen, self._name, self._limits, self._verdict = seen, name, limits, verdict
+        self._attempts = [a for a in seen.attempts if a.service == name and a.slot and a.committed_ns >= 0]
 
     def judge(self) -> None:
         versions: dict[str, int] = {}
@@ -64,7 +69,7 @@
         self._verdict.most_alive[self._name] = self._verdict.most_down[self._name] = 0
         self._surplus()
         self._down()
-        if self._charter.unsafe:
+        if self._limits.unsafe:
             self._twice()
 
     def _breach(self, check: int, text: str) -> None:
@@ -72,7 +77,7 @@
 
     def _surplus(self) -> None:
         """At each Commit: all that may be alive, those that were told to end included."""
-        most = self._charter.count + self._charter.surplus
+        most = self._limits.count + self._limits.surplus
         open_ones: list[Attempt] = []
         for attempt in sorted(self._attempts, key=lambda a: a.committed_ns):
             now = attempt.committed_ns
@@ -89,17 +94,17 @@
         has lost all."""
         if 0 <= attempt.over_ns <= now or self._anew(attempt, now):
             return False
-        told = self._auditor.told[attempt.scheduler, attempt.node]
-        last = [stage for at, stage, _ in told if attempt.offered_ns < at <= now]
-        return not (last and last[-1] == "gone")
+        notices = self._seen.notices[attempt.scheduler, attempt.node]
+        since = [notice for notice in notices if attempt.offered_ns < notice.at_ns <= now]
+        return not (since and since[-1].stage == GONE)
 
     def _anew(self, attempt: Attempt, now: int) -> bool:
         """Its node came up anew: what ran there before does not run any more."""
-        told = self._auditor.told[attempt.scheduler, attempt.node]
-        return any(at <= now and ready > attempt.committed_ns for at, _, ready in told)
+        notices = self._seen.notices[attempt.scheduler, attempt.node]
+        return any(notice.at_ns <= now and notice.ready_ns > attempt.committed_ns for notice in notices)
 
     def _healthy(self, attempt: Attempt, now: int) -> bool:
-        ready = attempt.known_ns + self._charter.healthy_ns - HEALTH_SLACK_NS <= now
+        ready = attempt.known_ns + self._limits.healthy_ns - HEALTH_SLACK_NS <= now
         told_off = 0 <= attempt.stop_ns <= now
         return attempt.known_ns >= 0 and ready and not told_off and self._alive(attempt, now)
 
@@ -113,11 +118,11 @@
             healthy = {a.slot for a in self._attempts if a.committed_ns < now and self._healthy(a, now)}
             if attempt.slot in healthy:
                 continue  # a new copy has taken its place already
-            down = self._charter.count - len(healthy)
+            down = self._limits.count - len(healthy)
             self._verdict.most_down[self._name] = max(self._verdict.most_down[self._name], down)
-            if down > self._charter.down:
+            if down > self._limits.down:
                 self._breach(
-                    0, f"{down} down after {attempt.job} was told to end, {self._charter.down} allowed"
+                    0, f"{down} down after {attempt.job} was told to end, {self._limits.down} allowed"
                 )
 
     def _twice(self) -> None:
@@ -132,14 +137,10 @@
             slots[attempt.slot].append(attempt)
 
 
-def audit_updates(
-    records: Iterable[Record], charter: Charter, services: dict[str, ServiceCharter]
-) -> RolloutVerdict:
+def audit_updates(records: Iterable[Record], services: dict[str, ServiceLimits]) -> RolloutVerdict:
     """Read a recording and judge the services named."""
-    auditor = Auditor(charter)
-    for record in records:
-        auditor.take(record)
+    seen = read(records)
     verdict = RolloutVerdict()
-    for name, service in services.items():
-        _Judge(auditor, name, service, verdict).judge()
+    for name, limits in services.items():
+        _Judge(seen, name, limits, verdict).judge()
     return verdict
--- a/ladderhub/lab/updates.py
+++ b/ladderhub/lab/updates.py
@@ -18,9 +18,9 @@
 
 from ladderhub.lab import tap
 from ladderhub.lab.auditor import Verdict, audit
-from ladderhub.lab.day import charter_of
+from ladderhub.lab.day import audit_rules
 from ladderhub.lab.fleet import MS, S, Fleet
-from ladderhub.lab.rollout_audit import RolloutVerdict, ServiceCharter, audit_updates
+from ladderhub.lab.rollout_audit import RolloutVerdict, ServiceLimits, audit_updates
 from ladderhub.loop import Loop
 from ladderhub.node.runners import EmulatedSettings
 
@@ -129,17 +129,16 @@
         finally:
             fleet.close()
         assert fleet.tap is not None
-        charter = charter_of(fleet.settings)
         services = {
-            service: ServiceCharter(
+            service: ServiceLimits(
                 counts[service], down, surplus, round(HEALTHY_S * S),
                 fleet.settings["queues"][queue]["effect"] == "unsafe",
             )
             for service, (queue, _, down, surplus) in SERVICES.items()
         }  # fmt: skip
         path = fleet.tap.path
-        limits = audit_updates(tap.read(path), charter, services)
-        rules = audit(tap.read(path), charter)
+        limits = audit_updates(tap.read(path), services)
+        rules = audit(tap.read(path), audit_rules(fleet.settings))
     # A round: the old copy ends, the new one starts, warm at best, and is healthy.
     a_round = 0.06 + HEALTHY_S
     rounds = [-(-counts[service] // (down + surplus)) for service, (_, _, down, surplus) in SERVICES.items()]
--- a/tests/server/test_settings_change.py
+++ b/tests/server/test_settings_change.py
@@ -15,7 +15,7 @@
 from ladderhub.lab import tap
 from ladderhub.lab.auditor import audit
 from ladderhub.lab.client import Submission, attributes
-from ladderhub.lab.day import charter_of
+from ladderhub.lab.day import audit_rules
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Request, Row
 from ladderhub.server.settings import policy_body
@@ -252,7 +252,7 @@
     assert answers.count("placed") > len(jobs) // 2
     assert world.tap is not None
     world.tap.close()
-    verdict = audit(tap.read(world.tap.path), charter_of(world.settings))
+    verdict = audit(tap.read(world.tap.path), audit_rules(world.settings))
     assert verdict.good(), verdict.lines()
 
 
--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -10,8 +10,8 @@
 
 from ladderhub.directory.wire import Lines, Listed, encode
 from ladderhub.lab import tap
-from ladderhub.lab.auditor import RULES, Charter, Verdict, audit
-from ladderhub.lab.day import charter_of
+from ladderhub.lab.auditor import RULES, AuditRules, Verdict, audit
+from ladderhub.lab.day import audit_rules
 from ladderhub.lab.tap import Record
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, ReplyParser, Request, RequestParser, encode_reply, encode_request
@@ -20,7 +20,7 @@
 
 pytestmark = pytest.mark.xdist_group("auditor")  # one recording for all tests of this file
 
-Recording = tuple[list[Record], Charter]
+Recording = tuple[list[Record], AuditRules]
 
 
 @pytest.fixture(scope="module")
@@ -38,15 +38,15 @@
         world.run_for(6 * S)  # past the queues' limit, so that silence would be told
         for job in jobs:
             world.row(job)
-        charter = charter_of(world.settings)
+        rules = audit_rules(world.settings)
     finally:
         world.close()
     assert world.tap is not None
-    return list(tap.read(world.tap.path)), charter
+    return list(tap.read(world.tap.path)), rules
 
 
-def judge(records: Iterable[Record], charter: Charter) -> Verdict:
-    return audit(sorted(records, key=lambda record: record.at_ns), charter)
+def judge(records: Iterable[Record], rules: AuditRules) -> Verdict:
+    return audit(sorted(records, key=lambda record: record.at_ns), rules)
 
 
 def broken(verdict: Verdict) -> set[str]:
@@ -98,7 +98,7 @@
 
 
 def test_rule_1_a_job_whose_answer_is_cut_out_of_the_recording(recording: Recording) -> None:
-    records, charter = recording
+    records, rules = recording
     sent, request = offer_of(records, "billing")
     job = request.job
     kept = [r for r in records if r.connection != sent.connection]
@@ -106,7 +106,7 @@
         replace(r, data=without(r.data, job)) if r.channel.startswith("sched:") and r.way == "<" else r
         for r in kept
     ]  # fmt: skip
-    verdict = judge(doctored, charter)
+    verdict = judge(doctored, rules)
     assert broken(verdict) == {RULES[0]} and job in verdict.breaches[RULES[0]][0]
 
 
@@ -123,7 +123,7 @@
 
 
 def test_rule_1_an_offer_after_the_job_was_refused(recording: Recording) -> None:
-    records, charter = recording
+    records, rules = recording
     doctored = []
     job = offer_of(records, "batch")[1].job
     for record in records:
@@ -142,21 +142,21 @@
         doctored.append(replace(record, data=data))
     request = offer_of(records, "batch")[1]
     late = again(doctored, request, "node-1", records[-1].at_ns + S)
-    assert RULES[0] in broken(judge(late, charter))
+    assert RULES[0] in broken(judge(late, rules))
 
 
 @pytest.mark.parametrize("queue", ["billing", "web", "batch"])
 def test_rule_2_a_second_copy_while_the_first_runs(recording: Recording, queue: str) -> None:
-    records, charter = recording
+    records, rules = recording
     sent, request = offer_of(records, queue)
     other = next(f"node-{at}" for at in (1, 2, 3) if sent.channel != f"node:node-{at}")
     request.attrs = [Attr("run_version", "2") if a.name == "run_version" else a for a in request.attrs]
-    verdict = judge(again(records, request, other, sent.at_ns + 200 * MS), charter)
+    verdict = judge(again(records, request, other, sent.at_ns + 200 * MS), rules)
     assert RULES[1] in broken(verdict)
 
 
 def test_rule_3_an_offer_long_after_the_node_was_told_off(recording: Recording) -> None:
-    records, charter = recording
+    records, rules = recording
     sent, _ = requests(records, n.QUEUE_JOB)[-1]
     node = sent.channel.partition(":")[2]
     doctored: list[Record] = []
@@ -178,12 +178,12 @@
         doctored.append(record)
     # The drain is told at once; the offer comes when it came.
     first = next(r for r in doctored if r.channel.startswith("list:") and r.way == "<")
-    assert sent.at_ns - first.at_ns > charter.drain_grace_ns
-    assert broken(judge(doctored, charter)) == {RULES[2]}
+    assert sent.at_ns - first.at_ns > rules.drain_grace_ns
+    assert broken(judge(doctored, rules)) == {RULES[2]}
 
 
 def test_rule_4_more_offers_than_a_cold_node_bears(recording: Recording) -> None:
-    records, charter = recording
+    records, rules = recording
     _, request = offer_of(records, "batch")
     first = next(r for r in records if r.channel.startswith("list:") and r.way == "<")
     parsed = Lines().feed(first.data)
@@ -197,16 +197,16 @@
             ready + 10 * MS + at * MS, 800_000 + at, f"node:{entry.name}", ">",
             encode_request(Request(n.QUEUE_JOB, request.user, f"{5000 + at}.alpha", request.attrs)),
         )
-        for at in range(charter.cold_safe + 1)
+        for at in range(rules.cold_safe + 1)
     ]  # fmt: skip
-    assert broken(judge([*records, told, *many[:-1]], charter)) == set()
-    assert broken(judge([*records, told, *many], charter)) == {RULES[3]}
+    assert broken(judge([*records, told, *many[:-1]], rules)) == set()
+    assert broken(judge([*records, told, *many], rules)) == {RULES[3]}
 
 
 def test_rule_5_more_of_a_service_in_one_rack_than_its_queue_allows(recording: Recording) -> None:
-    records, charter = recording
+    records, rules = recording
     sent, request = offer_of(records, "web")
-    most = charter.queues["web"].spread_most
+    most = rules.queues["web"].spread_most
     extra = [
         Record(
             sent.at_ns + at * MS, 700_000 + at, sent.channel, ">",
@@ -214,7 +214,7 @@
         )
         for at in range(most)
     ]  # fmt: skip
-    assert broken(judge([*records, *extra], charter)) == {RULES[4]}
+    assert broken(judge([*records, *extra], rules)) == {RULES[4]}
 
 
 def test_a_recording_that_is_cut_off_is_told(recording: Recording, tmp_path: Path) -> None:
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -17,7 +17,7 @@
 from ladderhub.lab import tap
 from ladderhub.lab.auditor import audit
 from ladderhub.lab.client import BatchClient, attributes
-from ladderhub.lab.day import charter_of
+from ladderhub.lab.day import audit_rules
 from ladderhub.loop import Stream
 from ladderhub.loop.http import HttpDoor
 from ladderhub.loop.stream import connect
@@ -49,7 +49,7 @@
     """The recording keeps all five rules."""
     assert world.tap is not None
     world.tap.close()
-    verdict = audit(tap.read(world.tap.path), charter_of(world.settings))
+    verdict = audit(tap.read(world.tap.path), audit_rules(world.settings))
     assert verdict.good(), verdict.lines()
     assert verdict.checked["no effect twice"]
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -10,8 +10,8 @@
 
 from ladderhub.lab import tap
 from ladderhub.lab.auditor import audit
-from ladderhub.lab.day import charter_of
-from ladderhub.lab.rollout_audit import CHECKS, ServiceCharter, audit_updates
+from ladderhub.lab.day import audit_rules
+from ladderhub.lab.rollout_audit import CHECKS, ServiceLimits, audit_updates
 from ladderhub.lab.tap import Record
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, Request, RequestParser, Row
@@ -56,7 +56,7 @@
     assert world.tap is not None
     world.tap.close()
     records = list(tap.read(world.tap.path))
-    verdict = audit(records, charter_of(world.settings))
+    verdict = audit(records, audit_rules(world.settings))
     assert verdict.good(), verdict.lines()
     return records
 
@@ -73,12 +73,11 @@
         shown = until_over(world, name)
         assert (shown.get("version"), shown.get("new"), shown.get("down")) == ("2", count, "0")
     records = finish(world)
-    charter = charter_of(world.settings)
     services = {
-        "orders": ServiceCharter(6, 1, 1, 200 * MS),
-        "invoicing": ServiceCharter(4, 1, 0, 200 * MS, unsafe=True),
+        "orders": ServiceLimits(6, 1, 1, 200 * MS),
+        "invoicing": ServiceLimits(4, 1, 0, 200 * MS, unsafe=True),
     }
-    verdict = audit_updates(records, charter, services)
+    verdict = audit_updates(records, services)
     assert verdict.good(), verdict.lines()
     assert all(verdict.checked[check] for check in CHECKS) and verdict.most_alive == {
         "orders": 7,
@@ -94,7 +93,7 @@
     for at, record, _ in stops[:4]:
         early[at] = replace(record, at_ns=stops[0][1].at_ns + at)
     early.sort(key=lambda record: record.at_ns)
-    assert audit_updates(early, charter, services).breaches["copies down"]
+    assert audit_updates(early, services).breaches["copies down"]
     silent = [
         record
         for record in records
@@ -102,7 +101,7 @@
     ]
     silent = [record for record in silent if not (record.channel.startswith("node:") and record.way == "<"
               and record.connection in {stop[1].connection for stop in stops})]  # fmt: skip
-    wrong = audit_updates(silent, charter, services)
+    wrong = audit_updates(silent, services)
     assert wrong.breaches["surplus"] and wrong.breaches["no copy twice"]
 
 
@@ -132,8 +131,8 @@
     shown = until_over(world, "invoicing")
     assert (shown.get("version"), shown.get("new"), shown.get("alive")) == ("2", "8", "8")
     records = finish(world)
-    services = {"invoicing": ServiceCharter(8, 1, 0, 200 * MS, unsafe=True)}
-    verdict = audit_updates(records, charter_of(world.settings), services)
+    services = {"invoicing": ServiceLimits(8, 1, 0, 200 * MS, unsafe=True)}
+    verdict = audit_updates(records, services)
     assert verdict.good(), verdict.lines()
 
 
