Scale run: members that share a process are summed for slopes

Need: in a trial of slopes on 20 to 80 nodes the memory of one agent, its part of its process, fell with the number of agents, so that the line along nodes predicted 0 MB where 0.42 were measured. Change: figures of hosted members are taken as their sum; waiting for a processor is no figure of the program and has no slope.

--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -34,9 +34,11 @@
 
 
 class RoleFigures(msgspec.Struct):
-    """The mean over the processes of one role, and in `most` each figure's largest value among them.  A role
-    that is a part of a process has no memory and no processor time of its own.  `waited`: the share of the
-    time in which it was ready and no processor was free; where it is large, times tell of the machine."""
+    """The mean over the members of one role, and in `most` each figure's largest value among them.
+
+    A role that is a part of a process has no memory and no processor time of its own.  `hosted` members share
+    processes, whose figures are divided by their number.  `waited`: the share of the time in which a process
+    was ready and no processor was free; where it is large, times tell of the machine."""
 
     count: int
     memory_mb: float | None
@@ -49,6 +51,7 @@
     most: dict[str, float] = {}
     waited: float | None = None
     memory_growth_mb_per_s: float | None = None
+    hosted: bool = False
 
 
 class ClassFigures(msgspec.Struct):
@@ -135,8 +138,6 @@
     if role.cores is not None:
         yield "cores", role.cores
     yield "descriptors", role.descriptors
-    if role.waited is not None:
-        yield "waited", role.waited
     for cause, cores in role.cores_by_cause.items():
         yield f"cores.{cause}", cores
     for name, table in (("bytes_per_s", role.bytes_per_s), ("messages_per_s", role.messages_per_s)):
@@ -153,11 +154,22 @@
         yield f"most.{name}", value
 
 
+def _figures_of_all(role: RoleFigures) -> Iterator[tuple[str, float]]:
+    """Sums over the members of a hosted role: one member's part of its process falls with their number, and
+    is no line along any dimension."""
+    for name, value in role_figures(role):
+        if not name.startswith("most."):
+            yield name, value * role.count
+
+
 def figures_of(run: RunFigures) -> dict[str, float]:
     """Every measured figure of a run by its name, as `scheduler.cores.lists`."""
     figures: dict[str, float] = {"running": run.running}
     for role, measured in run.roles.items():
-        figures |= {f"{role}.{name}": value for name, value in role_figures(measured)}
+        if measured.hosted:
+            figures |= {f"{role}.all.{name}": value for name, value in _figures_of_all(measured)}
+        else:
+            figures |= {f"{role}.{name}": value for name, value in role_figures(measured)}
     for name, started in run.starts.items():
         told = {"p50_ms": started.p50_ms, "p99_ms": started.p99_ms, "missed_share": started.missed_share}
         figures |= {f"starts.{name}.{figure}": value for figure, value in told.items() if value is not None}
--- a/ladderhub/lab/scale/roles.py
+++ b/ladderhub/lab/scale/roles.py
@@ -19,6 +19,7 @@
         memory_mb=after.memory_bytes / MB / share,
         cores=(after.processor_s - before.processor_s) / seconds,
         descriptors=after.descriptors / share,
+        hosted=share > 1,
         memory_growth_mb_per_s=(after.memory_bytes - before.memory_bytes) / MB / seconds,
         waited=(after.waited_s - before.waited_s) / (after.at_s - before.at_s),
     )
@@ -84,6 +85,7 @@
             _mean_of_known([member.control.bytes_per_s for member in members], weights),
         ),
         most=most,
+        hosted=any(member.hosted for member in members),
     )
 
 
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -421,6 +421,10 @@
     assert figures["scheduler.cores.lists"] == 0.1 and figures["scheduler.bytes_per_s.lists.in"] == 3.0
     assert "scheduler.bytes_per_s.lists.out" not in figures and "scheduler.control.cores" not in figures
     assert figures["change_in_force_s.most"] == 0.9
+    role.count, role.hosted, role.most = 4, True, {"cores": 0.3}
+    figures = figures_of(RunFigures("r", size, 1.0, 1, {"node_agent": role}, {}, change, 5.0))
+    assert figures["node_agent.all.cores"] == pytest.approx(0.8) and "node_agent.cores" not in figures
+    assert not any(".most." in name for name in figures), "the most of a part is no sum"
 
 
 def test_a_plan_with_too_many_real_schedulers_is_refused() -> None:
