Server: revisions of the configuration as a part of the daemon

Change: where peers have electors, server/revisions.py carries the decisions of ladderhub/revision: the record in the spool, whole or not at all, the check of a policy against this process's own settings, activation without a restart, log rows, gauges and rows of the server's status. server/policyrequests.py serves operators by Manager on an object of its own.

--- /dev/null
+++ b/ladderhub/lab/mesh/change_days.py
@@ -0,0 +1,66 @@
+"""Days on which the configuration changes, amid faults.  Steps are as in `days`; chance is from a seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ladderhub.lab.emulator.net import MS, Faults
+from ladderhub.lab.mesh.days import Day, Step, between
+
+CHANGES_S = 60
+CHANGES_AT_ONCE = 10
+
+
+def _changes(count: int, rng: random.Random) -> Day:
+    """A change a second for a minute.  The voters are the first slots, a majority of them on the left."""
+    voters = min(5, count) - (min(5, count) + 1) % 2
+    left = [*range(voters // 2 + 1), *range(voters, voters + (count - voters) // 2)]
+    right = [slot for slot in range(count) if slot not in left]
+    killed, paused = rng.sample(range(count), 2)
+    deaf, mute = rng.sample(range(count), 2)
+    bad = Faults(loss=0.1, delay_ns=(MS // 2, 20 * MS))
+    steps = [
+        Step(0.1, "net", value=bad), Step(8, "kill", killed), Step(9.5, "start", killed),
+        Step(15, "pause", paused), Step(20, "go_on", paused),
+        Step(24, "cut", value=frozenset({(mute, deaf)})), Step(30, "cut", value=frozenset()),
+        Step(33, "cut", value=between(left, right)), Step(42, "cut", value=frozenset()),
+    ]  # fmt: skip
+    steps += [Step(at, "change", rng.randrange(count)) for at in range(1, CHANGES_S + 1)]
+    steps += [Step(46.5, "change", slot, True) for slot in rng.sample(range(count), 2)]
+    at_once = (52.45 + at / CHANGES_AT_ONCE for at in range(CHANGES_AT_ONCE))
+    steps += [Step(at, "change", rng.randrange(count)) for at in at_once]
+    steps.append(Step(CHANGES_S + 1, "net"))
+    return Day(
+        "changes", "a change of configuration each second amid faults", steps, CHANGES_S + 1,
+        lambda observer, subject: True, load=15.0,
+    )  # fmt: skip
+
+
+def _few_changes(count: int, rng: random.Random) -> Day:
+    """The same in small: a dozen seconds, for three to five."""
+    killed, paused = rng.sample(range(1, count), 2)
+    steps = [
+        Step(0.1, "net", value=Faults(loss=0.1, delay_ns=(MS // 2, 20 * MS))),
+        Step(2, "kill", killed), Step(3, "start", killed),
+        Step(6, "pause", paused), Step(9.5, "go_on", paused), Step(10, "net"),
+    ]  # fmt: skip
+    steps += [Step(at, "change", rng.randrange(count)) for at in (0.5, 1.5, 5, 7, 9)]
+    steps += [Step(4.3, "change", slot, True) for slot in rng.sample(range(count), 2)]
+    return Day(
+        "few-changes", "changes of configuration amid a kill, a pause and loss", steps, 10,
+        lambda observer, subject: True, load=10.0,
+    )  # fmt: skip
+
+
+CHANGE_DAYS: dict[str, Callable[[int, random.Random], Day]] = {
+    "changes": _changes, "few-changes": _few_changes,
+}  # fmt: skip
+LEAST_SCHEDULERS = 3
+
+
+def draw_changes(name: str, count: int, seed: int) -> Day:
+    """The day of this name for so many schedulers; ValueError where there is none for so few."""
+    if count < LEAST_SCHEDULERS:
+        raise ValueError(f"schedulers: found {count}; at least {LEAST_SCHEDULERS} are meant for {name}")
+    return CHANGE_DAYS[name](count, random.Random(f"{name}/{seed}"))
--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -28,6 +28,7 @@
 
 SPOILT_REPORT_INTERVAL_NS = 1_000_000_000
 MAX_PARSED_ADDRESSES = 10_000  # kept; peers choose what addresses we are told of
+TellRevisions = Callable[[revision_types.Event, str], None]  # an event, and the name of the sender
 INVALID_ADDRESS = "address"  # the kind under which such an address is counted
 
 
@@ -62,7 +63,7 @@
         self.on_leases: Callable[[LeasesHeld], None] | None = None
         self.on_tick: Callable[[], None] | None = None
         self.on_members: Callable[[], None] | None = None  # after the view has changed
-        self.tell_revisions: Callable[[revision_types.Event], None] | None = None
+        self.tell_revisions: TellRevisions | None = None
         self.current_head: Callable[[], Head] | None = None  # rides on every frame
         self._members_changed = False
         self._tick_timer: Timer | None = None
@@ -98,13 +99,14 @@
         elif self.tell_leases is not None:
             self.tell_leases(received)
 
-    def _pass_on_revisions(self, frame: Frame, tell: Callable[[revision_types.Event], None]) -> None:
+    def _pass_on_revisions(self, frame: Frame, tell: TellRevisions) -> None:
         if frame.head is not None:
             address = self.view.address_of(frame.name, frame.life)
             if address is not None:
-                tell(revision_types.HeadSeen(address, frame.head))
+                tell(revision_types.HeadSeen(address, frame.head), frame.name)
         if isinstance(frame.message, RevisionMessage):
-            tell(revision_types.MessageReceived(frame.name, frame.life, frame.message))
+            received = revision_types.MessageReceived(frame.name, frame.life, frame.message)
+            tell(received, frame.name)
 
     def _report_spoilt(self) -> None:
         for row in self.tally.due(self.loop.now_ns()):
--- a/ladderhub/peers/revisions.py
+++ b/ladderhub/peers/revisions.py
@@ -9,9 +9,10 @@
 from ladderhub.loop import Timer
 from ladderhub.peers.carrier import PeerCarrier
 from ladderhub.revision import (
-    Activate, Answer, CheckBody, Hold, MembersChanged, Record, Resume, Revision, Revisions, Send, Store, Tell,
-    Tick, WakeAt,
+    Activate, Answer, CheckBody, HeadSeen, Hold, MembersChanged, Record, Resume, Revision, Revisions, Send,
+    Store, Tell, Tick, WakeAt,
 )  # fmt: skip
+from ladderhub.revision.messages import Head
 from ladderhub.revision.types import Action, BodyChecked, Event, Notice, Outcome
 
 STORE_RETRY_NS = 500_000_000
@@ -51,6 +52,7 @@
     def __init__(self, peers: PeerCarrier, revisions: Revisions, host: RevisionHost) -> None:
         self._peers, self._revisions, self._host = peers, revisions, host
         self._tell: Callable[[Event], None] = _not_joined
+        self.heads: dict[str, tuple[Head, int]] = {}  # by member: the last that it sent, and when
         self._tick_timer: Timer | None = None
         self._store_timer: Timer | None = None
         self._unkept: Record | None = None
@@ -60,14 +62,21 @@
         """Begin: events go to `tell`, which brings them to the decisions."""
         self._tell = tell
         peers, loop = self._peers, self._peers.loop
-        peers.tell_revisions = tell
+        peers.tell_revisions = self._on_event
         peers.current_head = lambda: self._revisions.head(loop.now_ns())
         peers.on_members = self._on_members
         self._on_members()
         tell(Tick())
 
+    def _on_event(self, event: Event, sender: str) -> None:
+        if isinstance(event, HeadSeen):
+            self.heads[sender] = (event.head, self._peers.loop.now_ns())
+        self._tell(event)
+
     def _on_members(self) -> None:
-        self._tell(MembersChanged({entry.name: entry.address for entry in self._peers.view.members()}))
+        addresses = {entry.name: entry.address for entry in self._peers.view.members()}
+        self.heads = {name: seen for name, seen in self.heads.items() if name in addresses}
+        self._tell(MembersChanged(addresses))
 
     # --- as a carrier -----------------------------------------------------------------------------------
 
--- a/ladderhub/revision/revisions.py
+++ b/ladderhub/revision/revisions.py
@@ -73,6 +73,10 @@
             self._catch_up.reason, self._activation.fault, differs, tuple(ledger.headers),
         )  # fmt: skip
 
+    def body_of(self, header: Header) -> bytes | None:
+        """The body of a revision, where it is still kept here."""
+        return self._find_body(header.body)
+
     # --- events -----------------------------------------------------------------------------------------
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -21,7 +21,7 @@
 from ladderhub.server.owning import Owning
 from ladderhub.server.placing import Placing
 from ladderhub.server.services import Services
-from ladderhub.server.settings import Loaded
+from ladderhub.server.settings import Loaded, PeerSettings
 from ladderhub.server.site import Part, Site
 from ladderhub.server.status import Status
 from ladderhub.server.submitting import Submitting
@@ -60,11 +60,23 @@
         # are known before nodes say what they run.
         self.parts: list[Part] = [self.door, self.services, self.members, owning]
         if settings.peers is not None:
-            from ladderhub.server.peers import PeerService  # loaded only where there are peers
-
-            self.parts.append(PeerService(site, settings.peers))
+            self._add_peers(settings.peers, operating)
         self.on_end: Callable[[], None] | None = None
 
+    def _add_peers(self, settings: PeerSettings, operating: Operating) -> None:
+        """What is loaded only where there are peers, and only where some of them are voters."""
+        from ladderhub.server.peers import PeerService
+
+        peers = PeerService(self.site, settings)
+        self.parts.append(peers)
+        if settings.voters:
+            from ladderhub.server.policyrequests import PolicyRequests
+            from ladderhub.server.revisions import RevisionService
+
+            revisions = RevisionService(self.site, peers)
+            self.parts.append(revisions)
+            operating.join(n.OBJ_POLICY, PolicyRequests(self.site, revisions).serve)
+
     @property
     def stopping(self) -> bool:
         return self.site.stopping
--- a/ladderhub/server/operating.py
+++ b/ladderhub/server/operating.py
@@ -12,6 +12,11 @@
 from ladderhub.server.site import Site
 
 
+_ABSENT = {
+    n.OBJ_POLICY: "the settings of this scheduler name no peers with electors: its file is its policy",
+}  # fmt: skip
+
+
 class Operating:
     """Serves operators; `shut` begins the daemon's clean stop."""
 
@@ -31,6 +36,9 @@
         serve(connection, request, answer)
 
     def node(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        if request.object_type in _ABSENT:
+            answer(refusal(n.INVALID_REQUEST, _ABSENT[request.object_type]))
+            return
         if request.command != n.CMD_SET or request.object_type != n.OBJ_NODE:
             answer(refusal(n.INVALID_REQUEST, "only «set node NAME state = offline|free» is known"))
             return
--- a/ladderhub/server/peers.py
+++ b/ladderhub/server/peers.py
@@ -98,13 +98,32 @@
     def _unsent_total(self) -> float:
         return float(self._carrier.datagrams.unsent) if self._carrier is not None else 0.0
 
-    def _member_names(self) -> list[str]:
+    @property
+    def life(self) -> int:
+        return self._state_file.life
+
+    @property
+    def address(self) -> str:
+        return self._settings.advertise
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        return self._settings.voters
+
+    @property
+    def carrier(self) -> PeerCarrier:
+        """Of a service that has started."""
+        assert self._carrier is not None
+        return self._carrier
+
+    def member_names(self) -> list[str]:
+        """The schedulers in the view, this one among them."""
         return sorted(entry.name for entry in self.view.members())
 
     def status_rows(self) -> list[Attr]:
         """Rows of the server's status."""
         suspected = set(self.view.suspected())
-        shown = [f"{name} (suspected)" if name in suspected else name for name in self._member_names()]
+        shown = [f"{name} (suspected)" if name in suspected else name for name in self.member_names()]
         return [Attr("members", ", ".join(shown)), Attr("membership", self._state_word())]
 
     def _state_word(self) -> str:
@@ -151,7 +170,7 @@
 
     def _on_tick(self) -> None:
         if self._tell_leases is not None:
-            names = self._member_names()
+            names = self.member_names()
             rank = names.index(self._site.name)
             self._tell_leases(MembershipSummary(len(names), rank, self.is_confirmed()))
 
--- /dev/null
+++ b/ladderhub/server/policyrequests.py
@@ -0,0 +1,164 @@
+"""Requests of operators on the configuration: Manager on an object of our own (`names.OBJ_POLICY`).
+
+Create applies a policy and is answered when its outcome is known; list tells the state, or with a number or
+`current` as its name one revision with its body."""
+
+from __future__ import annotations
+
+import time
+
+from ladderhub.errors import LadderhubError
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Reply, Request, Row, refusal
+from ladderhub.pbs.connection import ServerConnection
+from ladderhub.revision.content import digest_of
+from ladderhub.revision.messages import Header
+from ladderhub.revision.types import (
+    Applied, Invalid, LostTo, NoMajority, Outcome, Refused, StaleParent, Unchanged,
+)  # fmt: skip
+from ladderhub.server.door import Answer
+from ladderhub.server.revisions import RevisionService
+from ladderhub.server.site import Site
+
+CURRENT = "current"
+S, MS = 1_000_000_000, 1_000_000
+
+
+class PolicyError(LadderhubError):
+    """A request on the configuration that can't be taken: field, what was found, what was meant."""
+
+    status, code = 2, n.BAD_ATTRIBUTE_VALUE
+    remedy = (
+        "mend what is named; `ladderhub policy status` tells what is in force and which revisions are kept"
+    )
+
+
+class PolicyRequests:
+    """Serves `ladderhub policy`."""
+
+    def __init__(self, site: Site, service: RevisionService) -> None:
+        self._site, self._service = site, service
+
+    def serve(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
+        if self._site.stopping:
+            answer(refusal(n.SERVER_BUSY, f"{self._site.name} is stopping"))
+            return
+        try:
+            if request.command == n.CMD_CREATE:
+                self._apply(request, answer)
+            elif request.command == n.CMD_LIST and request.name:
+                answer(_reply([self._revision_row(request.name)]))
+            elif request.command == n.CMD_LIST:
+                answer(_reply([self._status_row(), *self._member_rows()]))
+            else:
+                raise PolicyError("create and list are known for the configuration")
+        except PolicyError as fault:
+            answer(refusal(fault.code, str(fault)))
+
+    # --- apply ------------------------------------------------------------------------------------------
+
+    def _apply(self, request: Request, answer: Answer) -> None:
+        body = request.get("body").encode("utf-8", "surrogateescape")
+        author = request.get("author") or request.user
+        members = self._service.member_names()
+
+        def on_outcome(outcome: Outcome) -> None:
+            answer(_reply([Row(n.OBJ_POLICY, "", outcome_attrs(outcome, members))]))
+
+        self._service.apply(
+            body, self._parent_digest(request.get("parent")), author, request.get("reason"),
+            time.time_ns() // MS, on_outcome,
+        )  # fmt: skip
+
+    def _parent_digest(self, text: str) -> bytes | None:
+        """Of the revision that the request was made from; none named: whatever is current."""
+        if not text:
+            return None
+        if text == "0":
+            return digest_of(None)
+        return digest_of(self._header(text, "parent"))
+
+    # --- show and status --------------------------------------------------------------------------------
+
+    def _header(self, text: str, where: str) -> Header:
+        status = self._service.revisions.status(self._site.loop.now_ns())
+        if text == CURRENT:
+            if status.active is None:
+                raise PolicyError("no revision is in force here yet", where=where)
+            return status.active
+        kept = {str(header.number): header for header in (*status.history, status.active) if header}
+        if text not in kept:
+            numbers = sorted(map(int, kept))
+            meant = f"one of {numbers[0]} to {numbers[-1]}" if numbers else "none is known here yet: 0"
+            raise PolicyError(f"found {text!r}", where=where, meant=meant)
+        return kept[text]
+
+    def _revision_row(self, text: str) -> Row:
+        header = self._header(text, "revision")
+        body = self._service.revisions.body_of(header)
+        if body is None:
+            raise PolicyError(f"its body is no longer kept by {self._site.name}", where=f"revision {text}")
+        told = [*_header_attrs(header), Attr("body", body.decode("utf-8", "surrogateescape"))]
+        return Row(n.OBJ_POLICY, str(header.number), told)
+
+    def _status_row(self) -> Row:
+        status = self._service.revisions.status(self._site.loop.now_ns())
+        attrs = self._service.status_rows()
+        if status.active is not None:
+            attrs += _header_attrs(status.active)
+        return Row(n.OBJ_POLICY, self._site.name, attrs)
+
+    def _member_rows(self) -> list[Row]:
+        """The newest revision that each other member was heard to know."""
+        now, heads, rows = self._site.loop.now_ns(), self._service.heads(), []
+        for name in self._service.member_names():
+            if name == self._site.name:
+                continue
+            attrs: list[Attr] = []
+            if name in heads:
+                head, heard_ns = heads[name]
+                attrs = [
+                    Attr("head", str(head.number)), Attr("digest", head.digest.hex()),
+                    Attr("heard", f"{(now - heard_ns) / S:.1f}"),
+                ]  # fmt: skip
+            rows.append(Row(n.OBJ_POLICY, name, attrs))
+        return rows
+
+
+def _reply(rows: list[Row]) -> Reply:
+    return Reply(0, n.R_STATUS, rows=rows)
+
+
+def _header_attrs(header: Header | None) -> list[Attr]:
+    if header is None:
+        return [Attr("number", "0")]
+    return [
+        Attr("number", str(header.number)), Attr("digest", digest_of(header).hex()),
+        Attr("parent", header.parent.hex()), Attr("author", header.author), Attr("reason", header.reason),
+        Attr("made_ms", str(header.made_ms)),
+    ]  # fmt: skip
+
+
+def outcome_attrs(outcome: Outcome, members: list[str]) -> list[Attr]:
+    """An outcome as the attributes of its row.  `members`: those whose word was asked for."""
+    match outcome:
+        case Applied(header, _, silent):
+            confirmed = ", ".join(name for name in members if name not in silent)
+            told = [Attr("confirmed", confirmed), Attr("silent", ", ".join(silent))]
+            return [Attr("outcome", "applied"), *_header_attrs(header), *told]
+        case Unchanged(header, _):
+            return [Attr("outcome", "unchanged"), *_header_attrs(header)]
+        case StaleParent(current, _):
+            return [Attr("outcome", "stale parent"), *_header_attrs(current)]
+        case LostTo(winner, _):
+            return [Attr("outcome", "lost"), *_header_attrs(winner)]
+        case Refused(member, fault):
+            return [Attr("outcome", "refused"), Attr("member", member), Attr("fault", fault)]
+        case NoMajority(answered, voters, may_follow, age_ns):
+            age = "unknown" if age_ns is None else f"{age_ns / S:.1f}"
+            return [
+                Attr("outcome", "no majority"), Attr("answered", str(answered)), Attr("voters", str(voters)),
+                Attr("may_follow", str(may_follow)), Attr("age", age),
+            ]  # fmt: skip
+        case Invalid(fault):
+            return [Attr("outcome", "invalid"), Attr("fault", fault)]
--- a/ladderhub/server/site.py
+++ b/ladderhub/server/site.py
@@ -58,7 +58,8 @@
     `on_finished` hears of each job that is over, `on_placed` of each that runs, `on_unplaced` of each that
     lost its place and is placed again, `on_node` of each node that is gone (False) or back (True), also where
     it began anew without being missed, `on_news` of the number of each finished job that a node spoke of,
-    `on_settings` of settings that have come into force."""
+    `on_settings` of settings that have come into force.  `before_event` is called before decisions on jobs
+    hear of anything: what it tells them is heard first."""
 
     def __init__(self, loop: Loop, settings: Loaded, log: Any) -> None:
         self.loop, self.settings, self.log = loop, settings, log
@@ -66,6 +67,8 @@
         self.revision = PolicyRevision(1, hashlib.sha256(policy_body(settings.file)).digest())
         self.held = ""  # why jobs are taken and not yet asked for
         self._changes: deque[tuple[Loaded, PolicyRevision]] = deque()
+        self._held_back: list[api.Event] = []
+        self.before_event: Callable[[], None] | None = None
         self.folder = Path(settings.file.spool)
         self.lock = FolderLock(self.folder)
         self.jobs = JobTable(settings.keep_finished_ns, self.name)
@@ -93,13 +96,26 @@
         self._owner = self.board.add(self.owner, owner)
 
     def tell_module(self, event: api.Event) -> None:
-        self._module(event)
+        self._before_event()
+        if self.held:
+            self._held_back.append(event)
+        else:
+            self._module(event)
 
     def tell_owner(self, event: own.Event) -> None:
+        self._before_event()
         self._owner(event)
 
+    def _before_event(self) -> None:
+        if self.before_event is not None:
+            self.before_event()
+
     # --- settings that change -------------------------------------------------------------------------------
 
+    def newest_settings(self) -> Loaded:
+        """The last that were handed over, in force by now or not."""
+        return self._changes[-1][0] if self._changes else self.settings
+
     def change_settings(self, loaded: Loaded, number: int, digest: bytes) -> None:
         """Go on by other settings, made by `Loaded.with_policy` of those before.
 
@@ -122,14 +138,22 @@
             told()
 
     def hold(self, reason: str) -> None:
-        """From now on jobs are taken and wait, with this reason; nothing is asked of the decision module."""
+        """From now on jobs are taken and wait, with this reason.
+
+        The decision module hears of nothing but changes of settings until `resume`, as if it stood still.
+
+        Danger: a task that it had been asked for before is sent anew, by settings that may be old."""
         self.held = reason
         self._owner(own.AsksPaused(reason))
 
     def resume(self) -> None:
-        """Jobs that were held back are asked for."""
+        """The decision module hears of what came meanwhile, and jobs that were held back are asked for."""
         self.held = ""
-        self._owner(own.AsksResumed())
+        held_back, self._held_back = self._held_back, []
+        with self.board.one_turn():
+            for event in held_back:
+                self._module(event)
+            self._owner(own.AsksResumed())
 
     def _fault(self, event: Any, fault: Exception) -> None:
         self.metrics.troubles += 1
