ladderhub policy show, apply and status

Need: operators change the configuration of the whole fleet at one scheduler and are told what became of it.

Change: cli/policy.py; the evaluation of a Jsonnet file, which rollout had of its own, is shared.

--- a/ladderhub/cli/__init__.py
+++ b/ladderhub/cli/__init__.py
@@ -11,6 +11,7 @@
 from ladderhub import __version__
 from ladderhub.cli.daemons import check, demo, directory, node, on_platform, serve
 from ladderhub.cli.lab import lab
+from ladderhub.cli.policy import policy
 from ladderhub.cli.rollout import rollout
 
 
@@ -20,5 +21,5 @@
     """Schedule long-lived tasks on the machines of a cluster."""
 
 
-for command in (check, serve, on_platform, node, directory, demo, rollout, lab):
+for command in (check, serve, on_platform, node, directory, demo, rollout, policy, lab):
     main.add_command(command)
--- a/ladderhub/cli/rollout.py
+++ b/ladderhub/cli/rollout.py
@@ -9,7 +9,9 @@
 
 import click
 
+from ladderhub.cli.common import evaluate_jsonnet
 from ladderhub.commands.client import CommandError, Connection, words
+from ladderhub.errors import LadderhubError
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, Request, Row
 
@@ -44,14 +46,10 @@
 def read_file(path: Path) -> tuple[str, list[Attr]]:
     """A service's name and the attributes of its declaration; exits with one message where it can't be
     read."""
-    import _jsonnet
-    import msgspec
-
     try:
-        value: Any = msgspec.json.decode(_jsonnet.evaluate_file(str(path)))
-    except RuntimeError as fault:
-        lines = [line.strip() for line in str(fault).splitlines() if line.strip()]
-        _fail("; ".join(lines[:2]), 1)
+        value: Any = evaluate_jsonnet(path)
+    except LadderhubError as fault:
+        _fail(str(fault), 1)
     if not isinstance(value, dict) or not isinstance(value.get("service"), str):
         _fail(f"{path}: service: a name is meant", 1)
     attrs: list[Attr] = []
