--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -94,19 +94,27 @@
 
 
 @lab.command()
-@click.option("--day", "name", default="drawn", show_default=True, help="A day by name; `all` for every one.")
+@click.option("--day", "name", default="drawn", show_default=True, help="By name; `all`: of membership, all.")
 @click.option("--schedulers", default=16, show_default=True, type=click.IntRange(2, 64))
 @_SEED
 @_FOLDER
 def mesh(name: str, schedulers: int, seed: int, folder: Path | None) -> None:
-    """Play fault days on real schedulers with a faulty network between them, and judge their views."""
+    """Play fault days on real schedulers with a faulty network between them.  Their views are judged, and on
+    the days `changes` and `few-changes` the revisions of the configuration."""
     import tempfile
 
+    from ladderhub.lab.mesh.change_days import CHANGE_DAYS, draw_changes
+    from ladderhub.lab.mesh.changes import run_changes
     from ladderhub.lab.mesh.days import DAYS, draw
     from ladderhub.lab.mesh.fleet import run_day
+    from ladderhub.lab.mesh.judge import Verdict
+    from ladderhub.lab.mesh.revision_judge import RevisionVerdict
 
     try:
-        days = [draw(each, schedulers, seed) for each in (DAYS if name == "all" else [name])]
+        if name in CHANGE_DAYS:
+            days = [draw_changes(name, schedulers, seed)]
+        else:
+            days = [draw(each, schedulers, seed) for each in (DAYS if name == "all" else [name])]
     except ValueError as fault:
         raise click.UsageError(str(fault)) from None
     bad = []
@@ -114,7 +122,11 @@
         with tempfile.TemporaryDirectory() as scratch:
             place = (folder / day.name) if folder is not None else Path(scratch)
             place.mkdir(parents=True, exist_ok=True)
-            verdict = run_day(day, place, schedulers, seed)
+            verdict: Verdict | RevisionVerdict = (
+                run_changes(day, place, schedulers, seed)
+                if name in CHANGE_DAYS
+                else run_day(day, place, schedulers, seed)
+            )
         click.echo(f"{day.name}: {day.about}; {schedulers} schedulers, seed {seed}")
         for line in verdict.lines():
             click.echo(f"  {line}")
--- a/ladderhub/lab/mesh/days.py
+++ b/ladderhub/lab/mesh/days.py
@@ -25,7 +25,8 @@
     now on; `net`: other faults; `twin`: a second process with the name of slot `value`, in slot `who`;
     `usurp`: a scheduler of a new name at the address of slot `value`; `back`: start with a clock set back and
     an empty spool; `hold` and `release`: keep copies of what `who` sends, and send them late; `noise`:
-    datagrams that are no messages."""
+    datagrams that are no messages; `change`: an operator asks there for another policy, with `value` True for
+    one made from the revision in force there, which loses where another comes first."""
 
     at_s: float
     what: str
@@ -44,6 +45,7 @@
     may_go: Allowed = field(default=lambda observer, subject: False)
     real: bool = True  # can be played with real processes
     out: frozenset[int] = frozenset()  # slots that are not in at the end though their process lives
+    load: float = 0.0  # jobs a second, submitted over the whole day
 
 
 def all_pairs(slots: Iterable[int]) -> set[tuple[int, int]]:
@@ -51,7 +53,7 @@
     return {(a, b) for a in names for b in names if a != b}
 
 
-def _between(left: Iterable[int], right: Iterable[int]) -> Pairs:
+def between(left: Iterable[int], right: Iterable[int]) -> Pairs:
     one, two = list(left), list(right)
     return frozenset({(a, b) for a in one for b in two} | {(b, a) for a in one for b in two})
 
@@ -124,7 +126,7 @@
 def _halves(count: int, rng: random.Random, lost_memory: bool = False) -> Day:
     left = range(count // 2)  # the seeds are the first slots: all on this side
     right = range(count // 2, count)
-    steps = [Step(1, "cut", value=_between(left, right))]
+    steps = [Step(1, "cut", value=between(left, right))]
     if lost_memory:
         for at, who in enumerate([*left, *right]):
             steps += [Step(11 + at * 0.05, "kill", who), Step(11.5 + at * 0.05, "start", who)]
@@ -138,7 +140,7 @@
 def _alone(count: int, rng: random.Random) -> Day:
     a = rng.randrange(count)
     others = [at for at in range(count) if at != a]
-    steps = [Step(1, "cut", value=_between([a], others)), Step(12, "cut", value=frozenset())]
+    steps = [Step(1, "cut", value=between([a], others)), Step(12, "cut", value=frozenset())]
     rule: Allowed = lambda observer, subject: a in (observer, subject)  # noqa: E731
     return Day("alone", "one is cut off both ways", steps, 12, rule)
 
--- a/ladderhub/lab/mesh/revision_judge.py
+++ b/ladderhub/lab/mesh/revision_judge.py
@@ -2,8 +2,8 @@
 
 Beside the rows that `judge` reads a recording has `voters` (how many of the first slots vote), `paused`,
 `woken` and `cut` (what was done), `revision` (a process's log of a revision, with its `stage`), `in force`
-(slot, number and digest: from now on this process decides by it) and `decided` (slot, kind, number: a decision
-on a job)."""
+(slot, number and digest: from now on this process decides by it) and `decided` (slot, kind, number: a
+decision on a job)."""
 
 from __future__ import annotations
 
--- a/tests/lab/test_revision_judge.py
+++ b/tests/lab/test_revision_judge.py
@@ -13,6 +13,7 @@
 from ladderhub.lab.mesh.reach import Reach
 from ladderhub.lab.mesh.revision_judge import RevisionVerdict, judge_revisions
 
+pytestmark = pytest.mark.xdist_group("revisions")  # one recording for all tests of this file
 COUNT, SEED = 5, 1
 LATE_S = 1000.0  # beyond any time that a busy machine makes of a change
 
