--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -259,6 +259,7 @@
     readings = reading(10.0, 4.0, before), reading(20.0, 9.0, after)
     spent = figures_of_process(*readings, Control(["lists"], ["client"]))
     assert (spent.cores, spent.memory_mb, spent.descriptors) == (0.5, 50.0, 12)
+    assert spent.memory_growth_mb_per_s == 0.0
     assert spent.cores_by_cause == {"jobs": 0.4, "lists": 0.1}
     assert (spent.control.cores, spent.control.bytes_per_s) == pytest.approx((0.1, 24.0))
     assert figures_of_process(*readings, Control(["lists", "peers"], [])).control.cores is None
@@ -420,6 +421,10 @@
     assert figures["scheduler.cores.lists"] == 0.1 and figures["scheduler.bytes_per_s.lists.in"] == 3.0
     assert "scheduler.bytes_per_s.lists.out" not in figures and "scheduler.control.cores" not in figures
     assert figures["change_in_force_s.most"] == 0.9
+    role.count, role.hosted, role.most = 4, True, {"cores": 0.3}
+    figures = figures_of(RunFigures("r", size, 1.0, 1, {"node_agent": role}, {}, change, 5.0))
+    assert figures["node_agent.all.cores"] == pytest.approx(0.8) and "node_agent.cores" not in figures
+    assert not any(".most." in name for name in figures), "the most of a part is no sum"
 
 
 def test_a_plan_with_too_many_real_schedulers_is_refused() -> None:
