--- a/ladderhub/lab/scale/command.py
+++ b/ladderhub/lab/scale/command.py
@@ -95,7 +95,11 @@
 def _tell_run(run: RunFigures, say: Say) -> None:
     """The figures of a run that are looked at first."""
     for role, figures in run.roles.items():
+        if figures.cores is None or figures.memory_mb is None:
+            continue
         line = f"  {role} ({figures.count}): {figures.cores:.4f} cores, {figures.memory_mb:.1f} MB"
+        if figures.waited is not None:
+            line += f", waited for a processor {figures.waited:.0%} of the time"
         if figures.control.cores is not None:
             line += f", control {figures.control.cores:.4f} cores"
         if figures.control.bytes_per_s is not None:
--- a/ladderhub/lab/scale/plan.jsonnet
+++ b/ladderhub/lab/scale/plan.jsonnet
@@ -26,18 +26,19 @@
   },
 
   playing: {
-    fill_s: 20,  // in which the tasks that run come up
+    fill_s: 15,  // in which the tasks that run come up
     measure_s: 20,
     full_measure_s: 60,
     settle_s: 7,  // more than the longest deadline
     register_s: 60,
     ready_s: 60,
-    join_s: 20,  // for schedulers to find each other and to take their leases
+    join_s: 14,  // for schedulers to find each other and to take their leases
     node_processes: 6,
     load_processes: 2,
     memory_gib_most: 12,
     processes_most: 200,
-    start_failed_most: 0.5,
+    run_s_most: 400,  // of one run, from its first process on
+    waited_most: 0.1,  // share of the time; above it a run's times tell of a machine that others use
   },
 
   slopes: {
@@ -85,10 +86,11 @@
   quota: { rate_times: 2, cores_times: 2 },  // of a team's even part of the starts and of the cores
   peers: { period: '1s', lease: '8s', electors: 5, seeds: 3 },
 
-  // Our reading of what counts as control: by causes of processor time and by kinds of messages.
+  // Our reading of what counts as control: processor time by these causes, and all bytes but those of the job
+  // path: of clients, and of nodes.
   control: {
     causes: ['lists', 'peers', 'configuration'],
-    kinds: ['lists', 'peers', 'configuration'],
+    job_kinds: ['client', 'node'],
   },
   budgets: [
     { figure: 'scheduler.most.control.cores', limit: 0.033 },
@@ -100,5 +102,6 @@
     { figure: 'starts.urgent.p99_ms', limit: 1600 },
     { figure: 'starts.urgent.missed_share', limit: 0.01 },
     { figure: 'change_in_force_s.most', limit: 4 },
+    { figure: 'change_in_force_s.missed_share', limit: 0 },
   ],
 }
--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -34,17 +34,24 @@
 
 
 class RoleFigures(msgspec.Struct):
-    """The mean over the processes of one role, and in `most` each figure's largest value among them."""
+    """The mean over the members of one role, and in `most` each figure's largest value among them.
+
+    A role that is a part of a process has no memory and no processor time of its own.  `hosted` members share
+    processes, whose figures are divided by their number.  `waited`: the share of the time in which a process
+    was ready and no processor was free; where it is large, times tell of the machine."""
 
     count: int
-    memory_mb: float
-    cores: float
+    memory_mb: float | None
+    cores: float | None
     descriptors: float
     cores_by_cause: dict[str, float] = {}
     bytes_per_s: dict[str, Traffic] = {}
     messages_per_s: dict[str, Traffic] = {}
     control: ControlFigures = msgspec.field(default_factory=ControlFigures)
     most: dict[str, float] = {}
+    waited: float | None = None
+    memory_growth_mb_per_s: float | None = None
+    hosted: bool = False
 
 
 class ClassFigures(msgspec.Struct):
@@ -61,12 +68,14 @@
 
 
 class ChangeFigures(msgspec.Struct):
-    """How long changes took until they were in force everywhere; None where there were none."""
+    """How long changes took until they were in force everywhere; None where there were none.  `missed_share`:
+    those that were asked for and were not in force everywhere before the run's end."""
 
     count: int = 0
     p50: float | None = None
     p99: float | None = None
     most: float | None = None
+    missed_share: float | None = None
 
 
 class RunFigures(msgspec.Struct):
@@ -122,8 +131,12 @@
 
 def role_figures(role: RoleFigures) -> Iterator[tuple[str, float]]:
     """A role's figures by their names within it."""
-    yield "memory_mb", role.memory_mb
-    yield "cores", role.cores
+    if role.memory_mb is not None:
+        yield "memory_mb", role.memory_mb
+    if role.memory_growth_mb_per_s is not None:
+        yield "memory_growth_mb_per_s", role.memory_growth_mb_per_s
+    if role.cores is not None:
+        yield "cores", role.cores
     yield "descriptors", role.descriptors
     for cause, cores in role.cores_by_cause.items():
         yield f"cores.{cause}", cores
@@ -141,16 +154,27 @@
         yield f"most.{name}", value
 
 
+def _figures_of_all(role: RoleFigures) -> Iterator[tuple[str, float]]:
+    """Sums over the members of a hosted role: one member's part of its process falls with their number, and
+    is no line along any dimension."""
+    for name, value in role_figures(role):
+        if not name.startswith("most."):
+            yield name, value * role.count
+
+
 def figures_of(run: RunFigures) -> dict[str, float]:
     """Every measured figure of a run by its name, as `scheduler.cores.lists`."""
     figures: dict[str, float] = {"running": run.running}
     for role, measured in run.roles.items():
-        figures |= {f"{role}.{name}": value for name, value in role_figures(measured)}
+        if measured.hosted:
+            figures |= {f"{role}.all.{name}": value for name, value in _figures_of_all(measured)}
+        else:
+            figures |= {f"{role}.{name}": value for name, value in role_figures(measured)}
     for name, started in run.starts.items():
         told = {"p50_ms": started.p50_ms, "p99_ms": started.p99_ms, "missed_share": started.missed_share}
         figures |= {f"starts.{name}.{figure}": value for figure, value in told.items() if value is not None}
     change = run.change_in_force_s
-    told = {"p50": change.p50, "p99": change.p99, "most": change.most}
+    told = {"p50": change.p50, "p99": change.p99, "most": change.most, "missed_share": change.missed_share}
     figures |= {f"change_in_force_s.{name}": value for name, value in told.items() if value is not None}
     return figures
 
--- a/ladderhub/lab/scale/roles.py
+++ b/ladderhub/lab/scale/roles.py
@@ -19,6 +19,9 @@
         memory_mb=after.memory_bytes / MB / share,
         cores=(after.processor_s - before.processor_s) / seconds,
         descriptors=after.descriptors / share,
+        hosted=share > 1,
+        memory_growth_mb_per_s=(after.memory_bytes - before.memory_bytes) / MB / seconds,
+        waited=(after.waited_s - before.waited_s) / (after.at_s - before.at_s),
     )
     if before.counted is None or after.counted is None:
         return figures
@@ -47,12 +50,12 @@
 
 
 def control_figures(figures: RoleFigures, control: Control) -> ControlFigures:
-    """The sums over what counts as control; None where one of the summands was not counted at all."""
+    """The sums over what counts as control; None where a cause, or all bytes, were not counted."""
     told = ControlFigures()
     if set(control.causes) <= set(figures.cores_by_cause):
         told.cores = sum(figures.cores_by_cause[cause] for cause in control.causes)
-    if set(control.kinds) <= set(figures.bytes_per_s):
-        traffic = [figures.bytes_per_s[kind] for kind in control.kinds]
+    if figures.bytes_per_s:
+        traffic = [each for kind, each in figures.bytes_per_s.items() if kind not in control.job_kinds]
         told.bytes_per_s = sum((each.in_ or 0.0) + (each.out or 0.0) for each in traffic)
     return told
 
@@ -66,9 +69,11 @@
     weights = [member.count for member in members]
     return RoleFigures(
         count=sum(weights),
-        memory_mb=_mean([member.memory_mb for member in members], weights),
-        cores=_mean([member.cores for member in members], weights),
+        memory_mb=_mean_of_known([member.memory_mb for member in members], weights),
+        cores=_mean_of_known([member.cores for member in members], weights),
         descriptors=_mean([member.descriptors for member in members], weights),
+        waited=_mean_of_known([member.waited for member in members], weights),
+        memory_growth_mb_per_s=_mean_of_known([member.memory_growth_mb_per_s for member in members], weights),
         cores_by_cause={
             cause: _mean([member.cores_by_cause.get(cause, 0.0) for member in members], weights)
             for cause in _names([member.cores_by_cause for member in members])
@@ -80,9 +85,23 @@
             _mean_of_known([member.control.bytes_per_s for member in members], weights),
         ),
         most=most,
+        hosted=any(member.hosted for member in members),
     )
 
 
+def client_doors(schedulers: Sequence[RoleFigures], connections: Sequence[float], kind: str) -> RoleFigures:
+    """The clients' end of each scheduler: a part of its process, so without memory and time of its own."""
+    none = Traffic()
+    return mean_of_role([
+        RoleFigures(
+            count=1, memory_mb=None, cores=None, descriptors=held,
+            bytes_per_s={kind: scheduler.bytes_per_s.get(kind, none)},
+            messages_per_s={kind: scheduler.messages_per_s.get(kind, none)},
+        )
+        for scheduler, held in zip(schedulers, connections, strict=True)
+    ])  # fmt: skip
+
+
 def _names(tables: Sequence[Mapping[str, object]]) -> list[str]:
     return sorted({name for table in tables for name in table})
 
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from itertools import pairwise
 from pathlib import Path
 
 import msgspec
@@ -12,6 +13,9 @@
 
 from ladderhub.lab.process import module
 from ladderhub.lab.scale.budgets import BudgetVerdict, all_hold, judge, last_line
+from ladderhub.lab.scale.changes import (
+    change_figures, change_moments, changed_settings, times_in_force,
+)  # fmt: skip
 from ladderhub.lab.scale.churn import draw_troubles
 from ladderhub.lab.scale.load import Sent, SentJob, fill_times
 from ladderhub.lab.scale.measure import Counted, Reading, Traffic, counted_on, gauge_on
@@ -20,7 +24,7 @@
     overridden, slope_sizes,
 )  # fmt: skip
 from ladderhub.lab.scale.report import ChangeFigures, RoleFigures, RunFigures, figures_of
-from ladderhub.lab.scale.roles import figures_of_process, mean_of_role
+from ladderhub.lab.scale.roles import client_doors, figures_of_process, mean_of_role
 from ladderhub.lab.scale.run import RunPlan, running_at
 from ladderhub.lab.scale.settings import elector_count, host_plans, load_plans, node_plans, teams_settings
 from ladderhub.lab.scale.slopes import beyond, compare, fit, is_straight, predict, slope
@@ -245,27 +249,24 @@
 
 
 def reading(at_s: float, processor_s: float, counted: Counted | None = None) -> Reading:
-    return Reading(at_s, processor_s, 50_000_000, 12, counted)
+    return Reading(at_s, processor_s, at_s / 5, 50_000_000, 12, counted)
 
 
 def test_a_roles_figures_are_rates_over_the_span_and_control_needs_every_summand() -> None:
-    before = Counted({"jobs": 1.0, "lists": 1.0}, {"lists": Traffic(100.0, 0.0)}, {})
-    after = Counted(
-        {"jobs": 5.0, "lists": 2.0}, {"lists": Traffic(300.0, 20.0), "peers": Traffic(10.0, 10.0)}, {}
-    )
-    spent = figures_of_process(
-        reading(10.0, 4.0, before), reading(20.0, 9.0, after), Control(["lists"], ["lists", "peers"])
-    )
+    lists = {"directory": Traffic(300.0, 20.0), "ping": Traffic(10.0, 10.0), "client": Traffic(9e9, 9e9)}
+    before = Counted({"jobs": 1.0, "lists": 1.0}, {"directory": Traffic(100.0, 0.0)}, {})
+    after = Counted({"jobs": 5.0, "lists": 2.0}, lists, {})
+    readings = reading(10.0, 4.0, before), reading(20.0, 9.0, after)
+    spent = figures_of_process(*readings, Control(["lists"], ["client"]))
     assert (spent.cores, spent.memory_mb, spent.descriptors) == (0.5, 50.0, 12)
+    assert spent.memory_growth_mb_per_s == 0.0
     assert spent.cores_by_cause == {"jobs": 0.4, "lists": 0.1}
     assert (spent.control.cores, spent.control.bytes_per_s) == pytest.approx((0.1, 24.0))
-    unknown = figures_of_process(
-        reading(10.0, 4.0, before), reading(20.0, 9.0, after), Control(["lists", "peers"], ["configuration"])
-    )
-    assert (unknown.control.cores, unknown.control.bytes_per_s) == (None, None)
+    assert figures_of_process(*readings, Control(["lists", "peers"], [])).control.cores is None
     uncounted = figures_of_process(reading(10.0, 4.0), reading(20.0, 9.0), Control([], []), share=10)
     assert (uncounted.count, uncounted.memory_mb, uncounted.cores) == (10, 5.0, 0.05)
-    assert uncounted.control.cores is None
+    assert uncounted.waited == pytest.approx(0.2), "of the process, not of a member"
+    assert (uncounted.control.cores, uncounted.control.bytes_per_s) == (None, None)
 
 
 def test_a_role_is_the_mean_of_its_processes_and_the_most_of_each_figure() -> None:
@@ -278,6 +279,13 @@
     assert (role.most["memory_mb"], role.most["bytes_per_s.lists.out"]) == (80.0, 2.0)
 
 
+def test_the_clients_door_is_a_part_of_its_scheduler() -> None:
+    scheduler = RoleFigures(1, 40.0, 0.1, 99.0, {}, {"client": Traffic(5.0, 6.0), "node": Traffic(1.0, 1.0)})
+    door = client_doors([scheduler], [7.0], "client")
+    assert (door.count, door.memory_mb, door.cores, door.descriptors) == (1, None, None, 7.0)
+    assert door.bytes_per_s == {"client": Traffic(5.0, 6.0)}
+
+
 def test_starts_are_told_by_class_and_what_never_ran_by_its_answer(tmp_path: Path) -> None:
     rows = [
         {"event": "taken", "job": "4.s", "queue": "web"},
@@ -305,6 +313,38 @@
     assert [running_at(seen, moment) for moment in (0, 2, 3, 5, 6, 9)] == [0, 2, 1, 2, 1, 2]
 
 
+def test_changes_come_evenly_by_the_seed_and_each_differs() -> None:
+    moments = change_moments(600.0, 60.0, seed=3)
+    assert moments == change_moments(600.0, 60.0, seed=3) and len(moments) == 10
+    assert all(later - earlier == pytest.approx(6.0) for earlier, later in pairwise(moments))
+    assert change_moments(0.0, 60.0, seed=3) == [] and len(change_moments(1.0, 60.0, seed=3)) == 1
+    plan = load_plan()
+    settings = {"tenants": teams_settings(plan, plan.size, node_plans(plan, plan.size, 1)), "server": "s"}
+    bodies = {msgspec.json.encode(changed_settings(settings, number)) for number in range(500)}
+    assert len(bodies) == 500 and msgspec.json.encode(settings) not in bodies
+
+
+def revision_row(what: str, body: str, second: int, number: int = 0) -> bytes:
+    at = f"2026-01-01T00:00:{second:02d}.250000Z"
+    row = {"event": "revision", "what": what, "body": body, "number": number, "timestamp": at}
+    return msgspec.json.encode(row) + b"\n"
+
+
+def test_a_change_is_in_force_when_the_last_scheduler_acts_by_it_or_a_later_one(tmp_path: Path) -> None:
+    one, two = tmp_path / "one.log", tmp_path / "two.log"
+    one.write_bytes(
+        revision_row("proposed", "a", 1) + revision_row("active", "a", 2, 1)
+        + revision_row("proposed", "b", 3) + revision_row("active", "b", 4, 2)
+        + revision_row("proposed", "c", 8) + b'{"event": "revision"'
+    )  # fmt: skip
+    two.write_bytes(revision_row("active", "b", 9, 2) + revision_row("active", "d", 20, 3))
+    times = times_in_force([one, two])
+    assert times == [8.0, 6.0, None], "the first came into force at the second scheduler with the second"
+    figures = change_figures(4, times)
+    assert (figures.count, figures.most, figures.missed_share) == (2, 8.0, 0.5)
+    assert change_figures(0, []) == ChangeFigures()
+
+
 # --- stages ---------------------------------------------------------------------------------------------
 
 
@@ -381,6 +421,10 @@
     assert figures["scheduler.cores.lists"] == 0.1 and figures["scheduler.bytes_per_s.lists.in"] == 3.0
     assert "scheduler.bytes_per_s.lists.out" not in figures and "scheduler.control.cores" not in figures
     assert figures["change_in_force_s.most"] == 0.9
+    role.count, role.hosted, role.most = 4, True, {"cores": 0.3}
+    figures = figures_of(RunFigures("r", size, 1.0, 1, {"node_agent": role}, {}, change, 5.0))
+    assert figures["node_agent.all.cores"] == pytest.approx(0.8) and "node_agent.cores" not in figures
+    assert not any(".most." in name for name in figures), "the most of a part is no sum"
 
 
 def test_a_plan_with_too_many_real_schedulers_is_refused() -> None:
