Revisions: random schedules of whole schedulers, and a voter without its record told new by acceptances alone

Random schedules with kills between two actions found a new fleet that never decided its first revision: one voter's promise made others, killed before they had ever voted, skip the first two numbers.

--- a/ladderhub/lab/checker/ballots.py
+++ b/ladderhub/lab/checker/ballots.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import copy
+import random
 import time
 from collections import deque
 from collections.abc import Hashable, Iterator
@@ -35,6 +36,7 @@
 VOTERS = ("v0:1", "v1:1", "v2:1")
 OPERATORS = ("p0:1", "p1:1")
 PROCESSES = (*VOTERS, *OPERATORS)
+WALK_STEPS = 120
 LATE = 1 << 60  # every timer is due
 
 
@@ -49,11 +51,11 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """`numbers`: revisions that are decided; `ballots`: of each life of a proposer; `restarts`: of each
-    proposer; `states`: after which the search ends without having seen all."""
+    """`numbers`: revisions that are decided; `ballots`: of each operator's proposer, in all its lives;
+    `restarts`: of each proposer; `states`: after which the search ends without having seen all."""
 
     numbers: int = 1
-    ballots: int = 2
+    ballots: tuple[int, int] = (1, 1)
     restarts: int = 0
     states: int = 1_000_000
 
@@ -69,10 +71,12 @@
 class Proposing:
     """One life of an operator's process: its change goes on top of whatever is current."""
 
-    def __init__(self, parts: Parts, bounds: Bounds, address: str, life: int) -> None:
-        self.parts, self.bounds, self.life, self.begun = parts, bounds, life, 0
+    def __init__(self, parts: Parts, bounds: Bounds, address: str, life: int, begun: int = 0) -> None:
+        self.parts, self.bounds, self.life, self.begun = parts, bounds, life, begun
+        self.ballots = bounds.ballots[OPERATORS.index(address)]
         self.context = Context(RevisionSettings(address, life, address, VOTERS, b""), life)
         self.ledger = parts.ledger(self.context, None)
+        self._rounds = 0  # begun in this life
         self.decision: Decision | None = self._next()
 
     def _next(self) -> Decision | None:
@@ -80,17 +84,27 @@
         if number > self.bounds.numbers:
             return None
         name = self.context.settings.name
-        own = Header(number, self.ledger.digest, name, 0, f"change {number}", body_digest(name.encode()))
-        return self.parts.decision(self.context, number, own, 1 + self.begun)
+        own = Header(
+            number,
+            self.ledger.digest,
+            name,
+            0,
+            f"change {number}, life {self.life}",
+            body_digest(name.encode()),
+        )
+        return self.parts.decision(self.context, number, own, 1)
 
     def can_begin(self) -> bool:
-        idle = self.decision is not None and self.decision.chosen is None and self.decision._ballot is None
-        return idle and self.begun < self.bounds.ballots
+        open_yet = self.decision is not None and self.decision.chosen is None
+        return open_yet and self.begun < self.ballots
 
     def begin(self) -> None:
+        """A ballot above the last one: after a rejection, or given up for any other reason."""
         assert self.decision is not None
+        self.decision._ballot = None
         self.begun += 1
-        self.decision.round = max(self.decision.round, self.begun)
+        self._rounds += 1
+        self.decision.round = max(self.decision.round, self._rounds)
         self.decision.tick(LATE)
 
     def receive(self, message: Any) -> None:
@@ -119,10 +133,10 @@
         """All that its further steps rest on."""
         decision = self.decision
         if decision is None:
-            return self.life, self.begun, tuple(self.ledger.headers)
+            return self.life, self.begun, self._rounds, tuple(self.ledger.headers)
         promises = tuple(sorted(decision._promises.items())) if decision._value is None else ()
         return (
-            self.life, self.begun, tuple(self.ledger.headers), decision.number, decision.round,
+            self.life, self.begun, self._rounds, tuple(self.ledger.headers), decision.number, decision.round,
             decision._ballot, promises, decision._value, frozenset(decision._accepted), decision.chosen,
         )  # fmt: skip
 
@@ -132,6 +146,7 @@
     states: int = 0
     steps: int = 0
     whole: bool = True  # all states within the bounds were seen
+    walks: int = 0  # schedules drawn at random
     seconds: float = 0.0
     broken: str = ""
     trace: tuple[str, ...] = ()
@@ -139,7 +154,8 @@
 
     def lines(self) -> Iterator[str]:
         share = "all of them" if self.whole else "not all"
-        yield f"{self.states} states within the bounds, {share}; {self.steps} steps, {self.seconds:.1f} s"
+        seen = f"{self.walks} schedules" if self.walks else f"{self.states} states within the bounds, {share}"
+        yield f"{seen}; {self.steps} steps, {self.seconds:.1f} s"
         yield f"values chosen in some schedule: {len(self.chosen)}"
         if self.broken:
             yield f"BROKEN: {self.broken} after"
@@ -253,7 +269,7 @@
                     steps.append(self._proposer_step(at, process, Proposing.begin))
                 if process.life <= self.bounds.restarts:
                     address = OPERATORS[at - len(VOTERS)]
-                    again = Proposing(self.parts, self.bounds, address, process.life + 1)
+                    again = Proposing(self.parts, self.bounds, address, process.life + 1, process.begun)
                     steps.append((self._keep(at, again), ()))
             known = self._own[at, state] = tuple(steps)
         return known
@@ -284,6 +300,21 @@
         self.found.states, self.found.seconds = len(came), time.perf_counter() - begun
         return self.found
 
+    def walk(self, rng: random.Random) -> None:
+        """One schedule drawn at random, to its end or to `WALK_STEPS`."""
+        state, trace = self._start(), list[str]()
+        for _ in range(WALK_STEPS):
+            following = list(self._after(state))
+            if not following:
+                return
+            state, told = rng.choice(following)
+            trace.append(told)
+            self.found.steps += 1
+            fault = self._judge(state)
+            if fault:
+                self.found.broken, self.found.trace = fault, tuple(trace)
+                return
+
     def _start(self) -> _State:
         blank = Record(votes_from=1)
         processes = [self._keep(at, VoterState(blank, blank)) for at in range(len(VOTERS))]
@@ -396,3 +427,14 @@
 def exhaustive(bounds: Bounds | None = None, parts: Parts | None = None) -> Found:
     """Every schedule within the bounds; stops at the first that breaks."""
     return Search(bounds or Bounds(), parts or Parts()).run()
+
+
+def at_random(walks: int, seed: int, bounds: Bounds | None = None, parts: Parts | None = None) -> Found:
+    """Schedules drawn from a seed, within wider bounds; stops at the first that breaks."""
+    search = Search(bounds or Bounds(3, (6, 6), 2), parts or Parts())
+    rng, begun = random.Random(seed), time.perf_counter()
+    while search.found.walks < walks and not search.found.broken:
+        search.found.walks += 1
+        search.walk(rng)
+    search.found.seconds = time.perf_counter() - begun
+    return search.found
--- a/ladderhub/lab/emulator/revisions.py
+++ b/ladderhub/lab/emulator/revisions.py
@@ -11,10 +11,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import msgspec
-
+from ladderhub.lab.emulator.membership import address_of
 from ladderhub.lab.emulator.net import MS, Faults, Net, S
-from ladderhub.lab.emulator.views import address_of
+from ladderhub.peers.wire import VERSION, Frame, encode
 from ladderhub.revision import (
     Activate, Answer, Apply, BodyChecked, CheckBody, HeadSeen, Hold, MembersChanged, MessageReceived, Record,
     Resume, Revisions, RevisionSettings, Send, Store, Tell, Tick, WakeAt, decode_record, encode_record,
@@ -25,16 +24,6 @@
 
 IN_FORCE_NS = 4 * S
 PINGED = 7  # neighbours on the ring that each scheduler pings in a second
-FRAME_BYTES = 40  # of a frame around a message
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """What an operator asked of whom, and when."""
-
-    at_ns: int
-    host: str
-    body: bytes
 
 
 class Host:
@@ -47,7 +36,8 @@
         self.revisions = Revisions(settings, stored, play.seed)
         self.disk = stored
         self.alive, self.paused, self.held = True, False, False
-        self.active: list[tuple[int, int]] = []  # when, and which number
+        self.actions_left: int | None = None  # that it still carries out before it is killed
+        self.active: list[int] = []  # numbers, in order
         self._due_ns = 0
         self.net.open(self.address, self.receive)
         self.feed(MembersChanged(play.addresses))
@@ -63,6 +53,11 @@
 
     def feed(self, event: Event) -> None:
         for action in self.revisions.handle(self.net.now, event):
+            if self.actions_left == 0:
+                self.kill()
+                return
+            if self.actions_left is not None:
+                self.actions_left -= 1
             self._carry(action)
 
     def _carry(self, action: Action) -> None:
@@ -78,7 +73,9 @@
             fault = self.play.fault_of(self, action.body)
             self.net.at(self.net.now + MS, self._later, BodyChecked(action.digest, fault))
         elif isinstance(action, Activate):
-            self.active.append((self.net.now, action.revision.header.number))
+            number = action.revision.header.number
+            self.active.append(number)
+            self.play.activated.setdefault(self.at, []).append((self.net.now, number))
             self.play.judge.activated(self, action.revision.header)
         elif isinstance(action, Answer):
             self.play.judge.answered(action)
@@ -88,9 +85,9 @@
             self.play.judge.notices[action.notice] += 1
 
     def _send(self, address: str, content: Any) -> None:
-        size = FRAME_BYTES + len(msgspec.msgpack.encode(content))
-        message = (self.name, self.life, self.revisions.head(self.net.now), content)
-        self.net.send(self.address, address, message, size)
+        head = self.revisions.head(self.net.now)
+        size = len(encode(Frame(VERSION, 1, self.name, self.life, 0, content, head)))
+        self.net.send(self.address, address, (self.name, self.life, head, content), size)
 
     def _later(self, event: Event) -> None:
         self.net.on(self.address, self._feed_alive, event)
@@ -122,6 +119,15 @@
         self.net.close(self.address, self.receive)
 
 
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What an operator asked of which life, and when."""
+
+    at_ns: int
+    host: Host
+    body: bytes
+
+
 class Judge:
     """What must hold, held against what was stored, activated and answered."""
 
@@ -152,9 +158,8 @@
     def activated(self, host: Host, header: Header) -> None:
         if self.chosen.get(header.number) != header:
             self.broken.append(f"{host.name} acts by revision {header.number}, which was not chosen")
-        numbers = [number for _, number in host.active]
-        if numbers != sorted(set(numbers)):
-            self.broken.append(f"{host.name} acted by {numbers[-2:]} in one life")
+        if host.active != sorted(set(host.active)):
+            self.broken.append(f"{host.name} acted by {host.active[-2:]} in one life")
 
     def answered(self, answer: Answer) -> None:
         if answer.request in self.outcomes:
@@ -174,7 +179,7 @@
     changes: int
     outcomes: dict[str, int]
     broken: list[str]
-    unanswered: int
+    unanswered: int  # requests of lives that were not killed
     differing: int  # schedulers whose head is not the last chosen one at the end
     in_force_ns: list[int] = field(default_factory=list)  # of each applied change on each reachable one
     decided_ns: list[int] = field(default_factory=list)
@@ -220,6 +225,7 @@
         self.hosts: dict[int, Host] = {}
         self.changes: list[Change] = []
         self.disturbed: dict[int, list[tuple[int, int]]] = {}  # by slot: from when, until when
+        self.activated: dict[int, list[tuple[int, int]]] = {}  # by slot: when, and which number
         self.sent: Counter[str] = Counter()
         self._sent_before = (0, 0)
         for at in range(count):
@@ -244,7 +250,7 @@
         host = self.hosts[self.random.choice(able) if at is None else at]
         number = len(self.changes)
         body = self.body(number + 1)
-        self.changes.append(Change(self.net.now, host.name, body))
+        self.changes.append(Change(self.net.now, host, body))
         parent = None if on_current else host.revisions.status(self.net.now).digest
         made_ms = self.net.now // MS
         host.feed(Apply(number, parent, f"operator at {host.name}", f"change {number}", made_ms, body))
@@ -265,12 +271,18 @@
         if host.alive:
             self.net.go_on(host.address)
 
-    def crash(self, at: int, span_ns: int, keep_disk: bool = True) -> None:
+    def crash(self, at: int, span_ns: int, keep_disk: bool = True, actions_left: int = 0) -> None:
+        """It is killed before its next action, or some actions later."""
         host = self.hosts[at]
-        if host.alive:
+        if host.alive and host.actions_left is None:
             self.disturb(at, span_ns)
+            host.actions_left = actions_left
+            self.net.at(self.net.now + span_ns, self._start_again, host, keep_disk)
+
+    def _start_again(self, host: Host, keep_disk: bool) -> None:
+        if host.alive:
             host.kill()
-            self.net.at(self.net.now + span_ns, self.start, at, host.disk if keep_disk else None)
+        self.start(host.at, host.disk if keep_disk else None)
 
     def cut(self, slots: set[int], span_ns: int, one_sided: bool = False) -> None:
         """These hear nobody else; unless it is one-sided nobody else hears them either."""
@@ -306,12 +318,12 @@
     def close(self) -> Verdict:
         judge, seconds = self.judge, (self.net.now - self._begun_ns) / S
         last = max(judge.chosen, default=0)
+        unanswered = sum(each.host.alive and at not in judge.outcomes for at, each in enumerate(self.changes))
         living = [host for host in self.hosts.values() if host.alive]
         outcomes = Counter(type(each).__name__ for each in judge.outcomes.values())
         verdict = Verdict(
-            self.count, len(self.changes), dict(outcomes), judge.broken,
-            len(self.changes) - len(judge.outcomes),
-            sum(not host.active or host.active[-1][1] != last for host in living),
+            self.count, len(self.changes), dict(outcomes), judge.broken, unanswered,
+            sum(not host.active or host.active[-1] != last for host in living),
         )  # fmt: skip
         for request, outcome in judge.outcomes.items():
             if isinstance(outcome, Applied):
@@ -322,15 +334,17 @@
         return verdict
 
     def _time_in_force(self, verdict: Verdict, change: Change, number: int) -> None:
-        """On each scheduler, from when it could be reached."""
+        """On each scheduler, from when it and the proposer could both be reached."""
         times = []
         for at, host in self.hosts.items():
-            found = next((when for when, active in host.active if active >= number), None)
-            begun = change.at_ns
-            for since, until in self.disturbed.get(at, ()):
-                if since <= begun + IN_FORCE_NS and until >= begun:
-                    begun = until
+            activated = self.activated.get(at, ())
+            found = next((when for when, active in activated if active >= number), None)
             if found is not None and host.alive:
+                begun = change.at_ns
+                both = [*self.disturbed.get(at, ()), *self.disturbed.get(change.host.at, ())]
+                for since, until in sorted(both):
+                    if since <= begun + IN_FORCE_NS and until >= begun:
+                        begun = until
                 times.append(max(0, found - begun))
         verdict.in_force_ns += times
         if times:
--- a/ladderhub/revision/messages.py
+++ b/ladderhub/revision/messages.py
@@ -65,13 +65,13 @@
 
 
 class HeadIs(msgspec.Struct, frozen=True, array_like=True, tag=17):
-    """The answer.  `sender`: its own address; `voted`: of a voter the highest number that it has voted on or
-    knows to be chosen, None where it has lost its record of that, or is no voter."""
+    """The answer.  `sender`: its own address; `accepted`: of a voter the highest number for which it has
+    accepted a value or knows the chosen one; None where it has no record of that, or is no voter."""
 
     nonce: Word64
     sender: Address
     number: Count
-    voted: Count | None
+    accepted: Count | None
 
 
 class FetchHeaders(msgspec.Struct, frozen=True, array_like=True, tag=18):
--- a/ladderhub/revision/revisions.py
+++ b/ladderhub/revision/revisions.py
@@ -184,7 +184,9 @@
         elif isinstance(message, Lacking):
             self._downloads.on_lacking(now, message)
         elif isinstance(message, AskHead):
-            head = HeadIs(message.nonce, self.settings.address, self._ledger.number, self._voter.voted())
+            head = HeadIs(
+                message.nonce, self.settings.address, self._ledger.number, self._voter.accepted_number()
+            )
             self._context.send(message.reply_to, head)
         elif isinstance(message, HeadIs):
             if self._confirmation.on_head_is(now, message):
--- a/ladderhub/revision/voter.py
+++ b/ladderhub/revision/voter.py
@@ -5,9 +5,9 @@
 head.  Every promise and acceptance is on disk before the answer leaves.
 
 A voter that starts without its record has forgotten what it voted.  It votes on no number on which it may
-have voted before: such a number follows one that a majority had accepted, and enough of the other voters that
-have their records, asked after its start, include one of those.  Where too many have none, all others have to
-answer; where nobody has voted on anything, the fleet is new."""
+have voted before: the number before that one was chosen, so a majority had accepted a value for it, and
+enough of the other voters that have their records, asked after its start, include one of those.  Where too
+many have none, all others have to answer; where nobody has accepted anything, the fleet is new."""
 
 from __future__ import annotations
 
@@ -26,16 +26,15 @@
         self.is_voter = context.settings.address in voters
         # So many of the others meet every majority that this voter was part of.
         self._others_enough = min(len(voters) - context.settings.majority + 1, len(voters) - 1)
-        self._others_voted: dict[str, int | None] = {}
+        self._others_accepted: dict[str, int | None] = {}
         self.waiting: Accept | None = None  # its body is not here yet
 
-    def voted(self) -> int | None:
-        """The highest number on which this voter has voted, or that it knows to be chosen."""
+    def accepted_number(self) -> int | None:
+        """The highest number for which this voter has accepted a value, or knows the chosen one."""
         ledger = self._ledger
         if not self.is_voter or ledger.votes_from is None:
             return None
-        voted_on_next = ledger.promised is not None or ledger.accepted is not None
-        return ledger.number + 1 if voted_on_next else ledger.number
+        return ledger.number if ledger.accepted is None else ledger.number + 1
 
     def start(self) -> None:
         """Without its record a voter asks the others; where it is the only one there is nothing to ask."""
@@ -48,13 +47,13 @@
         settings = self._context.settings
         others = answer.sender in settings.voters and answer.sender != settings.address
         if others and self.is_voter and self._ledger.votes_from is None:
-            self._others_voted[answer.sender] = answer.voted
+            self._others_accepted[answer.sender] = answer.accepted
             self._settle_votes()
 
     def _settle_votes(self) -> None:
         others = len(self._context.settings.voters) - 1
-        known = [voted for voted in self._others_voted.values() if voted is not None]
-        if len(known) < self._others_enough and len(self._others_voted) < others:
+        known = [number for number in self._others_accepted.values() if number is not None]
+        if len(known) < self._others_enough and len(self._others_accepted) < others:
             return
         highest = max([*known, self._ledger.number])
         self._ledger.vote_from(highest + 2 if highest else 1)
