--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -4,7 +4,9 @@
 
 import os
 import sys
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Protocol
 
 import click
 
@@ -57,17 +59,37 @@
 
 
 @lab.command()
-@click.argument("what", type=click.Choice(["views"]))
+@click.argument("what", type=click.Choice(["views", "revisions"]))
 @click.option("--schedulers", default=230, show_default=True, type=click.IntRange(4, 4096))
-@click.option("--seconds", default=3600, show_default=True, type=click.IntRange(10), help="Simulated time.")
-@click.option("--seats", is_flag=True, help="Lease slots too, by five voters.")
+@click.option(
+    "--seconds", type=click.IntRange(10), help="Simulated time.  [default: 3600 of views, 60 of revisions]"
+)
+@click.option("--seats", is_flag=True, help="Views: lease slots too, by five voters.")
+@click.option("--rate", default=1.0, show_default=True, help="Revisions: changes a second.")
+@click.option("--calm", is_flag=True, help="Revisions: loss alone, no pauses, crashes and cuts.")
 @click.option("--loss", default=0.1, show_default=True, type=click.FloatRange(0, 0.9))
 @_SEED
-def emulate(what: str, schedulers: int, seconds: int, seats: bool, loss: float, seed: int) -> None:
-    """Play the pure modules of many schedulers in simulated time: `views` with loss, pauses and crashes."""
-    from ladderhub.lab.emulator.membership import hour
-
-    verdict = hour(schedulers, seed, seconds, loss, seats)
+def emulate(
+    what: str,
+    schedulers: int,
+    seconds: int | None,
+    seats: bool,
+    rate: float,
+    calm: bool,
+    loss: float,
+    seed: int,
+) -> None:
+    """Play the pure modules of many schedulers in simulated time, with loss, pauses and crashes: `views`, or
+    `revisions` of the configuration at a rate, and ten changes within the last second."""
+    from ladderhub.lab.emulator.membership import Verdict, hour
+    from ladderhub.lab.emulator.revision_judge import RevisionVerdict
+    from ladderhub.lab.emulator.revisions import changes
+
+    verdict: Verdict | RevisionVerdict
+    if what == "views":
+        verdict = hour(schedulers, seed, seconds or 3600, loss, seats)
+    else:
+        verdict = changes(schedulers, seed, seconds or 60, rate, loss, calm)
     for line in verdict.lines():
         click.echo(line)
     click.echo("judged good" if verdict.good() else "judged bad")
@@ -75,24 +97,55 @@
 
 
 @lab.command()
-@click.argument("what", type=click.Choice(["seats"]))
-@click.option("--depth", default=6, show_default=True, type=click.IntRange(1), help="Steps with faults.")
-@click.option("--faults", default=2, show_default=True, type=click.IntRange(0), help="At most so many.")
+@click.argument("what", type=click.Choice(["seats", "ballots"]))
+@click.option(
+    "--depth", default=6, show_default=True, type=click.IntRange(1), help="Seats: steps with faults."
+)
+@click.option(
+    "--faults", default=2, show_default=True, type=click.IntRange(0), help="Seats: at most so many."
+)
+@click.option(
+    "--states", default=500_000, show_default=True, type=click.IntRange(1), help="Ballots: of each search."
+)
 @click.option("--random", "schedules", default=10_000, show_default=True, help="Random schedules after it.")
 @_SEED
-def check(what: str, depth: int, faults: int, schedules: int, seed: int) -> None:
-    """Run the decisions on leases under every schedule of few faults, then under many random ones."""
-    from ladderhub.lab.checker.leases import at_random, exhaustive
-
-    found = [exhaustive(depth, faults=faults), at_random(schedules, seed)]
-    for name, each in zip(("exhaustive", "random"), found, strict=True):
-        for line in each.lines():
+def check(what: str, depth: int, faults: int, states: int, schedules: int, seed: int) -> None:
+    """Run the decisions on leases under every schedule of few faults, or those on ballots under every order
+    of messages within bounds; then under many random schedules."""
+    broken = False
+    for name, found in _searches(what, depth, faults, states, schedules, seed):
+        for line in found.lines():
             click.echo(f"{name}: {line}")
-    broken = any(each.broken for each in found)
+        broken = broken or bool(found.broken)
     click.echo("judged bad" if broken else "judged good")
     sys.exit(1 if broken else 0)
 
 
+class _Found(Protocol):
+    broken: str
+
+    def lines(self) -> Iterator[str]: ...
+
+
+def _searches(
+    what: str, depth: int, faults: int, states: int, schedules: int, seed: int
+) -> Iterator[tuple[str, _Found]]:
+    """Each is run when it is asked for."""
+    if what == "seats":
+        from ladderhub.lab.checker import leases
+
+        yield "exhaustive", leases.exhaustive(depth, faults=faults)
+        yield "random", leases.at_random(schedules, seed)
+        return
+    from ladderhub.lab.checker import ballots
+    from ladderhub.lab.checker import schedules as whole
+
+    for bounds in ballots.searches(states):
+        yield f"exhaustive, {bounds}", ballots.exhaustive(bounds)
+    yield "random ballots", ballots.at_random(schedules, seed)
+    yield "random, whole schedulers", whole.at_random(schedules // 50, seed)
+
+
 @lab.command()
 @click.option("--day", "name", default="drawn", show_default=True, help="By name; `all`: of membership, all.")
 @click.option("--schedulers", default=16, show_default=True, type=click.IntRange(2, 64))
--- a/ladderhub/lab/checker/ballots.py
+++ b/ladderhub/lab/checker/ballots.py
@@ -12,133 +12,25 @@
 
 from __future__ import annotations
 
-import copy
 import random
 import time
 from collections import deque
-from collections.abc import Hashable, Iterator
+from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 from msgspec.structs import replace
 
-from ladderhub.revision.ballots import Decision
-from ladderhub.revision.content import body_digest, digest_of
-from ladderhub.revision.context import Context
-from ladderhub.revision.ledger import Ledger
-from ladderhub.revision.messages import (
-    Accept, Accepted, Ballot, FetchHeaders, Header, Headers, Prepare, Promise, Rejected,
+from ladderhub.lab.checker.ballot_processes import (
+    OPERATORS, PROCESSES, VOTERS, Bounds, Parts, Proposing, VoterState,
 )  # fmt: skip
+from ladderhub.revision.content import digest_of
+from ladderhub.revision.context import Context
+from ladderhub.revision.messages import Accept, Accepted, Ballot, Header, Headers, Prepare
 from ladderhub.revision.sync import Sync
 from ladderhub.revision.types import Record, RevisionSettings, Send, Store
-from ladderhub.revision.voter import Voter
 
-VOTERS = ("v0:1", "v1:1", "v2:1")
-OPERATORS = ("p0:1", "p1:1")
-PROCESSES = (*VOTERS, *OPERATORS)
 WALK_STEPS = 120
-LATE = 1 << 60  # every timer is due
-
-
-@dataclass(frozen=True)
-class Parts:
-    """The classes that are checked."""
-
-    ledger: type[Ledger] = Ledger
-    voter: type[Voter] = Voter
-    decision: type[Decision] = Decision
-
-
-@dataclass(frozen=True)
-class Bounds:
-    """`numbers`: revisions that are decided; `ballots`: of each operator's proposer, in all its lives;
-    `restarts`: of each proposer; `states`: after which the search ends without having seen all."""
-
-    numbers: int = 1
-    ballots: tuple[int, int] = (1, 1)
-    restarts: int = 0
-    states: int = 1_000_000
-
-
-@dataclass(frozen=True)
-class VoterState:
-    """What it has in memory and on disk."""
-
-    memory: Record
-    disk: Record
-
-
-class Proposing:
-    """One life of an operator's process: its change goes on top of whatever is current."""
-
-    def __init__(self, parts: Parts, bounds: Bounds, address: str, life: int, begun: int = 0) -> None:
-        self.parts, self.bounds, self.life, self.begun = parts, bounds, life, begun
-        self.ballots = bounds.ballots[OPERATORS.index(address)]
-        self.context = Context(RevisionSettings(address, life, address, VOTERS, b""), life)
-        self.ledger = parts.ledger(self.context, None)
-        self._rounds = 0  # begun in this life
-        self.decision: Decision | None = self._next()
-
-    def _next(self) -> Decision | None:
-        number = self.ledger.number + 1
-        if number > self.bounds.numbers:
-            return None
-        name = self.context.settings.name
-        own = Header(
-            number,
-            self.ledger.digest,
-            name,
-            0,
-            f"change {number}, life {self.life}",
-            body_digest(name.encode()),
-        )
-        return self.parts.decision(self.context, number, own, 1)
-
-    def can_begin(self) -> bool:
-        open_yet = self.decision is not None and self.decision.chosen is None
-        return open_yet and self.begun < self.ballots
-
-    def begin(self) -> None:
-        """A ballot above the last one: after a rejection, or given up for any other reason."""
-        assert self.decision is not None
-        self.decision._ballot = None
-        self.begun += 1
-        self._rounds += 1
-        self.decision.round = max(self.decision.round, self._rounds)
-        self.decision.tick(LATE)
-
-    def receive(self, message: Any) -> None:
-        decision = self.decision
-        if isinstance(message, Headers):
-            if Sync(self.context, self.ledger).on_headers(0, "", message):
-                self.decision = self._next()
-        elif isinstance(message, FetchHeaders):
-            Sync(self.context, self.ledger).on_fetch(message)
-        elif decision is None:
-            return
-        elif isinstance(message, Promise):
-            decision.on_promise(0, message)
-        elif isinstance(message, Accepted):
-            decision.on_accepted(message)
-        elif isinstance(message, Rejected):
-            decision.on_rejected(0, message)
-        if decision is not None and decision.chosen is not None and self.ledger.follows(decision.chosen):
-            self.ledger.choose(decision.chosen)
-            self.decision = self._next()
-            if self.decision is not None:  # nothing is asked for after the last number
-                for address in PROCESSES:
-                    self.context.send(address, Headers(self.ledger.first, tuple(self.ledger.headers)))
-
-    def key(self) -> Hashable:
-        """All that its further steps rest on."""
-        decision = self.decision
-        if decision is None:
-            return self.life, self.begun, self._rounds, tuple(self.ledger.headers)
-        promises = tuple(sorted(decision._promises.items())) if decision._value is None else ()
-        return (
-            self.life, self.begun, self._rounds, tuple(self.ledger.headers), decision.number, decision.round,
-            decision._ballot, promises, decision._value, frozenset(decision._accepted), decision.chosen,
-        )  # fmt: skip
 
 
 @dataclass
@@ -241,17 +133,8 @@
         steps[self._keep(at, VoterState(ledger._record(), disk)), self._number(sent)] = None
         return tuple(steps)
 
-    def _proposer_step(self, at: int, process: Proposing, step: Any) -> _Step:
-        changed = copy.copy(process)
-        changed.context = copy.copy(process.context)
-        changed.context.actions = []
-        changed.ledger = copy.deepcopy(process.ledger, {id(process.context): changed.context})
-        if process.decision is not None:
-            changed.decision = copy.copy(process.decision)
-            changed.decision._context = changed.context
-            changed.decision._promises = dict(process.decision._promises)
-            changed.decision._accepted = set(process.decision._accepted)
-            changed.decision.answered = set()
+    def _proposer_step(self, at: int, process: Proposing, step: Callable[[Proposing], None]) -> _Step:
+        changed = process.copied()
         step(changed)
         sent = [each for each in changed.context.actions if isinstance(each, Send)]
         return self._keep(at, changed), self._number(sent)
@@ -424,6 +307,14 @@
         return ""
 
 
+def searches(states: int) -> tuple[Bounds, ...]:
+    """What `ladderhub lab check ballots` searches, each up to so many states."""
+    return (
+        Bounds(1, (1, 1), 1, states), Bounds(1, (2, 1), 0, states), Bounds(2, (1, 1), 0, states),
+        Bounds(2, (2, 2), 1, states),
+    )  # fmt: skip
+
+
 def exhaustive(bounds: Bounds | None = None, parts: Parts | None = None) -> Found:
     """Every schedule within the bounds; stops at the first that breaks."""
     return Search(bounds or Bounds(), parts or Parts()).run()
--- a/ladderhub/lab/emulator/revisions.py
+++ b/ladderhub/lab/emulator/revisions.py
@@ -7,22 +7,20 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from ladderhub.lab.emulator.membership import address_of
 from ladderhub.lab.emulator.net import MS, Faults, Net, S
+from ladderhub.lab.emulator.revision_judge import IN_FORCE_NS, Judge, RevisionVerdict
 from ladderhub.peers.wire import VERSION, Frame, encode
 from ladderhub.revision import (
     Activate, Answer, Apply, BodyChecked, CheckBody, HeadSeen, Hold, MembersChanged, MessageReceived, Record,
     Resume, Revisions, RevisionSettings, Send, Store, Tell, Tick, WakeAt, decode_record, encode_record,
 )  # fmt: skip
-from ladderhub.revision.content import digest_of
-from ladderhub.revision.messages import Head, Header
-from ladderhub.revision.types import Action, Applied, Event, Notice, Outcome
+from ladderhub.revision.messages import Head
+from ladderhub.revision.types import Action, Applied, Event
 
-IN_FORCE_NS = 4 * S
 PINGED = 7  # neighbours on the ring that each scheduler pings in a second
 
 
@@ -68,7 +66,7 @@
             self.net.at(action.at_ns, self._wake, action.at_ns)
         elif isinstance(action, Store):
             self.disk = action.record
-            self.play.judge.stored(self, action.record)
+            self.play.judge.stored(self.address, action.record)
         elif isinstance(action, CheckBody):
             fault = self.play.fault_of(self, action.body)
             self.net.at(self.net.now + MS, self._later, BodyChecked(action.digest, fault))
@@ -76,7 +74,7 @@
             number = action.revision.header.number
             self.active.append(number)
             self.play.activated.setdefault(self.at, []).append((self.net.now, number))
-            self.play.judge.activated(self, action.revision.header)
+            self.play.judge.activated(self.name, self.active, action.revision.header)
         elif isinstance(action, Answer):
             self.play.judge.answered(action)
         elif isinstance(action, Hold | Resume):
@@ -128,89 +126,6 @@
     body: bytes
 
 
-class Judge:
-    """What must hold, held against what was stored, activated and answered."""
-
-    def __init__(self, voters: tuple[str, ...]) -> None:
-        self.voters = voters
-        self.broken: list[str] = []
-        self.chosen: dict[int, Header] = {}
-        self.outcomes: dict[int, Outcome] = {}
-        self.notices: Counter[Notice] = Counter()
-        self._accepted: dict[tuple[int, Any, bytes], set[str]] = {}
-
-    def stored(self, host: Host, record: Record) -> None:
-        """What a majority of the voters has accepted in one ballot, with its body, is chosen."""
-        accepted = record.accepted
-        if accepted is None or host.address not in self.voters:
-            return
-        header = accepted.header
-        voters = self._accepted.setdefault((header.number, accepted.ballot, digest_of(header)), set())
-        voters.add(host.address)
-        if len(voters) > len(self.voters) // 2:
-            before = self.chosen.setdefault(header.number, header)
-            if before != header:
-                self.broken.append(f"revision {header.number} was chosen twice")
-            parent = self.chosen.get(header.number - 1)
-            if digest_of(parent) != header.parent:
-                self.broken.append(f"revision {header.number} is no child of the one before")
-
-    def activated(self, host: Host, header: Header) -> None:
-        if self.chosen.get(header.number) != header:
-            self.broken.append(f"{host.name} acts by revision {header.number}, which was not chosen")
-        if host.active != sorted(set(host.active)):
-            self.broken.append(f"{host.name} acted by {host.active[-2:]} in one life")
-
-    def answered(self, answer: Answer) -> None:
-        if answer.request in self.outcomes:
-            self.broken.append(f"request {answer.request} was answered twice")
-        self.outcomes[answer.request] = answer.outcome
-        if isinstance(answer.outcome, Applied):
-            header = answer.outcome.header
-            if self.chosen.get(header.number) != header:
-                self.broken.append(f"request {answer.request} was told applied and was not chosen")
-
-
-@dataclass
-class Verdict:
-    """What a play showed."""
-
-    schedulers: int
-    changes: int
-    outcomes: dict[str, int]
-    broken: list[str]
-    unanswered: int  # requests of lives that were not killed
-    differing: int  # schedulers whose head is not the last chosen one at the end
-    in_force_ns: list[int] = field(default_factory=list)  # of each applied change on each reachable one
-    decided_ns: list[int] = field(default_factory=list)
-    bytes_s: float = 0.0
-    bytes_s_most: float = 0.0  # of the scheduler that sent most
-    messages_s: float = 0.0
-
-    def good(self) -> bool:
-        late = self.most_s() > IN_FORCE_NS / S
-        return not (self.broken or self.unanswered or self.differing or late)
-
-    def most_s(self) -> float:
-        return max(self.in_force_ns, default=0) / S
-
-    def lines(self) -> Iterator[str]:
-        told = ", ".join(f"{count} {name}" for name, count in sorted(self.outcomes.items()))
-        yield f"{self.schedulers} schedulers, {self.changes} changes asked for: {told}"
-        yield f"decided in s, p50 p99 most: {_spans(self.decided_ns)}"
-        yield f"in force on all that are reachable in s, p50 p99 most: {_spans(self.in_force_ns)}"
-        yield f"{self.bytes_s:.0f} bytes and {self.messages_s:.1f} messages a second sent by a scheduler"
-        yield f"{self.bytes_s_most:.0f} bytes a second sent by the one that sent most"
-        yield f"without an answer: {self.unanswered}, without the last revision: {self.differing}"
-        yield from self.broken[:5]
-
-
-def _spans(spans_ns: list[int]) -> str:
-    ordered = sorted(spans_ns) or [0]
-    at = [ordered[len(ordered) // 2], ordered[min(len(ordered) - 1, len(ordered) * 99 // 100)], ordered[-1]]
-    return " ".join(f"{span / S:.2f}" for span in at)
-
-
 class Play:
     """A fleet, operators' changes and faults."""
 
@@ -315,13 +230,13 @@
         self.net.send = counted  # type: ignore[method-assign]
         self._begun_ns = self.net.now
 
-    def close(self) -> Verdict:
+    def close(self) -> RevisionVerdict:
         judge, seconds = self.judge, (self.net.now - self._begun_ns) / S
         last = max(judge.chosen, default=0)
         unanswered = sum(each.host.alive and at not in judge.outcomes for at, each in enumerate(self.changes))
         living = [host for host in self.hosts.values() if host.alive]
         outcomes = Counter(type(each).__name__ for each in judge.outcomes.values())
-        verdict = Verdict(
+        verdict = RevisionVerdict(
             self.count, len(self.changes), dict(outcomes), judge.broken, unanswered,
             sum(not host.active or host.active[-1] != last for host in living),
         )  # fmt: skip
@@ -333,7 +248,7 @@
         verdict.bytes_s_most = max(self.sent.values(), default=0) / seconds
         return verdict
 
-    def _time_in_force(self, verdict: Verdict, change: Change, number: int) -> None:
+    def _time_in_force(self, verdict: RevisionVerdict, change: Change, number: int) -> None:
         """On each scheduler, from when it and the proposer could both be reached."""
         times = []
         for at, host in self.hosts.items():
@@ -354,7 +269,7 @@
 def changes(
     schedulers: int, seed: int, seconds: int = 60, rate: float = 1.0, loss: float = 0.1, calm: bool = False,
     burst: int = 10, body_bytes: int = 4000, voters: int = 3,
-) -> Verdict:  # fmt: skip
+) -> RevisionVerdict:  # fmt: skip
     """Changes at a rate, pauses, a crash, cuts and, at the end, many changes within one second."""
     play = Play(schedulers, seed, Faults(loss=loss, delay_ns=(MS // 2, 20 * MS)), voters, body_bytes)
     net, random = play.net, play.random
--- a/tests/revision/test_ballots.py
+++ b/tests/revision/test_ballots.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from ladderhub.lab.checker.ballots import Bounds, Parts, at_random, exhaustive
+from ladderhub.lab.checker.ballot_processes import Bounds, Parts
+from ladderhub.lab.checker.ballots import at_random, exhaustive
 from ladderhub.revision.ballots import Decision
 from ladderhub.revision.content import NO_DIGEST, body_digest
 from ladderhub.revision.context import Context
