--- a/ladderhub/lab/emulator/placement.py
+++ b/ladderhub/lab/emulator/placement.py
@@ -16,7 +16,7 @@
 from ladderhub.decide import Scheduler
 from ladderhub.lab.emulator.net import MS, Net, S
 from ladderhub.node.admission import Admission, Ask, Key, NodeSettings
-from ladderhub.owner.decide import RESERVE
+from ladderhub.owner.retries import RESERVE
 
 _REASONS = {
     "CORES": api.Reason.CORES, "MEMORY": api.Reason.MEMORY, "LINE_FULL": api.Reason.LINE_FULL,
--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import replace
 
 from ladderhub.interface import Effect
 from ladderhub.owner import types as t
+from ladderhub.owner.inquiries import Strays, inquire_due
+from ladderhub.owner.retries import RetryBudget
 
 HELD, WAITING, ASKING, DOUBT, RUNNING, STOPPING, OVER = (
     "held", "waiting", "asking", "doubt", "running", "stopping", "over",
@@ -28,7 +29,6 @@
     OVER: set(),
 }
 CANCELLED_STATUS = 265  # 256 + SIGKILL: what clients of PBS read as cancelled, where 271 is any SIGTERM
-RESERVE = 0.25  # share of the budget for asking again that only the highest priority may use
 
 
 class Owner:
@@ -36,11 +36,9 @@
 
     def __init__(self, settings: t.OwnerSettings, seed: int) -> None:
         self.settings = settings
-        self._random = random.Random(seed)
         self._jobs: dict[int, t.Job] = {}
-        self._stray: dict[tuple[int, int], t.Run] = {}  # runs of jobs that are over, still to be stopped
-        self._again = settings.again_burst
-        self._top = max((queue.priority for queue in settings.queues), default=0)
+        self._strays = Strays()
+        self._retries = RetryBudget(settings, seed)
         self._ending = False
         self._paused = ""  # why the module is asked for nothing
         self._out: list[t.Action] = []
@@ -58,11 +56,11 @@
 
     def strays(self) -> int:
         """How many runs of finished jobs are still to be stopped."""
-        return len(self._stray)
+        return len(self._strays)
 
     def may_run(self, job: int) -> bool:
         """Whether a run of a finished job may still be alive."""
-        return any(number == job for number, _ in self._stray)
+        return self._strays.has(job)
 
     # --- events -------------------------------------------------------------------------------------------
 
@@ -89,7 +87,7 @@
                 if job is not None:
                     self._on_job(now_ns, job, event)
                 else:
-                    self._on_stray(now_ns, event)
+                    self._out += self._strays.handle(now_ns, self.settings, event)
         return self._out
 
     def _on_job(self, now: int, job: t.Job, event: t.Event) -> None:
@@ -132,8 +130,7 @@
 
     def _on_settings(self, settings: t.OwnerSettings) -> None:
         self.settings = settings
-        self._again = min(self._again, settings.again_burst)
-        self._top = max((queue.priority for queue in settings.queues), default=0)
+        self._retries.change(settings)
 
     def _on_resumed(self, now: int) -> None:
         self._paused = ""
@@ -160,7 +157,7 @@
             now + rules.limit_ns, event.lasting,
         )  # fmt: skip
         self._jobs[event.job] = job
-        self._again = min(self.settings.again_burst, self._again + self.settings.again_share)
+        self._retries.pay_in()
         if self._ending:
             self._settle(job, t.Answer.REFUSED, "the scheduler is stopping")
             self._finish(job, 0, "the scheduler is stopping")
@@ -224,25 +221,13 @@
             self._stay(now, job)
 
     def _stay(self, now: int, job: t.Job, at_once: bool = False) -> None:
-        """Wait before asking again: longer each time, spread by chance, within the common budget.
-
-        Danger: all jobs that a bad moment turned away come back at the same time, and again.  Harm: a single
-        job that was turned away by bad luck waits up to the first span."""
-        rules, top = job.rules, job.rules.priority >= self._top
+        """Wait before asking again."""
         if self._ending:
             self._give_up(now, job, "the scheduler is stopping")
             return
-        job.stay_ns = min(rules.stay_most_ns, 2 * job.stay_ns) if job.stay_ns else rules.stay_first_ns
-        span = 0 if at_once else round(job.stay_ns * self._random.uniform(0.75, 1.25))
-        if self._again >= (1.0 if top else 1.0 + RESERVE * self.settings.again_burst):
-            self._again -= 1
-        else:
-            span = rules.stay_most_ns
-            job.why = (job.why + "; " if job.why else "") + "many jobs ask again"
+        span = self._retries.stay_ns(job, at_once)
         self._go(job, WAITING)
-        job.until_ns = now + span
-        if job.until_ns >= job.limit_ns - self.settings.margin_ns:
-            job.until_ns = job.limit_ns - self.settings.margin_ns
+        job.until_ns = min(now + span, job.limit_ns - self.settings.margin_ns)
         self._wake(job, job.until_ns)
 
     def _on_due(self, now: int, job: t.Job) -> None:
@@ -315,28 +300,10 @@
         """Ask or stop what is in doubt or unwanted, later each time; wake for the next."""
         due = job.limit_ns - self.settings.margin_ns if not job.answered else 0
         times = [due] if due > now else []
-        for number, run in job.runs.items():
-            if not (run.stop or run.doubt):
-                continue
-            at = run.asked_ns + run.span_ns if run.asked_ns >= 0 else now
-            if run.doubt and not run.stop and run.asked_ns < 0:
-                # A moment for the answer to come by itself: most are late, not lost.
-                at = run.since_ns = now + job.rules.settle_ns if not run.span_ns else run.since_ns
-                run.span_ns = run.span_ns or self.settings.query_first_ns
-            if at <= now:
-                self._send_word(now, job.number, number, run)
-                at = now + run.span_ns
-            times.append(at)
+        self._out += inquire_due(now, self.settings, job, times)
         if times:
             self._wake(job, min(times))
 
-    def _send_word(self, now: int, job: int, number: int, run: t.Run) -> None:
-        spans = self.settings
-        longer = 0 if run.asked_ns < 0 else 2 * run.span_ns
-        run.span_ns = min(spans.query_most_ns, max(spans.query_first_ns, longer))
-        run.asked_ns = now
-        self._out.append((t.Stop if run.stop else t.Query)(job, number, run.machine))
-
     def _on_said(self, now: int, job: t.Job, event: t.Said) -> None:
         run = job.runs.get(event.run)
         if run is None:
@@ -432,10 +399,8 @@
 
     def _on_machine(self, now: int, event: t.MachineAnew | t.MachineGone) -> None:
         anew = isinstance(event, t.MachineAnew)
-        for (number, _), run in self._stray.items():
-            if run.machine == event.machine and anew:
-                run.asked_ns, run.span_ns = -1, 0
-                self._out.append(t.Wake(number, now))
+        if anew:
+            self._out += self._strays.machine_anew(now, event.machine)
         for job in list(self._jobs.values()):
             for number, run in list(job.runs.items()):
                 if run.machine != event.machine or not (run.accepted or run.doubt):
@@ -522,35 +487,11 @@
         """The job is over; runs of it that may live are chased until their machines say that they don't."""
         self._go(job, OVER)
         del self._jobs[job.number]
-        for number, run in job.runs.items():
-            run.lasting = job.lasting
-            run.stop, run.span_ns = True, run.span_ns or self.settings.query_first_ns
-            self._stray[job.number, number] = run
+        self._strays.add(job, self.settings)
         self._out.append(t.Finish(job.number, status, reason))
         if job.runs:
             self._out.append(t.Wake(job.number, 0))
 
-    def _on_stray(self, now: int, event: t.Event) -> None:
-        """Runs of jobs that are over: told to stop, for so long, until they are proven away."""
-        if isinstance(event, t.Due):
-            times = []
-            for (job, number), run in list(self._stray.items()):
-                if job != event.job:
-                    continue
-                if now - run.since_ns > self.settings.chase_ns and not run.lasting:
-                    del self._stray[job, number]
-                elif run.asked_ns < 0 or now >= run.asked_ns + run.span_ns:
-                    self._send_word(now, job, number, run)
-                    times.append(now + run.span_ns)
-                else:
-                    times.append(run.asked_ns + run.span_ns)
-            if times:
-                self._out.append(t.Wake(event.job, min(times)))
-        elif isinstance(event, t.Ended | t.Unsent) or (
-            isinstance(event, t.Said) and event.word is t.Word.NEVER
-        ):
-            self._stray.pop((event.job, event.run), None)
-
     # --- holds and the scheduler's own end ------------------------------------------------------------------
 
     def _held(self, job: t.Job) -> None:
