Processor time by cause, and bytes and messages by kind, of schedulers, directory and node hosts

Need: a capacity plan asks what each role spends on the job path, on lists, on peers and on the log, and the metrics page told none of it.

Change: a package `usage`. ProcessorTime is an account with nested sections, read by the thread's processor clock around callbacks; AccountedLoop lets timers and descriptors inherit the cause that set them, so that few entry points are named by hand. CountedStream and the peers' carrier count bytes; their users count messages. The loop has no hooks: the users' platform loads none of it, and tests/test_light.py now names the package among what is off there. tests/test_structure.py gains the new package in its borders and loses none.

--- a/ladderhub/cli/common.py
+++ b/ladderhub/cli/common.py
@@ -13,6 +13,7 @@
 
 from ladderhub.errors import LadderhubError
 from ladderhub.loop import Loop
+from ladderhub.usage.processor import Cause, ProcessorTime
 
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
@@ -21,8 +22,8 @@
     return msgspec.json.encode(row, enc_hook=repr)
 
 
-def set_up_log(form: str, level: str) -> Any:
-    """Structured lines on standard error, as JSON or for people."""
+def set_up_log(form: str, level: str, processor: ProcessorTime | None = None) -> Any:
+    """Structured lines on standard error, as JSON or for people; with `processor` their time is accounted."""
     last: Any = structlog.dev.ConsoleRenderer()
     factory: Any = structlog.PrintLoggerFactory(sys.stderr)
     if form == "json":
@@ -36,13 +37,29 @@
             structlog.processors.format_exc_info,
             last,
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        wrapper_class=_logger_class(level, processor),
         logger_factory=factory,
         cache_logger_on_first_use=True,
     )
     return structlog.get_logger()
 
 
+def _logger_class(level: str, processor: ProcessorTime | None) -> Any:
+    plain: Any = structlog.make_filtering_bound_logger(_LEVELS[level])
+    if processor is None:
+        return plain
+    run = processor.run
+
+    class AccountedLogger(plain):  # type: ignore[misc]
+        """Lines that the level lets through are made and written on the account of the log."""
+
+        def _proxy_to_logger(self, method_name: str, event: str | None = None, *args: Any, **row: Any) -> Any:
+            proxy = super()._proxy_to_logger
+            return run(Cause.LOG_METRICS, proxy, method_name, event, *args, **row)
+
+    return AccountedLogger
+
+
 def make_loop(log: Any) -> Loop:
     return Loop(trouble=lambda where, fault: log.error("trouble", where=where, exc_info=fault))
 
--- a/ladderhub/cli/daemons.py
+++ b/ladderhub/cli/daemons.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from ladderhub.cli.common import address_option, fail, load_settings, make_loop, set_up_log
 from ladderhub.errors import LadderhubError
@@ -25,12 +26,15 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def serve(file: Path) -> None:
     """Run one scheduler daemon with the settings in FILE.  SIGTERM settles what was taken, then ends it."""
-    from ladderhub.loop.http import HttpDoor
+    from ladderhub.loop.http import HttpDoor, Page
     from ladderhub.server.daemon import Daemon
+    from ladderhub.usage.accounted import AccountedLoop
+    from ladderhub.usage.processor import Cause, ProcessorTime
 
     settings = load_settings(file)
-    log = set_up_log(settings.file.log.format, settings.file.log.level)
-    loop = make_loop(log)
+    processor = ProcessorTime()
+    log = set_up_log(settings.file.log.format, settings.file.log.level, processor)
+    loop = AccountedLoop(processor)
     try:
         daemon = Daemon(loop, settings, log)
         count = daemon.metrics
@@ -42,11 +46,12 @@
         loop.trouble = trouble
         daemon.start()
         if settings.http is not None:
-            HttpDoor(loop, settings.http, {
+            pages: dict[str, Page] = {
                 "/metrics": daemon.metrics.page,
                 "/health": lambda: (503, "text/plain", b"stopping\n") if daemon.stopping
                 else (200, "text/plain", b"ok\n"),
-            })  # fmt: skip
+            }  # fmt: skip
+            processor.run(Cause.LOG_METRICS, HttpDoor, loop, settings.http, pages)
     except LadderhubError as fault:
         fail(fault, f"ladderhub: {file}: cannot start")
     except (OSError, ValueError) as fault:
@@ -128,7 +133,8 @@
 @click.command()
 @click.option("--listen", default="127.0.0.1:15009", callback=address_option, show_default=True)
 @click.option("--delay", default=1.0, show_default=True, help="Seconds by which schedulers are told late.")
-def directory(listen: tuple[str, int], delay: float) -> None:
+@click.option("--stats", type=click.Path(dir_okay=False, path_type=Path), help="Written at the end, as JSON.")
+def directory(listen: tuple[str, int], delay: float, stats: Path | None) -> None:
     """Run the directory that tells schedulers of nodes."""
     from ladderhub.directory.service import Directory
 
@@ -143,6 +149,8 @@
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.on_signal(signal.SIGINT, loop.stop)
     loop.run()
+    if stats is not None:
+        stats.write_bytes(msgspec.json.encode(service.stats()))
 
 
 @click.command()
--- a/ladderhub/directory/service.py
+++ b/ladderhub/directory/service.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections import deque
 
 import msgspec
 
+from ladderhub.directory.stats import DirectoryStats
 from ladderhub.directory.wire import (
     Entry,
     Lines,
@@ -21,6 +23,8 @@
 )
 from ladderhub.loop import Listener, Loop, Stream
 from ladderhub.loop.stream import Address
+from ladderhub.usage.accounted import CountedStream
+from ladderhub.usage.traffic import NODE, SCHEDULER, Traffic
 
 PUSH_NS = 200_000_000
 CHANGES_MOST = 10_000
@@ -41,6 +45,8 @@
         self._watchers: dict[_Peer, int] = {}  # the version that each was sent
         self._log: deque[tuple[int, int, str]] = deque(maxlen=CHANGES_MOST)  # moment, version, node
         self._past: dict[int, Entry] = {}
+        self.traffic = Traffic()
+        self.rounds = self.lists = self.rows_sent = self.log_entries_walked = 0
         self.listener = Listener(loop, address, self._accept)
         self._timer = loop.call_later(PUSH_NS, self._push)
 
@@ -62,6 +68,19 @@
         for peer in list(self._watchers):
             peer.stream.abort()
 
+    def stats(self) -> DirectoryStats:
+        """What it has spent; processor time is that of the whole process."""
+        return DirectoryStats(
+            processor_seconds=time.process_time(),
+            traffic=self.traffic.rows(),
+            rows=sum(entry.stage != "gone" for entry in self.entries.values()),
+            changes=self.version,
+            rounds=self.rounds,
+            lists=self.lists,
+            rows_sent=self.rows_sent,
+            log_entries_walked=self.log_entries_walked,
+        )
+
     # --- what peers tell ----------------------------------------------------------------------------------
 
     def take(self, peer: _Peer, message: Message) -> None:
@@ -77,6 +96,7 @@
             case State(stage) if peer.node in self.entries and stage in ("serving", "draining", "gone"):
                 self._set(msgspec.structs.replace(self.entries[peer.node], stage=stage))
             case Watch(_, since):
+                peer.stream.count = self.traffic.of(SCHEDULER)
                 self._watchers[peer] = -1 if since > self.version else since
                 self._send(peer)
             case _:
@@ -108,11 +128,13 @@
         """The newest version that is old enough to be told."""
         newest = self.loop.now_ns() - self.delay_ns
         for moment, number, _ in reversed(self._log):
+            self.log_entries_walked += 1
             if moment <= newest:
                 return number
         return self._log[0][1] - 1 if self._log else 0
 
     def _push(self) -> None:
+        self.rounds += 1
         for peer in list(self._watchers):
             self._send(peer)
         self._timer = self.loop.call_later(PUSH_NS, self._push)
@@ -126,6 +148,7 @@
         changed: dict[str, Entry] = {}
         oldest = self._log[0][1] if self._log else 1
         for _, number, name in reversed(self._log):
+            self.log_entries_walked += 1
             if number <= since:
                 break
             if number <= until:
@@ -135,6 +158,7 @@
             # The log reaches back to the first entry, or holds each node's state as it was told last.
             listed = {name: entry for name, entry in self.entries.items()}
             for _, number, name in reversed(self._log):
+                self.log_entries_walked += 1
                 if number > until:
                     before = self._before(name, number)
                     if before is None:
@@ -147,10 +171,14 @@
         elif not changed:
             return
         self._watchers[peer] = until
+        self.lists += 1
+        self.rows_sent += len(changed)
+        peer.stream.count.messages_out += 1
         peer.stream.write(encode(Listed("full" if full else "changes", until, list(changed.values()))))
 
     def _before(self, name: str, number: int) -> Entry | None:
         for _, version, other in reversed(self._log):
+            self.log_entries_walked += 1
             if version < number and other == name:
                 return self._past[version]
         return None
@@ -161,12 +189,14 @@
 
     def __init__(self, directory: Directory, sock: socket.socket) -> None:
         self._directory, self._lines, self.node = directory, Lines(), ""
-        self.stream = Stream(directory.loop, sock, self)
+        # A scheduler is told from a node by its first message.
+        self.stream = CountedStream(directory.loop, sock, self, directory.traffic.of(NODE))
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         try:
             for message in self._lines.feed(data):
                 self._directory.take(self, message)
+                self.stream.count.messages_in += 1
         except DirectoryError as fault:
             stream.abort(fault)
 
--- a/ladderhub/lab/nodehost.py
+++ b/ladderhub/lab/nodehost.py
@@ -1,13 +1,14 @@
 """Some emulated nodes in a process of their own, so that many of them do not wait for each other's turn.
 
 `python -m ladderhub.lab.nodehost PLAN OUT` starts the nodes of the JSON file PLAN and, on SIGTERM, writes to
-OUT for each job when its offer came and when it ran (ns).
+OUT for each job when its offer came and when it ran (ns), and to OUT.stats what the process spent.
 """
 
 from __future__ import annotations
 
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +19,7 @@
 from ladderhub.node.agent import Agent
 from ladderhub.node.runners import EmulatedRunner, EmulatedSettings
 from ladderhub.pbs.batch import Request
+from ladderhub.usage.traffic import Traffic, TrafficRow
 
 S = 1_000_000_000
 
@@ -42,6 +44,15 @@
     cold_times: float
 
 
+class HostStats(msgspec.Struct):
+    """`traffic` by kind of peer: scheduler, directory; `starts` are jobs that ran."""
+
+    processor_seconds: float
+    traffic: dict[str, TrafficRow]
+    nodes: int
+    starts: int
+
+
 class WatchedAgent(Agent):
     """An agent that notes when an offer came and when its job ran."""
 
@@ -62,18 +73,23 @@
     loop = Loop()
     came: dict[str, int] = {}
     ran: dict[str, int] = {}
+    traffic = Traffic()
     emulated = EmulatedSettings(plan.warm_ns, plan.cold_times)
     for node in plan.nodes:
         settings = NodeSettings(node.cores, node.memory, node.kind, plan.admit_cores, plan.admit_memory)
         agent = WatchedAgent(
             loop, node.name, settings, EmulatedRunner(loop, emulated, node.seed), directory=plan.directory,
             rack=node.rack, look_ns=(4_000_000, 15_000_000), cold_times=plan.cold_times, seed=node.seed,
+            traffic=traffic,
         )  # fmt: skip
         agent.ready_ns = agent.admission.ready_ns = loop.now_ns() - 3600 * S
         agent.came, agent.ran = came, ran
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.run()
-    Path(sys.argv[2]).write_bytes(msgspec.json.encode({job: (came[job], ran[job]) for job in ran}))
+    out = Path(sys.argv[2])
+    out.write_bytes(msgspec.json.encode({job: (came[job], ran[job]) for job in ran}))
+    stats = HostStats(time.process_time(), traffic.rows(), len(plan.nodes), len(ran))
+    out.with_name(out.name + ".stats").write_bytes(msgspec.json.encode(stats))
 
 
 if __name__ == "__main__":
--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -5,7 +5,7 @@
 import errno
 import socket
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from ladderhub.loop.core import READ, WRITE, Loop, Timer
 
@@ -254,6 +254,9 @@
             self._flush()
 
 
+AnyStream = TypeVar("AnyStream", bound=Stream)
+
+
 def connect(
     loop: Loop,
     address: Address,
@@ -264,6 +267,19 @@
 ) -> Stream:
     """Begin a connection; what goes wrong, a time-out included, comes later as `on_closed`, never from
     here."""
+    return connect_as(Stream, loop, address, handler, timeout_ns, on_connected, first)
+
+
+def connect_as(
+    make: Callable[..., AnyStream],
+    loop: Loop,
+    address: Address,
+    handler: Handler,
+    timeout_ns: int,
+    on_connected: Callable[[Stream], None] | None = None,
+    first: bool = False,
+) -> AnyStream:
+    """Begin a connection on a stream that `make` gives, with the arguments of `Stream`."""
     # Danger: out of descriptors, or an address that is none.  An exception here would leave whoever asked
     # without the end that it counts on, so that too comes as `on_closed`.
     sock: socket.socket | _NoSocket = _NoSocket()
@@ -275,10 +291,10 @@
     except OSError as fault:
         sock.close()
         sock = _NoSocket()
-        stream = Stream(loop, sock, handler, connecting=True)
+        stream = make(loop, sock, handler, connecting=True)
         loop.call_soon(stream.abort, fault)
         return stream
-    stream = Stream(loop, sock, handler, connecting=True, first=first)
+    stream = make(loop, sock, handler, connecting=True, first=first)
     stream.on_connected = on_connected
     if code not in (0, errno.EINPROGRESS):
         loop.call_soon(stream.abort, OSError(code, "connect"))
--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -18,7 +18,7 @@
 
 from ladderhub.directory.wire import Entry, Register, Room, State, encode
 from ladderhub.loop import Listener, Loop, Stream, Timer, parse_address
-from ladderhub.loop.stream import Address, connect
+from ladderhub.loop.stream import Address
 from ladderhub.node.admission import Admission, Ask, Key, NodeSettings, Refusal
 from ladderhub.node.runners import Runner, Work
 from ladderhub.pbs import names as n
@@ -27,6 +27,8 @@
 from ladderhub.pbs.connection import SUBMITTING, Exchange, ServerConnection
 from ladderhub.pbs.dis import DisError
 from ladderhub.pbs.resources import GIB, ResourceError, wanted
+from ladderhub.usage.accounted import CountedStream, connect_counted
+from ladderhub.usage.traffic import DIRECTORY, SCHEDULER, Traffic, TrafficCount
 
 MS, S = 1_000_000, 1_000_000_000
 UNCOMMITTED_NS = 10 * S
@@ -69,8 +71,9 @@
         address: Address = ("127.0.0.1", 0),
         directory: Address | None = None, advertise: str = "", rack: str = "rack-1", zone: str = "zone-1",
         look_ns: tuple[int, int] = (6 * MS, 30 * MS), cold_times: float = 9.0, answers: str = "running",
-        seed: int = 1,
+        seed: int = 1, traffic: Traffic | None = None,
     ) -> None:  # fmt: skip
+        self.traffic = traffic or Traffic()
         self.loop, self.name, self.settings, self.runner = loop, name, settings, runner
         self.rack, self.zone, self.look_ns, self.cold_times, self.answers = (
             rack,
@@ -272,7 +275,12 @@
     def _update(self, held: Held) -> Request:
         attrs = [Attr("job_state", "R"), Attr("run_version", str(held.key[1])), Attr("exec_host", self.name)]
         return Request(
-            n.MODIFY_JOB, f"node@{self.name}", held.key[0], attrs, command=n.CMD_SET, object_type=n.OBJ_JOB
+            n.MODIFY_JOB,
+            f"{n.NODE_USER}{self.name}",
+            held.key[0],
+            attrs,
+            command=n.CMD_SET,
+            object_type=n.OBJ_JOB,
         )
 
     def _ended(self, key: Key, status: int, reason: str) -> None:
@@ -298,7 +306,7 @@
             Attr("run_version", str(key[1])), Attr("exit_reason", reason), Attr("exec_host", self.name),
             Attr("load", f"{cores:g}", "cores_free"), Attr("load", f"{memory:g}", "memory_free"),
         ]  # fmt: skip
-        return Request(n.JOB_OBIT, f"node@{self.name}", key[0], attrs, status=status)
+        return Request(n.JOB_OBIT, f"{n.NODE_USER}{self.name}", key[0], attrs, status=status)
 
     def _load(self) -> tuple[float, float]:
         """The node's figures as of some moments ago: they are taken at intervals, not for each answer."""
@@ -311,7 +319,7 @@
         if not held.server:
             return
         if held.server not in self.posts:
-            self.posts[held.server] = Post(self.loop, held.server)
+            self.posts[held.server] = Post(self.loop, held.server, self.traffic.of(SCHEDULER))
         self.posts[held.server].send(request)
 
     # --- other requests -------------------------------------------------------------------------------------
@@ -423,10 +431,12 @@
         self._script = bytearray()
         self._looking = self._serving = False  # a Queue Job is not answered yet; inside `_serve_next`
         self._behind: deque[Exchange] = deque()
-        self.stream = Stream(agent.loop, sock, self)
+        self._count = agent.traffic.of(SCHEDULER)
+        self.stream = CountedStream(agent.loop, sock, self, self._count)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         for exchange in self._connection.receive(data):
+            self._count.messages_in += 1
             self._behind.append(exchange)
         self._serve_next()
         if self._connection.trouble is not None:
@@ -512,6 +522,7 @@
                 return
             assert isinstance(exchange.reply, bytes)  # nodes have no long replies
             if exchange.reply:
+                self._count.messages_out += 1
                 self.send(exchange.request, exchange.reply)
             if exchange.last:
                 self.stream.close()
@@ -524,8 +535,9 @@
 class Post:
     """Obituaries and updates to one scheduler: in order, each until it is acknowledged."""
 
-    def __init__(self, loop: Loop, address: str) -> None:
+    def __init__(self, loop: Loop, address: str, count: TrafficCount | None = None) -> None:
         self._loop, self._address = loop, parse_address(address)
+        self._count = count or TrafficCount()
         self._queue: list[Request] = []
         self._stream: Stream | None = None
         self._parser = ReplyParser()
@@ -547,17 +559,21 @@
         if self._closed or self._stream is not None or not self._queue:
             return
         self._parser, self._out = ReplyParser(), 0
-        self._stream = connect(self._loop, self._address, self, CONNECT_NS, lambda _: self._pump())
+        self._stream = connect_counted(
+            self._loop, self._address, self, CONNECT_NS, lambda _: self._pump(), self._count
+        )
 
     def _pump(self) -> None:
         while self._out < len(self._queue) and self._stream is not None:
             self._stream.write(encode_request(self._queue[self._out]))
+            self._count.messages_out += 1
             self._out += 1
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self._parser.feed(data)
         try:
             while self._parser.next() is not None:
+                self._count.messages_in += 1
                 if not self._out:
                     raise DisError("an answer that nothing was asked for")
                 # Any answer will do: a scheduler that does not know the run has nothing to learn.
@@ -584,6 +600,7 @@
 
     def __init__(self, agent: Agent, address: Address) -> None:
         self._agent, self._address = agent, address
+        self._count = agent.traffic.of(DIRECTORY)
         self._stream: Stream | None = None
         self._timer: Timer | None = None
         self._told: tuple[float, float] | None = None
@@ -592,9 +609,12 @@
 
     def _connect(self) -> None:
         if not self._closed:
-            self._stream = connect(self._agent.loop, self._address, self, CONNECT_NS, self._connected)
+            self._stream = connect_counted(
+                self._agent.loop, self._address, self, CONNECT_NS, self._connected, self._count
+            )
 
     def _connected(self, stream: Stream) -> None:
+        self._count.messages_out += 1
         stream.write(encode(Register(self._agent.entry())))
         self._tell()
 
@@ -607,6 +627,7 @@
 
     def send(self, message: Room | State) -> None:
         if self._stream is not None and self._stream.connected:
+            self._count.messages_out += 1
             self._stream.write(encode(message))
 
     def on_data(self, stream: Stream, data: bytes) -> None:
--- a/ladderhub/pbs/names.py
+++ b/ladderhub/pbs/names.py
@@ -31,6 +31,7 @@
 # --- Manager commands, objects, attribute operators (pbs_ifl.h) -------------------------------------------
 CMD_CREATE, CMD_DELETE, CMD_SET, CMD_UNSET, CMD_LIST = 0, 1, 2, 3, 4
 OBJ_SERVER, OBJ_QUEUE, OBJ_JOB, OBJ_NODE = 0, 1, 2, 3
+NODE_USER = "node@"  # before a node's name: the user of requests that nodes send
 OBJ_SERVICE = 50  # not published: sets of copies, beside the objects that Manager knows
 OP_SET, OP_UNSET, OP_INCR, OP_DECR, OP_EQ, OP_NE, OP_GE, OP_GT, OP_LE, OP_LT = range(10)
 OPERATORS = {"eq": OP_EQ, "ne": OP_NE, "ge": OP_GE, "gt": OP_GT, "le": OP_LE, "lt": OP_LT}
--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -13,6 +13,7 @@
 from ladderhub.membership.types import Action, Event, Heard, Say, SeatsHeld, Stop, Tick, Told, WakeAt
 from ladderhub.membership.views import Views
 from ladderhub.peers.wire import VERSION, Frame, decode, encode, mark_of
+from ladderhub.usage.traffic import UNREADABLE, Traffic
 
 TELL_NS = 1_000_000_000
 
@@ -32,10 +33,11 @@
 
     def __init__(
         self, loop: Loop, address: Address, cluster: str, views: Views, on_told: Callable[[Told], None],
-        on_spoilt: Callable[[Spoilt], None],
+        on_spoilt: Callable[[Spoilt], None], traffic: Traffic | None = None,
     ) -> None:  # fmt: skip
         self.loop, self.views = loop, views
         self.tally = Tally()
+        self.traffic = traffic or Traffic()
         self._mark = mark_of(cluster)
         self._on_told, self._on_spoilt = on_told, on_spoilt
         self._tell: Callable[[Event], None] = _nobody
@@ -58,6 +60,7 @@
 
     def _received(self, data: bytes, source: Address) -> None:
         frame = decode(data, self._mark)
+        self._count_in(frame, len(data))
         if isinstance(frame, str):
             self.tally.count(frame, "{}:{}".format(*source))
         else:
@@ -80,7 +83,7 @@
             frame = Frame(VERSION, self._mark, me.name, me.life, me.incarnation, action.message)
             place = self._place(action.address)
             if place is not None:
-                self.datagrams.send(encode(frame), place)
+                self._send(frame, place)
         elif isinstance(action, WakeAt):
             if self._timer is not None:
                 self._timer.cancel()
@@ -95,6 +98,21 @@
         if isinstance(event, Tick) and self.on_look is not None:
             self.on_look()
 
+    def _send(self, frame: Frame, place: Address) -> None:
+        data = encode(frame)
+        count = self.traffic.of_message(frame.message)
+        count.messages_out += 1
+        count.bytes_out += len(data)
+        self.datagrams.send(data, place)
+
+    def _count_in(self, frame: Frame | str, size: int) -> None:
+        if isinstance(frame, str):
+            count = self.traffic.of(UNREADABLE)
+        else:
+            count = self.traffic.of_message(frame.message)
+        count.messages_in += 1
+        count.bytes_in += size
+
     def _place(self, text: str) -> Address | None:
         """Addresses come from peers: what is none is not sent to."""
         if text not in self._places:
--- a/ladderhub/server/door.py
+++ b/ladderhub/server/door.py
@@ -15,6 +15,9 @@
 from ladderhub.pbs.batch import Reply, Request, refusal
 from ladderhub.pbs.connection import Exchange, ServerConnection
 from ladderhub.server.site import Site
+from ladderhub.usage.accounted import CountedStream
+from ladderhub.usage.processor import Cause
+from ladderhub.usage.traffic import CLIENT, NODE, TrafficCount
 
 Answer = Callable[[Reply | Iterator[bytes]], None]
 Serve = Callable[[ServerConnection, Request, Answer], None]  # calls the answer exactly once, now or later
@@ -42,7 +45,8 @@
     # --- as a part ------------------------------------------------------------------------------------------
 
     def start(self) -> None:
-        self.listener = Listener(self.site.loop, self.site.settings.listen, self.accept)
+        with self.site.processor.section(Cause.JOBS):
+            self.listener = Listener(self.site.loop, self.site.settings.listen, self.accept)
         self.site.advertise = self.site.settings.file.advertise or "{}:{}".format(*self.listener.address)
 
     def stop(self, now: bool) -> None:
@@ -80,11 +84,15 @@
         self.connection = ServerConnection()
         self._out: deque[bytes | Iterator[bytes]] = deque()
         self._pumping = self._last = False
-        self.stream: Stream = Stream(door.site.loop, sock, self)
+        # Nodes report over the same door: the first request tells which of the two this connection is.
+        self._count: TrafficCount | None = None
+        self.stream = CountedStream(door.site.loop, sock, self, door.site.traffic.of(CLIENT))
         self.stream.on_drained = self._pump
 
     def on_data(self, stream: Stream, data: bytes) -> None:
-        for exchange in self.connection.receive(data):
+        exchanges = self.connection.receive(data)
+        self._count_requests(exchanges)
+        for exchange in exchanges:
             self._serve(exchange)
         if self.connection.trouble is not None:
             self._door.site.metrics.rejected += 1
@@ -95,6 +103,12 @@
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
         self._door.clients.discard(self)
 
+    def _count_requests(self, exchanges: list[Exchange]) -> None:
+        if self._count is None and exchanges:
+            of_node = exchanges[0].request.user.startswith(n.NODE_USER)
+            self._count = self.stream.count = self._door.site.traffic.of(NODE if of_node else CLIENT)
+        self.stream.count.messages_in += len(exchanges)
+
     def _serve(self, exchange: Exchange) -> None:
         request, connection = exchange.request, self.connection
         if request.type == n.DISCONNECT:
@@ -121,6 +135,7 @@
             return
         for exchange in ready:
             if exchange.reply:
+                self.stream.count.messages_out += 1
                 self._out.append(exchange.reply)
             self._last = self._last or exchange.last
         self._pump()
--- a/ladderhub/server/fellowship.py
+++ b/ladderhub/server/fellowship.py
@@ -17,6 +17,7 @@
 from ladderhub.server.lasting import SpoolError, write_lasting
 from ladderhub.server.settings import PeerPlaces
 from ladderhub.server.site import Site
+from ladderhub.usage.processor import Cause
 
 SAVE_NS = 5_000_000_000
 
@@ -92,8 +93,13 @@
     # --- as a part --------------------------------------------------------------------------------------
 
     def start(self) -> None:
+        self._site.processor.run(Cause.PEERS, self._start)
+
+    def _start(self) -> None:
         loop, places = self._site.loop, self._places
-        carrier = PeerCarrier(loop, places.listen, places.cluster, self.views, self._told, self._spoilt)
+        carrier = PeerCarrier(
+            loop, places.listen, places.cluster, self.views, self._told, self._spoilt, self._site.traffic
+        )
         self._carrier = carrier
         if places.electors:
             self._start_seats(carrier)
--- a/ladderhub/server/jobrequests.py
+++ b/ladderhub/server/jobrequests.py
@@ -120,7 +120,7 @@
         record.values[attr.key()] = Attr(attr.name, attr.value, attr.resource)
 
     def modify(self, connection: ServerConnection, request: Request, answer: Answer) -> None:
-        if request.user.startswith("node@"):
+        if request.user.startswith(n.NODE_USER):
             self._words.update(request)
             answer(Reply())
             return
--- a/ladderhub/server/members.py
+++ b/ladderhub/server/members.py
@@ -14,6 +14,8 @@
 from ladderhub.server.nodelist import NodeList
 from ladderhub.server.site import Site
 from ladderhub.server.words import QUERY_NS, Words, int_of
+from ladderhub.usage.processor import Cause
+from ladderhub.usage.traffic import DIRECTORY
 
 S = 1_000_000_000
 ADOPT_RETRY_NS = 1 * S
@@ -35,7 +37,8 @@
 
     def __init__(self, site: Site, words: Words, intake: Intake) -> None:
         self._site, self._words, self._intake = site, words, intake
-        self.list = NodeList(site.loop, site.settings.directory, site.name, site.folder, self._on_list)
+        count = site.traffic.of(DIRECTORY)
+        self.list = NodeList(site.loop, site.settings.directory, site.name, site.folder, self._on_list, count)
         site.metrics.gauge("nodes", "Nodes listed", lambda: len(self.list.entries))
         self.offline: set[str] = set()
         self._heard: dict[str, int] = {}  # node -> start time at which it said what it runs
@@ -50,7 +53,8 @@
     # --- as a part ------------------------------------------------------------------------------------------
 
     def start(self) -> None:
-        self.list.start()
+        with self._site.processor.section(Cause.LISTS):
+            self.list.start()
 
     def stop(self, now: bool) -> None:
         return
--- a/ladderhub/server/metrics.py
+++ b/ladderhub/server/metrics.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
 from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
 
 from ladderhub.interface import Outcome
 from ladderhub.owner.types import Answer
@@ -34,6 +35,10 @@
         """A figure that is looked up each time the page is made."""
         self._gauges.append((f"ladderhub_{name}", text, value))
 
+    def register(self, collector: Collector) -> None:
+        """Metrics that a room keeps itself."""
+        self._registry.register(collector)
+
     def answered(self, answer: Answer) -> None:
         self._answers[answer.value] += 1
 
--- a/ladderhub/server/nodelinks.py
+++ b/ladderhub/server/nodelinks.py
@@ -10,17 +10,19 @@
 from functools import partial
 
 from ladderhub.loop import Loop, Stream, Timer
-from ladderhub.loop.stream import Address, connect
+from ladderhub.loop.stream import Address
 from ladderhub.pbs.batch import Reply, ReplyParser, Request, encode_request
 from ladderhub.pbs.dis import DisError
 from ladderhub.server.offer import Offer, Result
+from ladderhub.usage.accounted import connect_counted
+from ladderhub.usage.traffic import TrafficCount
 
 
 class NodeLinks:
     """All connections of one scheduler to its nodes."""
 
-    def __init__(self, loop: Loop, connect_ns: int) -> None:
-        self.loop, self.connect_ns = loop, connect_ns
+    def __init__(self, loop: Loop, connect_ns: int, count: TrafficCount) -> None:
+        self.loop, self.connect_ns, self.count = loop, connect_ns, count
         self._addresses: dict[str, Address] = {}
         self.open: set[Wire] = set()
 
@@ -59,12 +61,16 @@
         self._links, self._user = links, user
         self._parser = ReplyParser()
         self._left = False
-        self.stream = connect(links.loop, address, self, links.connect_ns, lambda _: user.connected())
+        self._count = links.count
+        self.stream = connect_counted(
+            links.loop, address, self, links.connect_ns, lambda _: user.connected(), self._count
+        )
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self._parser.feed(data)
         try:
             while not self._left and (reply := self._parser.next()) is not None:
+                self._count.messages_in += 1
                 self._user.reply(reply)
         except DisError as fault:
             stream.abort(fault)
@@ -75,6 +81,11 @@
             self._left = True
             self._user.broke(_words(fault))
 
+    def send(self, *messages: bytes) -> None:
+        """These leave together."""
+        self._count.messages_out += len(messages)
+        self.stream.write(b"".join(messages))
+
     def leave(self) -> None:
         self._left = True
         self.stream.abort()
@@ -100,12 +111,12 @@
 
     def connected(self) -> None:
         assert self._wire is not None
-        self._wire.stream.write(self.steps.connected())
+        self._wire.send(self.steps.connected())
 
     def reply(self, reply: Reply) -> None:
         step = self.steps.reply(reply)
-        if isinstance(step, bytes) and self._wire is not None:
-            self._wire.stream.write(step)
+        if isinstance(step, tuple) and self._wire is not None:
+            self._wire.send(*step)
         elif isinstance(step, Result):
             self._end(step)
 
@@ -149,7 +160,7 @@
 
     def connected(self) -> None:
         assert self._wire is not None
-        self._wire.stream.write(encode_request(self._request))
+        self._wire.send(encode_request(self._request))
 
     def reply(self, reply: Reply) -> None:
         self._end(reply)
--- a/ladderhub/server/nodelist.py
+++ b/ladderhub/server/nodelist.py
@@ -12,7 +12,9 @@
 from ladderhub.directory.wire import Entry, Lines, Listed, Watch, DirectoryError, encode
 from ladderhub.interface import ListKind
 from ladderhub.loop import Loop, Stream
-from ladderhub.loop.stream import Address, connect
+from ladderhub.loop.stream import Address
+from ladderhub.usage.accounted import connect_counted
+from ladderhub.usage.traffic import TrafficCount
 
 CONNECT_NS = 1_000_000_000
 RETRY_NS = (200_000_000, 5_000_000_000)
@@ -23,8 +25,11 @@
 class NodeList:
     """Follows the directory and hands every list on; keeps the last one on disk for the next start."""
 
-    def __init__(self, loop: Loop, address: Address, scheduler: str, folder: Path, take: Taker) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, scheduler: str, folder: Path, take: Taker, count: TrafficCount
+    ) -> None:
         self._loop, self._address, self._scheduler, self._take = loop, address, scheduler, take
+        self._count = count
         self._path = folder / "node-list.json"
         self.entries: dict[str, Entry] = {}
         self.version = 0
@@ -45,16 +50,20 @@
     def _connect(self) -> None:
         if not self._closed:
             self._lines = Lines()
-            self._stream = connect(self._loop, self._address, self, CONNECT_NS, self._connected)
+            self._stream = connect_counted(
+                self._loop, self._address, self, CONNECT_NS, self._connected, self._count
+            )
 
     def _connected(self, stream: Stream) -> None:
         self.connected = True
         self._span = RETRY_NS[0]
+        self._count.messages_out += 1
         stream.write(encode(Watch(self._scheduler, self.version)))
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         try:
             for message in self._lines.feed(data):
+                self._count.messages_in += 1
                 if not isinstance(message, Listed) or message.kind not in ("full", "changes"):
                     raise DirectoryError("only lists are expected from the directory")
                 self._listed(message)
--- a/ladderhub/server/offer.py
+++ b/ladderhub/server/offer.py
@@ -34,7 +34,7 @@
 
 
 class Offer:
-    """The steps of one offer.  Each method gives bytes to send, a `Result` once, or nothing."""
+    """The steps of one offer.  Each method gives messages to send, a `Result` once, or nothing."""
 
     def __init__(self, queue_job: Request, script: bytes) -> None:
         self._request, self._script = queue_job, script
@@ -44,7 +44,7 @@
         self.state = QUEUEING
         return encode_request(self._request)
 
-    def reply(self, reply: Reply) -> bytes | Result | None:
+    def reply(self, reply: Reply) -> tuple[bytes, ...] | Result | None:
         """What follows from the reply.  One that does not belong to this step proves nothing: it ends the
         offer as a broken connection would."""
         if self.state == OVER:
@@ -61,14 +61,14 @@
         if self.state == QUEUEING:
             # Script and Commit leave together; from here on something may run.
             self.state = SENDING if self._script else COMMITTING
-            return b"".join(self._pieces())
+            return tuple(self._messages())
         if self.state == SENDING:
             self.state = COMMITTING
             return None
         self.state = OVER
         return Result(True, Outcome.DONE)
 
-    def _pieces(self) -> Iterator[bytes]:
+    def _messages(self) -> Iterator[bytes]:
         job, user = self._request.job, self._request.user
         if self._script:
             yield encode_request(Request(n.JOB_SCRIPT, user, job, data=self._script))
--- a/ladderhub/server/placing.py
+++ b/ladderhub/server/placing.py
@@ -14,6 +14,7 @@
 from ladderhub.server.offer import Result
 from ladderhub.server.runs import OutRun
 from ladderhub.server.site import Site
+from ladderhub.usage.processor import Cause
 
 S = 1_000_000_000
 NEVER_RAN = (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NEVER_SENT)
@@ -76,6 +77,10 @@
     # --- what the module decides ----------------------------------------------------------------------------
 
     def carry(self, now: int, action: api.Action) -> None:
+        # Also where a list or a lease made the decision: what it leads to is work on jobs.
+        self._site.processor.run(Cause.JOBS, self._carry, now, action)
+
+    def _carry(self, now: int, action: api.Action) -> None:
         match action:
             case api.Send(task, machine, timeout):
                 self._send(now, task, machine, timeout)
--- a/ladderhub/server/services.py
+++ b/ladderhub/server/services.py
@@ -29,6 +29,7 @@
 from ladderhub.server.settings import SettingsError, span_ns
 from ladderhub.server.site import Site
 from ladderhub.server.words import int_of
+from ladderhub.usage.processor import Cause
 
 SETTLED_LOOK_NS = 200_000_000
 SLOT, VERSION = "service_slot", "service_version"
@@ -98,6 +99,9 @@
 
     def start(self) -> None:
         """Take up what an earlier life declared; SpoolError where its file can't be read."""
+        self._site.processor.run(Cause.JOBS, self._restore)
+
+    def _restore(self) -> None:
         try:
             books: list[Book] = msgspec.json.decode(self._path.read_bytes(), type=list[Book])
         except FileNotFoundError:
--- a/ladderhub/server/site.py
+++ b/ladderhub/server/site.py
@@ -23,6 +23,9 @@
 from ladderhub.server.nodelinks import NodeLinks
 from ladderhub.server.runs import Runs
 from ladderhub.server.settings import Loaded
+from ladderhub.server.usagemetrics import UsageMetrics
+from ladderhub.usage.accounted import processor_of
+from ladderhub.usage.traffic import NODE, Traffic
 
 
 class Part(Protocol):
@@ -56,7 +59,9 @@
         self.jobs = JobTable(settings.keep_finished_ns, self.name)
         self.runs = Runs()
         self.metrics = Metrics()
-        self.links = NodeLinks(loop, settings.connect_ns)
+        self.processor, self.traffic = processor_of(loop), Traffic()
+        self.metrics.register(UsageMetrics(self.processor, self.traffic))
+        self.links = NodeLinks(loop, settings.connect_ns, self.traffic.of(NODE))
         self.module = Scheduler(settings.module, settings.file.seed)
         self.owner = Owner(settings.owner, settings.file.seed)
         self.board = Board(loop.now_ns, self._fault)
--- a/tests/test_light.py
+++ b/tests/test_light.py
@@ -12,6 +12,7 @@
 PACKAGES = {f"ladderhub{part}" for part in PARTS}
 OFF = (
     "membership", "peers", "capacity", "revision", "server", "owner", "rollout", "node", "lab", "cli", "pbs",
+    "usage",
 )  # fmt: skip
 CODE = """
 import sys
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -58,7 +58,11 @@
         "ladderhub.owner": {"ladderhub.interface", "ladderhub.owner"},
         "ladderhub.rollout": {"ladderhub.interface", "ladderhub.rollout"},
         "ladderhub.membership": {"ladderhub.membership"},
-        "ladderhub.peers": {"ladderhub.peers", "ladderhub.membership", "ladderhub.loop", "ladderhub.errors"},
+        "ladderhub.usage": {"ladderhub.usage", "ladderhub.loop"},
+        "ladderhub.peers": {
+            "ladderhub.peers", "ladderhub.membership", "ladderhub.loop", "ladderhub.errors",
+            "ladderhub.usage",
+        },
         "ladderhub.pbs": {"ladderhub.pbs", "ladderhub.errors"},
         "ladderhub.loop": {"ladderhub.loop"},
         "ladderhub.translate": {"ladderhub.interface", "ladderhub.errors"},
@@ -69,12 +73,16 @@
             "ladderhub.translate", "ladderhub.decide", "ladderhub.interface", "ladderhub.errors",
         },
         "ladderhub.commands": {"ladderhub", "ladderhub.pbs", "ladderhub.commands", "ladderhub.errors"},
-        "ladderhub.directory": {"ladderhub.directory", "ladderhub.loop", "ladderhub.errors"},
-        "ladderhub.node": {"ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory"},
+        "ladderhub.directory": {
+            "ladderhub.directory", "ladderhub.loop", "ladderhub.errors", "ladderhub.usage",
+        },
+        "ladderhub.node": {
+            "ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory", "ladderhub.usage",
+        },
         "ladderhub.server": {
             "ladderhub.server", "ladderhub.loop", "ladderhub.pbs", "ladderhub.owner", "ladderhub.decide",
             "ladderhub.interface", "ladderhub.directory", "ladderhub.rollout", "ladderhub.board",
-            "ladderhub.errors", "ladderhub.membership", "ladderhub.peers",
+            "ladderhub.errors", "ladderhub.membership", "ladderhub.peers", "ladderhub.usage",
         },
     }  # fmt: skip
     for name, used in imports().items():
