--- a/ladderhub/server/__init__.py
+++ b/ladderhub/server/__init__.py
@@ -5,12 +5,13 @@
 
 One room for one concern, each importing only those above it:
 
-    jobs, board, metrics, settings     state, the queue of events, counters, checked settings
+    jobs, board, metrics, settings/    state, the queue of events, counters, checked settings
     offer, nodelinks, runs, nodelist   one offer's steps, connections to nodes, what is out, the directory
     site                               what all rooms share, and `Part`: what lives as long as the daemon
     placing, words, owning             carry out the two decision modules; what nodes say of runs
-    fellowship                         the other schedulers, where the settings name peers
+    peers                              the other schedulers, where the settings name peers
     intake, members                    jobs from people; the node list and adoption
+    kept_names                         queues and kinds that the file has not, over a restart
     door                               client connections, and the table of requests that rooms join
     submitting, jobrequests, status, operating    what each request does
     daemon                             puts the rooms together; start and clean stop
--- a/ladderhub/usage/processor.py
+++ b/ladderhub/usage/processor.py
@@ -57,6 +57,14 @@
         finally:
             self.switch(before)
 
+    def bound(self, cause: Cause, call: Callable[P, R]) -> Callable[P, R]:
+        """The call, always within a section of this cause."""
+
+        def bound_call(*args: P.args, **options: P.kwargs) -> R:
+            return self.run(cause, call, *args, **options)
+
+        return bound_call
+
     @contextmanager
     def section(self, cause: Cause) -> Iterator[None]:
         """What is done inside is of this cause."""
--- a/tests/usage/test_traffic.py
+++ b/tests/usage/test_traffic.py
@@ -14,7 +14,7 @@
 
 from ladderhub.directory.stats import DirectoryStats
 from ladderhub.directory.wire import Entry, Register, Watch, encode
-from ladderhub.lab.fleet import free_port
+from ladderhub.lab.ports import free_port
 from ladderhub.lab.process import module
 from ladderhub.loop import Listener, Loop, Stream
 from ladderhub.usage.accounted import CountedStream, connect_counted
@@ -168,10 +168,12 @@
         path.write_text(json.dumps(plan))
         process = subprocess.Popen(module("ladderhub.lab.nodehost", str(path), str(out)))
         sock, _ = directory.accept()
-        first = sock.makefile("rb").readline()
+        lines = sock.makefile("rb")
+        first = lines.readline()
         process.send_signal(signal.SIGTERM)
         assert process.wait(20) == 0
-        rest = sock.makefile("rb").read()
+        rest = lines.read()
+        lines.close()
         sock.close()
     stats = json.loads((tmp_path / "out.json.stats").read_text())
     assert stats["nodes"] == 1 and stats["starts"] == 0
