--- a/ladderhub/lab/scale/hollow_nodes.py
+++ b/ladderhub/lab/scale/hollow_nodes.py
@@ -20,12 +20,13 @@
 
 import msgspec
 
-from ladderhub.lab.scale.measure import Counted
+from ladderhub.lab.scale.measure import Counted, counted_by
 from ladderhub.loop import Loop
 from ladderhub.loop.core import READ
 from ladderhub.node.admission import Key, NodeSettings
 from ladderhub.node.agent import Agent
 from ladderhub.node.runners import EmulatedRunner, EmulatedSettings
+from ladderhub.usage.traffic import Traffic
 
 MS, S = 1_000_000, 1_000_000_000
 LOOK_NS = (4 * MS, 15 * MS)
@@ -96,6 +97,7 @@
         self._places = {node.name: node for node in plan.nodes}
         self._agents: dict[str, TimedAgent] = {}
         self._births = 0
+        self.traffic = Traffic()
         self.result = HostResult()
 
     def start(self) -> None:
@@ -115,7 +117,7 @@
         agent = TimedAgent(
             self._loop, node.name, settings, EmulatedRunner(self._loop, emulated, seed),
             directory=plan.directory, rack=node.rack, zone=node.zone, look_ns=LOOK_NS,
-            cold_times=plan.cold_times, answers=plan.answers, seed=seed,
+            cold_times=plan.cold_times, answers=plan.answers, seed=seed, traffic=self.traffic,
         )  # fmt: skip
         agent.result = self.result
         self._agents[node.name] = agent
@@ -174,6 +176,7 @@
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.on_signal(signal.SIGINT, loop.stop)
     loop.run()
+    host.result.counted = counted_by(time.process_time(), host.traffic)
     Path(sys.argv[2]).write_bytes(msgspec.json.encode(host.result))
 
 
--- a/ladderhub/node/directory_link.py
+++ b/ladderhub/node/directory_link.py
@@ -6,7 +6,9 @@
 
 from ladderhub.directory.wire import Entry, Register, Room, State, encode
 from ladderhub.loop import Loop, Stream, Timer
-from ladderhub.loop.stream import Address, connect
+from ladderhub.loop.stream import Address
+from ladderhub.usage.accounted import connect_counted
+from ladderhub.usage.traffic import TrafficCount
 
 MS, S = 1_000_000, 1_000_000_000
 CONNECT_TIMEOUT_NS = 1 * S
@@ -25,7 +27,9 @@
         address: Address,
         entry: Callable[[], Entry],
         free: Callable[[], tuple[float, float]],
+        count: TrafficCount,
     ) -> None:
+        self._count = count
         self._loop, self._address, self._entry, self._free = loop, address, entry, free
         self._stream: Stream | None = None
         self._room_timer: Timer | None = None
@@ -35,9 +39,12 @@
 
     def _connect(self) -> None:
         if not self._closed:
-            self._stream = connect(self._loop, self._address, self, CONNECT_TIMEOUT_NS, self._on_connected)
+            self._stream = connect_counted(
+                self._loop, self._address, self, CONNECT_TIMEOUT_NS, self._on_connected, self._count
+            )
 
     def _on_connected(self, stream: Stream) -> None:
+        self._count.messages_out += 1
         stream.write(encode(Register(self._entry())))
         self._send_room()
 
@@ -50,6 +57,7 @@
 
     def send(self, message: Room | State) -> None:
         if self._stream is not None and self._stream.connected:
+            self._count.messages_out += 1
             self._stream.write(encode(message))
 
     def on_data(self, stream: Stream, data: bytes) -> None:
--- a/ladderhub/node/outbox.py
+++ b/ladderhub/node/outbox.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from ladderhub.loop import Loop, Stream, parse_address
-from ladderhub.loop.stream import connect
 from ladderhub.pbs.batch import ReplyParser, Request, encode_request
 from ladderhub.pbs.dis import DisError
+from ladderhub.usage.accounted import connect_counted
+from ladderhub.usage.traffic import TrafficCount
 
 MS, S = 1_000_000, 1_000_000_000
 CONNECT_TIMEOUT_NS = 1 * S
@@ -16,7 +17,8 @@
 class Outbox:
     """Requests to one scheduler: in order, each sent again until it is acknowledged."""
 
-    def __init__(self, loop: Loop, address: str) -> None:
+    def __init__(self, loop: Loop, address: str, count: TrafficCount | None = None) -> None:
+        self._count = count or TrafficCount()
         self._loop, self._address = loop, parse_address(address)
         self._queue: list[Request] = []  # not acknowledged yet
         self._sent_count = 0  # of these, how many this connection has sent
@@ -39,19 +41,21 @@
         if self._closed or self._stream is not None or not self._queue:
             return
         self._parser, self._sent_count = ReplyParser(), 0
-        self._stream = connect(
-            self._loop, self._address, self, CONNECT_TIMEOUT_NS, lambda _: self._send_queued()
+        self._stream = connect_counted(
+            self._loop, self._address, self, CONNECT_TIMEOUT_NS, lambda _: self._send_queued(), self._count
         )
 
     def _send_queued(self) -> None:
         while self._sent_count < len(self._queue) and self._stream is not None:
             self._stream.write(encode_request(self._queue[self._sent_count]))
+            self._count.messages_out += 1
             self._sent_count += 1
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self._parser.feed(data)
         try:
             while self._parser.next() is not None:
+                self._count.messages_in += 1
                 self._acknowledged()
         except DisError as fault:
             stream.abort(fault)
--- a/ladderhub/server/revisions.py
+++ b/ladderhub/server/revisions.py
@@ -19,6 +19,7 @@
 from ladderhub.server.peers import PeerService
 from ladderhub.server.settings import policy_body
 from ladderhub.server.site import PolicyRevision, Site
+from ladderhub.usage.processor import Cause
 
 S, MS = 1_000_000_000, 1_000_000
 NO_REVISION = 0  # the number of the settings file until it, or another policy, is chosen
@@ -100,7 +101,8 @@
     def start(self) -> None:
         carrier = RevisionCarrier(self._peers.carrier, self.revisions, self)
         self._carrier = carrier
-        self._tell = self._site.board.add(self.revisions, carrier)
+        tell = self._site.board.add(self.revisions, carrier)
+        self._tell = self._site.processor.bound(Cause.CONFIGURATION, tell)
         self._site.before_event = self._check_clock
         carrier.join(self._tell)
 
