Scale run: what directory and node agents count, over the measured span alone

Need: both wrote their counts at their end, so that the first lists and registrations stood among the rates of a span. Change: the directory writes its statistics also on SIGUSR1, a process of hollow nodes its counts when asked; the file appears whole. Work in steps, such as log entries walked, is a figure of its own. The small run in the tests holds what is counted at both ends.

--- a/ladderhub/cli/daemons.py
+++ b/ladderhub/cli/daemons.py
@@ -133,7 +133,9 @@
 @click.command()
 @click.option("--listen", default="127.0.0.1:15009", callback=address_option, show_default=True)
 @click.option("--delay", default=1.0, show_default=True, help="Seconds by which schedulers are told late.")
-@click.option("--stats", type=click.Path(dir_okay=False, path_type=Path), help="Written at the end, as JSON.")
+@click.option(
+    "--stats", type=click.Path(dir_okay=False, path_type=Path), help="Written at SIGUSR1 and the end."
+)
 def directory(listen: tuple[str, int], delay: float, stats: Path | None) -> None:
     """Run the directory that tells schedulers of nodes."""
     from ladderhub.directory.service import Directory
@@ -148,9 +150,18 @@
     log.info("ready", address="{}:{}".format(*service.address))
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.on_signal(signal.SIGINT, loop.stop)
+    if stats is not None:
+        loop.on_signal(signal.SIGUSR1, lambda: _write_whole(stats, msgspec.json.encode(service.stats())))
     loop.run()
     if stats is not None:
-        stats.write_bytes(msgspec.json.encode(service.stats()))
+        _write_whole(stats, msgspec.json.encode(service.stats()))
+
+
+def _write_whole(path: Path, data: bytes) -> None:
+    """Write a file so that whoever finds it finds all of it."""
+    fresh = path.with_name(path.name + ".new")
+    fresh.write_bytes(data)
+    fresh.replace(path)
 
 
 @click.command()
--- a/ladderhub/lab/scale/fleet.py
+++ b/ladderhub/lab/scale/fleet.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from importlib.util import find_spec
 from pathlib import Path
 from typing import Any
@@ -23,11 +24,11 @@
 from ladderhub.lab.scale.churn import Trouble
 from ladderhub.lab.scale.hollow_nodes import HostResult
 from ladderhub.lab.scale.load import Sent
-from ladderhub.lab.scale.measure import fetch, gauge_on
+from ladderhub.lab.scale.measure import Counted, counted_by_directory, fetch, gauge_on, written_anew
 from ladderhub.lab.scale.plan import Plan, ScaleError, Size
 
 SCHEDULER, ELECTOR, DIRECTORY, NODE_AGENT = "scheduler", "elector", "directory", "node_agent"
-HOLLOW_SCHEDULERS, LOAD, CHANGE = "hollow_schedulers", "load", "change"
+HOLLOW_SCHEDULER, LOAD, CHANGE = "hollow_scheduler", "load", "change"
 HOST = "127.0.0.1"
 LOOK_S = 0.25
 Address = tuple[str, int]
@@ -89,15 +90,9 @@
         self.children.pause(self.plan.playing.join_s)
 
     def _start_directory(self) -> None:
-        argv = module("ladderhub", "directory", "--listen", tell.text(self.directory_address))
-        self.children.start("directory", DIRECTORY, [*argv, *self._stats_option()])
-
-    def _stats_option(self) -> list[str]:
-        """The option by which the directory writes what it counted, where it has that option."""
-        from ladderhub.cli.daemons import directory
-
-        has_it = any(option.name == "stats" for option in directory.params)
-        return ["--stats", str(self.directory_stats)] if has_it else []
+        listen, stats = tell.text(self.directory_address), str(self.directory_stats)
+        argv = module("ladderhub", "directory", "--listen", listen, "--stats", stats)
+        self.children.start("directory", DIRECTORY, argv)
 
     def _start_nodes(self) -> None:
         for at, plan in enumerate(tell.host_plans(self.plan, self.nodes, self.directory_address)):
@@ -151,7 +146,7 @@
                 tell.CLUSTER, self._seeds(), self._elector_addresses(), count, self.plan.peers.period,
                 self.plan.peers.lease, self.size.schedulers, self.seed,
             )  # fmt: skip
-            self.hollow = self._start_helper("hollow_schedulers", HOLLOW_SCHEDULERS, "hollow", told)
+            self.hollow = self._start_helper("hollow_schedulers", HOLLOW_SCHEDULER, "hollow", told)
             self.hollow.share = count
 
     # --- waiting ----------------------------------------------------------------------------------------
@@ -180,6 +175,20 @@
         pages = (fetch(scheduler.http, "/metrics") for scheduler in self.schedulers)
         return all(page is not None and gauge_on(page, gauge) == wanted for page in pages)
 
+    # --- what processes without a metrics page count ---------------------------------------------------
+
+    def counted_by_directory(self) -> Counted | None:
+        """None where the directory does not tell in time."""
+        (child,) = self.children.of(DIRECTORY)
+        told = written_anew(self.directory_stats, partial(child.signal, signal.SIGUSR1))
+        return counted_by_directory(self.directory_stats) if told else None
+
+    def counted_by_nodes(self, host: Helper) -> Counted | None:
+        """None where the process of nodes does not tell in time."""
+        file = host.out.with_name(host.out.name + ".counted")
+        told = written_anew(file, partial(host.child.tell, f"count {file}"))
+        return msgspec.json.decode(file.read_bytes(), type=Counted) if told else None
+
     # --- load and troubles ------------------------------------------------------------------------------
 
     def start_load(self) -> None:
--- a/ladderhub/lab/scale/hollow_nodes.py
+++ b/ladderhub/lab/scale/hollow_nodes.py
@@ -6,8 +6,9 @@
     crash NAME BACK_S            the machine is lost with all it ran, and comes back fresh
     restart NAME BACK_S          the node drains, ends what it runs, and comes back fresh
     replace NAME OTHER BACK_S    the node drains and goes for good; another takes its place
+    count FILE                   what all nodes here have counted so far is written to FILE
 
-It ends on SIGTERM or at the end of its input, and then writes to OUT when each job ran, and what it counted.
+It ends on SIGTERM or at the end of its input, and then writes to OUT when each job ran and when it ended.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 
 import msgspec
 
-from ladderhub.lab.scale.measure import Counted, counted_by
+from ladderhub.lab.scale.measure import counted_by
 from ladderhub.loop import Loop
 from ladderhub.loop.core import READ
 from ladderhub.node.admission import Key, NodeSettings
@@ -61,12 +62,10 @@
 
 
 class HostResult(msgspec.Struct):
-    """What a process of nodes leaves: when each job first ran and when it ended here (monotonic clock), and
-    what it counted."""
+    """What a process of nodes leaves: when each job first ran and when it ended here (monotonic clock)."""
 
     ran: dict[str, int] = {}
     ended: dict[str, int] = {}
-    counted: Counted | None = None
 
 
 class TimedAgent(Agent):
@@ -97,7 +96,7 @@
         self._places = {node.name: node for node in plan.nodes}
         self._agents: dict[str, TimedAgent] = {}
         self._births = 0
-        self.traffic = Traffic()
+        self._traffic = Traffic()
         self.result = HostResult()
 
     def start(self) -> None:
@@ -117,7 +116,7 @@
         agent = TimedAgent(
             self._loop, node.name, settings, EmulatedRunner(self._loop, emulated, seed),
             directory=plan.directory, rack=node.rack, zone=node.zone, look_ns=LOOK_NS,
-            cold_times=plan.cold_times, answers=plan.answers, seed=seed, traffic=self.traffic,
+            cold_times=plan.cold_times, answers=plan.answers, seed=seed, traffic=self._traffic,
         )  # fmt: skip
         agent.result = self.result
         self._agents[node.name] = agent
@@ -128,6 +127,9 @@
     def obey(self, line: str) -> None:
         """Do one command; one for a node that is down already is nothing."""
         what, name, *rest = line.split()
+        if what == "count":
+            self._write_counts(Path(name))
+            return
         agent = self._agents.get(name)
         if agent is None:
             return
@@ -141,6 +143,13 @@
         self._loop.call_later(DRAIN_NS, agent.send_away)
         self._loop.call_later(2 * DRAIN_NS, self._lose, name, place, round(float(rest[-1]) * S))
 
+    def _write_counts(self, file: Path) -> None:
+        counted = counted_by(time.process_time(), self._traffic)
+        counted.work["starts"] = float(len(self.result.ran))
+        fresh = file.with_name(file.name + ".new")
+        fresh.write_bytes(msgspec.json.encode(counted))
+        fresh.replace(file)
+
     def _lose(self, name: str, following: NodePlan, back_ns: int) -> None:
         agent = self._agents.pop(name, None)
         if agent is not None:
@@ -176,7 +185,6 @@
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.on_signal(signal.SIGINT, loop.stop)
     loop.run()
-    host.result.counted = counted_by(time.process_time(), host.traffic)
     Path(sys.argv[2]).write_bytes(msgspec.json.encode(host.result))
 
 
--- a/ladderhub/lab/scale/measure.py
+++ b/ladderhub/lab/scale/measure.py
@@ -6,15 +6,18 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 from prometheus_client.parser import text_string_to_metric_families
 
+from ladderhub.directory.stats import DirectoryStats
 from ladderhub.lab.load import cpu_s
 from ladderhub.usage import traffic as usage
 
 PAGE_S = 10.0
+FILE_LOOK_S = 0.01
 NS = 1_000_000_000
 PROCESSOR, BYTES, MESSAGES = "ladderhub_processor_seconds", "ladderhub_bytes", "ladderhub_messages"
 IN, OUT = "in", "out"
@@ -29,11 +32,12 @@
 
 
 class Counted(msgspec.Struct):
-    """What a process counted since its start: seconds by cause, bytes and messages by kind."""
+    """What a process counted since its start: seconds by cause, bytes and messages by kind, work in steps."""
 
     processor_s: dict[str, float] = {}
     bytes: dict[str, Traffic] = {}
     messages: dict[str, Traffic] = {}
+    work: dict[str, float] = {}
 
 
 class Reading(msgspec.Struct):
@@ -124,6 +128,30 @@
     return counted if found else None
 
 
+def counted_by_directory(file: Path) -> Counted:
+    """The statistics file of a directory."""
+    stats: DirectoryStats = msgspec.json.decode(file.read_bytes(), type=DirectoryStats)
+    counted = Counted({WHOLE: stats.processor_seconds})
+    for kind, row in stats.traffic.items():
+        counted.bytes[kind] = Traffic(row["bytes_in"], row["bytes_out"])
+        counted.messages[kind] = Traffic(row["messages_in"], row["messages_out"])
+    for name in ("changes", "rounds", "lists", "rows_sent", "log_entries_walked"):
+        counted.work[name] = float(getattr(stats, name))
+    return counted
+
+
+def written_anew(file: Path, ask: Callable[[], None]) -> bool:
+    """Ask for a statistics file; whether it came in time."""
+    file.unlink(missing_ok=True)
+    ask()
+    until = time.monotonic() + PAGE_S
+    while not file.exists():
+        if time.monotonic() > until:
+            return False
+        time.sleep(FILE_LOOK_S)
+    return True
+
+
 def gauge_on(page: str, name: str) -> float | None:
     """A single value on a metrics page."""
     for line in page.splitlines():
--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -47,6 +47,7 @@
     cores_by_cause: dict[str, float] = {}
     bytes_per_s: dict[str, Traffic] = {}
     messages_per_s: dict[str, Traffic] = {}
+    work_per_s: dict[str, float] = {}
     control: ControlFigures = msgspec.field(default_factory=ControlFigures)
     most: dict[str, float] = {}
     waited: float | None = None
@@ -146,6 +147,8 @@
                 yield f"{name}.{kind}.in", traffic.in_
             if traffic.out is not None:
                 yield f"{name}.{kind}.out", traffic.out
+    for name, rate in role.work_per_s.items():
+        yield f"work_per_s.{name}", rate
     if role.control.cores is not None:
         yield "control.cores", role.control.cores
     if role.control.bytes_per_s is not None:
--- a/ladderhub/lab/scale/roles.py
+++ b/ladderhub/lab/scale/roles.py
@@ -31,6 +31,10 @@
     }
     figures.bytes_per_s = _rates(before.counted.bytes, after.counted.bytes, seconds)
     figures.messages_per_s = _rates(before.counted.messages, after.counted.messages, seconds)
+    figures.work_per_s = {
+        name: (done - before.counted.work.get(name, 0.0)) / seconds
+        for name, done in after.counted.work.items()
+    }
     figures.control = control_figures(figures, control)
     return figures
 
@@ -80,6 +84,10 @@
         },
         bytes_per_s=_mean_traffic([member.bytes_per_s for member in members], weights),
         messages_per_s=_mean_traffic([member.messages_per_s for member in members], weights),
+        work_per_s={
+            name: _mean([member.work_per_s.get(name, 0.0) for member in members], weights)
+            for name in _names([member.work_per_s for member in members])
+        },
         control=ControlFigures(
             _mean_of_known([member.control.cores for member in members], weights),
             _mean_of_known([member.control.bytes_per_s for member in members], weights),
--- a/ladderhub/lab/scale/run.py
+++ b/ladderhub/lab/scale/run.py
@@ -13,7 +13,7 @@
 
 from ladderhub.lab.scale.changes import change_figures, change_moments, times_in_force
 from ladderhub.lab.scale.churn import draw_troubles
-from ladderhub.lab.scale.fleet import DIRECTORY, NODE_AGENT, ScaleFleet
+from ladderhub.lab.scale.fleet import DIRECTORY, HOLLOW_SCHEDULER, NODE_AGENT, ScaleFleet
 from ladderhub.lab.scale.hollow_nodes import HostResult
 from ladderhub.lab.scale.measure import Reading, read_process, read_scheduler
 from ladderhub.lab.scale.plan import Control, Plan, Size
@@ -130,9 +130,13 @@
         child = scheduler.child
         members[child.pid] = Member(child.role, 1, read_scheduler(child.pid, scheduler.http))
     for child in fleet.children.of(DIRECTORY):
-        members[child.pid] = Member(DIRECTORY, 1, read_process(child.pid))
+        members[child.pid] = Member(DIRECTORY, 1, read_process(child.pid, fleet.counted_by_directory()))
     for host in fleet.hosts:
-        members[host.child.pid] = Member(NODE_AGENT, host.share, read_process(host.child.pid))
+        reading = read_process(host.child.pid, fleet.counted_by_nodes(host))
+        members[host.child.pid] = Member(NODE_AGENT, host.share, reading)
+    if fleet.hollow is not None:
+        hollow = fleet.hollow
+        members[hollow.child.pid] = Member(HOLLOW_SCHEDULER, hollow.share, read_process(hollow.child.pid))
     return members
 
 
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -56,6 +56,17 @@
         assert played.roles[role].descriptors > least
 
 
+def test_what_passes_between_roles_is_counted_at_both_ends(played: RunFigures) -> None:
+    directory, agents = played.roles["directory"], played.roles["node_agent"]
+    schedulers = [played.roles["elector"], played.roles["scheduler"]]
+    assert directory.messages_per_s["scheduler"].out and directory.work_per_s["lists"] > 0
+    assert agents.bytes_per_s["scheduler"].in_ and agents.bytes_per_s["directory"].out
+    for scheduler in schedulers:
+        assert scheduler.bytes_per_s["directory"].in_ and scheduler.messages_per_s["client"].in_
+        assert scheduler.control.bytes_per_s and scheduler.control.cores is not None
+        assert set(scheduler.cores_by_cause) >= set(small_plan().control.causes)
+
+
 def test_a_process_that_ends_by_itself_ends_the_run(tmp_path: Path) -> None:
     children = Children(tmp_path, processes_most=10, memory_gib_most=1.0, seconds_most=600.0)
     try:
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -18,7 +18,7 @@
 )  # fmt: skip
 from ladderhub.lab.scale.churn import draw_troubles
 from ladderhub.lab.scale.load import Sent, SentJob, fill_times
-from ladderhub.lab.scale.measure import Counted, Reading, Traffic, counted_on, gauge_on
+from ladderhub.lab.scale.measure import Counted, Reading, Traffic, counted_by_directory, counted_on, gauge_on
 from ladderhub.lab.scale.plan import (
     DIMENSIONS, Budget, Control, Overrides, Plan, PlanError, ScaleError, at_shares, checked, load_plan,
     overridden, slope_sizes,
@@ -248,6 +248,21 @@
     assert counted_on("ladderhub_nodes 60.0\n") is None, "a page without them was not measured"
 
 
+def test_a_directorys_statistics_are_read_with_its_work_in_steps(tmp_path: Path) -> None:
+    row = {"bytes_in": 5, "bytes_out": 6, "messages_in": 1, "messages_out": 2}
+    work = {"changes": 3, "rounds": 4, "lists": 5, "rows_sent": 6, "log_entries_walked": 7}
+    file = tmp_path / "stats.json"
+    file.write_bytes(
+        msgspec.json.encode({"processor_seconds": 0.5, "traffic": {"node": row}, "rows": 9} | work)
+    )
+    counted = counted_by_directory(file)
+    assert counted.bytes == {"node": Traffic(5, 6)} and counted.messages == {"node": Traffic(1, 2)}
+    assert counted.work == work and counted.processor_s == {"whole": 0.5}
+    before = Counted({}, {}, {}, {"log_entries_walked": 2.0})
+    rates = figures_of_process(reading(0.0, 0.0, before), reading(2.0, 0.0, counted), Control([], []))
+    assert rates.work_per_s["log_entries_walked"] == 2.5
+
+
 def reading(at_s: float, processor_s: float, counted: Counted | None = None) -> Reading:
     return Reading(at_s, processor_s, at_s / 5, 50_000_000, 12, counted)
 
