Settings: figures out of range are told by field, with what was found

Cause: what a decision module refused came in its own terms, as "queues[0].limit: must be above 120 ms". A policy is refused for a whole fleet by such words, and nobody writes indexes.

Change: settings/ranges.py checks the policy's figures before the modules do, by the path as it is written. test_commands.py expects the path, what was found and what was meant in place of the index: stricter.

--- a/ladderhub/server/settings/checks.py
+++ b/ladderhub/server/settings/checks.py
@@ -54,6 +54,11 @@
         """The fault of a field."""
         return SettingsError(f"found {found!r}", where=f"{self.source}: {path}", meant=meant)
 
+    def require(self, holds: bool, path: str, found: object, meant: str) -> None:
+        """Raise the fault of a field unless this holds."""
+        if not holds:
+            raise self.wrong(path, found, meant)
+
     def refused(self, fault: ValueError, within: str = "") -> SettingsError:
         """What the settings of a decision module refuse, in their own words."""
         return SettingsError(f"{within}{fault}", where=self.source)
--- a/ladderhub/server/settings/loaded.py
+++ b/ladderhub/server/settings/loaded.py
@@ -14,6 +14,7 @@
 from ladderhub.server.settings.names import NameTable
 from ladderhub.server.settings.peers import peer_settings
 from ladderhub.server.settings.policy import read_policy
+from ladderhub.server.settings.ranges import check_ranges
 from ladderhub.server.settings.schema import File, Kind, Policy, Queue
 from ladderhub.server.settings.terms import (
     Names,
@@ -35,6 +36,7 @@
         self.file, self.source = file, source
         check = Checker(source)
         _check_names(file, check)
+        check_ranges(file, check)
         self.listen = check.address("listen", file.listen)
         self.http = check.address("http", file.http) if file.http else None
         self.directory = check.address("directory", file.directory)
--- a/ladderhub/server/settings/terms.py
+++ b/ladderhub/server/settings/terms.py
@@ -87,8 +87,6 @@
     spread, repeats = queue.spread, queue.repeats or Repeats()
     if queue.kind and queue.kind not in file.kinds:
         raise checker.wrong(f"{path}.kind", queue.kind, "one of " + ", ".join(file.kinds))
-    if spread is not None and spread.most < 1:
-        raise checker.wrong(f"{path}.spread.most", spread.most, "at least 1")
     over = checker.choice(f"{path}.spread.over", _SCOPES, spread.over) if spread else "none"
     return api.TaskClass(
         effect=api.Effect(checker.choice(f"{path}.effect", _EFFECTS, queue.effect)),
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -347,7 +347,10 @@
         (good | {"kinds": {"k": {"cores": "four", "memory": "8gb"}}}, "Expected `float`, got `str`"),
         (good | {"colour": 1}, "unknown field `colour`"),
         ("{ server: 'a', ", "bad.jsonnet"),
-        (good | {"queues": {"q": queue | {"limit": "10ms"}}}, "queues[0].limit"),
+        (
+            good | {"queues": {"q": queue | {"limit": "10ms"}}},
+            "queues.q.limit: found '10ms'; a time above 120ms",
+        ),
     ]
     for value, words in cases:
         status, out = check(value)
