--- a/benchmarks/rolling_restart.py
+++ b/benchmarks/rolling_restart.py
@@ -1,9 +1,10 @@
-"""What a change of configuration costs by a rolling restart: `python benchmarks/rolling_restart.py [SEED]`.
+"""What a change of configuration costs: `python benchmarks/rolling_restart.py [SEED] [--apply]`.
 
 Seven real `serve` with membership and leases over emulated nodes; jobs are submitted in an open loop to
 schedulers drawn at random, without a second try.  Each scheduler in turn gets SIGTERM, is waited for, and is
-started with the new file; the next one follows as soon as it listens.  Printed: the time until the change
-is in force on all, and jobs, starts and memory before, during and after.  Outside CI: two minutes, loopback.
+started with the new file; the next one follows as soon as it listens.  With `--apply` the change is made by
+`ladderhub policy apply` instead.  Printed: the time until the change is in force on all, and jobs, starts and
+memory before, during and after.  Outside CI: two minutes, loopback.
 """
 
 from __future__ import annotations
@@ -11,18 +12,21 @@
 import json
 import os
 import random
+import subprocess
 import sys
 import tempfile
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import datetime
+from functools import partial
 from pathlib import Path
+from typing import Any
 
 from ladderhub.lab.client import BatchClient, Submission, attributes
 from ladderhub.lab.mesh.days import Step
 from ladderhub.lab.mesh.fleet import Mesh
-from ladderhub.lab.mesh.judge import Verdict, check_seats
+from ladderhub.lab.mesh.judge import Verdict, check_leases
 from ladderhub.loop import Loop
 from ladderhub.node.admission import Admission, Ask
 
@@ -31,7 +35,8 @@
 LIFE_S = (2.0, 8.0)
 WARM_UP_S, SPAN_S, SETTLE_S = 20, 20, 22
 RESTART_MOST_NS = 20 * S
-PHASES = ("before", "restarts", "after")
+CHANGE_S = 10  # the least that the change is watched for
+PHASES = ("before", "change", "after")
 
 
 @dataclass
@@ -102,17 +107,38 @@
             self.mesh.do(Step(0, "leave", slot))
             old = scheduler.process
             assert old is not None
-            if not self.fleet.run_until(lambda old=old: old.poll() is not None, RESTART_MOST_NS):
+            if not self.fleet.run_until(partial(_is_over, old), RESTART_MOST_NS):
                 raise RuntimeError(f"{scheduler.name} did not end")
             settings = json.loads(scheduler.file.read_text())
             settings["queues"]["web"]["aim"] = "700ms"
             scheduler.file.write_text(json.dumps(settings))
             self.mesh.do(Step(0, "start", slot))
-            if not self.fleet.run_until(lambda at=scheduler.name: self.fleet.is_up(at), RESTART_MOST_NS):
+            if not self.fleet.run_until(partial(self.fleet.is_up, scheduler.name), RESTART_MOST_NS):
                 raise RuntimeError(f"{scheduler.name} did not come up again")
             self.in_force.append((self.loop.now_ns() - begun) / S)
         return self.in_force[-1]
 
+    def apply_all(self) -> float:
+        """Seconds from the begin of the command until all act by the changed policy."""
+        begun, start = datetime.now().timestamp(), self.loop.now_ns()
+        settings = json.loads(self.fleet.schedulers["sched0"].file.read_text())
+        settings["queues"]["web"]["aim"] = "700ms"
+        file = self.folder / "changed.json"
+        file.write_text(json.dumps(settings))
+        status, text = self.fleet.command("sched0", ["ladderhub", "policy", "apply", str(file)])
+        if status:
+            raise RuntimeError(f"the change was not applied: {text}")
+        self.fleet.run_for(max(0, CHANGE_S * S - (self.loop.now_ns() - start)))
+        rows = [row for name in self.fleet.schedulers for row in self.log_rows(name)]
+        self.in_force = sorted(
+            datetime.fromisoformat(row["timestamp"]).timestamp() - begun
+            for row in rows
+            if row["event"] == "policy" and row["revision"] == 2
+        )
+        if len(self.in_force) != SCHEDULERS:
+            raise RuntimeError("the change is not in force on all")
+        return self.in_force[-1]
+
     def known_jobs(self) -> int:
         """How many jobs, finished ones too, the schedulers can tell of."""
         counts: list[int] = []
@@ -124,8 +150,8 @@
             client.close()
         return sum(counts)
 
-    def play(self) -> Iterator[str]:
-        """Start, load, restart and tell; lines of the report."""
+    def play(self, apply: bool) -> Iterator[str]:
+        """Start, load, change and tell; lines of the report."""
         self.mesh.start()
         self.watch_starts()
         self.submit()
@@ -134,34 +160,36 @@
         self.fleet.run_for(SPAN_S * S)
         known = self.known_jobs()
         self.mesh.note("day")
-        self.phase = "restarts"
-        took = self.restart_all()
+        self.phase = "change"
+        took = self.apply_all() if apply else self.restart_all()
         forgotten = known - self.known_jobs()
         self.phase = "after"
         self.fleet.run_for(SPAN_S * S)
         self.mesh.note("settled")
         self.phase = "settling"
         self.fleet.run_for(SETTLE_S * S)
-        yield f"in force on all after {took:.1f} s: one after another at {_list(self.in_force)} s"
+        yield f"in force on all after {took:.2f} s: one after another at {_list(self.in_force)} s"
         yield from self.report()
-        yield f"jobs that could be asked after: {known} before, {forgotten} fewer after the last restart"
+        yield f"jobs that could be asked after: {known} before, {forgotten} fewer after the change"
         verdict = Verdict()
         until = next(row["at"] for row in self.mesh.rows if row["what"] == "settled")
         self.mesh.read_logs()
         rows = [row for row in self.mesh.rows if row["at"] <= until]
-        check_seats(verdict, rows, self.mesh.window_s, SCHEDULERS)
-        idle = 100 * verdict.seats_idle
-        yield f"leases of slots: {idle:.0f} % of slots and time unused from the first restart on"
+        check_leases(verdict, rows, self.mesh.window_s, SCHEDULERS)
+        idle = 100 * verdict.idle_share
+        yield f"leases of slots: {idle:.0f} % of slots and time unused from the begin of the change on"
 
     # --- the report ---------------------------------------------------------------------------------------
 
+    def log_rows(self, name: str) -> Iterator[dict[str, Any]]:
+        yield from map(json.loads, (self.folder / name / "log").read_bytes().splitlines())
+
     def answers(self) -> tuple[dict[str, tuple[float, str]], int]:
         """From the schedulers' logs: when and how each job was answered first, and how many were adopted."""
         found: dict[str, tuple[float, str]] = {}
         adopted = 0
         for name in self.fleet.schedulers:
-            for line in (self.folder / name / "log").read_bytes().splitlines():
-                row = json.loads(line)
+            for row in self.log_rows(name):
                 adopted += row["event"] == "adopted"
                 if row["event"] == "answer" and row["job"] not in found:
                     at = datetime.fromisoformat(row["timestamp"]).timestamp()
@@ -194,6 +222,10 @@
         self.loop.close()
 
 
+def _is_over(process: subprocess.Popen[bytes]) -> bool:
+    return process.poll() is not None
+
+
 def _kind(job: Job) -> str:
     if not job.answered:
         return "no end seen"
@@ -201,7 +233,7 @@
 
 
 def _list(values: list[float]) -> str:
-    return ", ".join(f"{value:.1f}" for value in values)
+    return ", ".join(f"{value:.2f}" for value in values)
 
 
 def _quantile(ordered: list[float], share: float) -> float:
@@ -209,16 +241,17 @@
     return 1000 * ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
 
 
-def main(seed: int) -> None:
+def main(seed: int, apply: bool) -> None:
     print(f"{os.cpu_count()} cores; {SCHEDULERS} schedulers, {NODES} nodes, {RATE:g} jobs/s, seed {seed}")
     with tempfile.TemporaryDirectory(prefix="ladderhub-restart-") as folder:
         run = Run(Path(folder), seed)
         try:
-            for line in run.play():
+            for line in run.play(apply):
                 print(line)
         finally:
             run.close()
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
+    seeds = [int(word) for word in sys.argv[1:] if word != "--apply"]
+    main(seeds[0] if seeds else 1, "--apply" in sys.argv)
--- a/ladderhub/cli/common.py
+++ b/ladderhub/cli/common.py
@@ -63,19 +63,6 @@
         fail(fault)
 
 
-def evaluate_jsonnet(file: Path) -> Any:
-    """The value of a Jsonnet file; `SettingsError` where it can't be evaluated."""
-    import _jsonnet
-
-    try:
-        return msgspec.json.decode(_jsonnet.evaluate_file(str(file)))
-    except RuntimeError as fault:
-        from ladderhub.server.settings import SettingsError
-
-        lines = [line.strip() for line in str(fault).splitlines() if line.strip()]
-        raise SettingsError("; ".join(lines[:2])) from None
-
-
 def address_option(context: click.Context, option: click.Parameter, text: str) -> tuple[str, int]:
     """Reads an option that is HOST:PORT."""
     from ladderhub.server.settings import SettingsError, address_of
--- a/ladderhub/cli/policy.py
+++ b/ladderhub/cli/policy.py
@@ -8,7 +8,6 @@
 
 import click
 
-from ladderhub.cli.common import evaluate_jsonnet
 from ladderhub.commands.client import CommandError, Connection, words
 from ladderhub.errors import LadderhubError
 from ladderhub.pbs import names as n
@@ -49,11 +48,11 @@
 
 def _read_body(file: Path) -> bytes:
     """The policy in a file: that of whole settings, or the policy alone; ends the command if it is none."""
-    from ladderhub.server.settings import check, policy_body
+    from ladderhub.server.settings import check, evaluate, policy_body
     from ladderhub.server.settings.policy import read_policy
 
     try:
-        value: Any = evaluate_jsonnet(file)
+        value: Any = evaluate(file)
         if isinstance(value, dict) and "server" in value:
             return policy_body(check(value, str(file)).file)
         import msgspec
--- a/ladderhub/cli/rollout.py
+++ b/ladderhub/cli/rollout.py
@@ -9,7 +9,6 @@
 
 import click
 
-from ladderhub.cli.common import evaluate_jsonnet
 from ladderhub.commands.client import CommandError, Connection, words
 from ladderhub.errors import LadderhubError
 from ladderhub.pbs import names as n
@@ -46,8 +45,10 @@
 def read_file(path: Path) -> tuple[str, list[Attr]]:
     """A service's name and the attributes of its declaration; exits with one message where it can't be
     read."""
+    from ladderhub.server.settings import evaluate
+
     try:
-        value: Any = evaluate_jsonnet(path)
+        value: Any = evaluate(path)
     except LadderhubError as fault:
         _fail(str(fault), 1)
     if not isinstance(value, dict) or not isinstance(value.get("service"), str):
--- a/ladderhub/server/settings/__init__.py
+++ b/ladderhub/server/settings/__init__.py
@@ -9,7 +9,7 @@
 """
 
 from ladderhub.server.settings.checks import SettingsError, address_of, span_ns
-from ladderhub.server.settings.loaded import Loaded, check, load
+from ladderhub.server.settings.loaded import Loaded, check, evaluate, load
 from ladderhub.server.settings.names import NameTable
 from ladderhub.server.settings.peers import PeerSettings
 from ladderhub.server.settings.policy import policy_body, policy_difference
@@ -21,6 +21,7 @@
     "SettingsError",
     "address_of",
     "check",
+    "evaluate",
     "load",
     "policy_body",
     "policy_difference",
--- a/ladderhub/server/settings/loaded.py
+++ b/ladderhub/server/settings/loaded.py
@@ -112,13 +112,17 @@
         raise wrong_shape(fault, source) from None
 
 
-def load(path: Path) -> Loaded:
-    """Evaluate and check a file; `SettingsError` where it can't be used."""
+def evaluate(path: Path) -> Any:
+    """The value of a Jsonnet file; `SettingsError` where it can't be evaluated."""
     import _jsonnet
 
     try:
-        text = _jsonnet.evaluate_file(str(path))
+        return msgspec.json.decode(_jsonnet.evaluate_file(str(path)))
     except RuntimeError as fault:
         lines = [line.strip() for line in str(fault).splitlines() if line.strip()]
         raise SettingsError("; ".join(lines[:2])) from None
-    return check(msgspec.json.decode(text), str(path))
+
+
+def load(path: Path) -> Loaded:
+    """Evaluate and check a file; `SettingsError` where it can't be used."""
+    return check(evaluate(path), str(path))
