Intake: a job that only a removed kind of node holds is refused at once

Cause: the check counted kinds that the policy has no more, so such a job was taken and refused at its limit.

Change: only kinds that the policy has are looked at.

--- a/ladderhub/server/intake.py
+++ b/ladderhub/server/intake.py
@@ -52,9 +52,12 @@
 
     def check(self, record: JobRecord, taken: bool = False) -> str:
         """Why the job could never be placed; "" where it could.  One that was taken keeps its account."""
-        module = self._site.settings.module
+        module, names = self._site.settings.module, self._site.settings.kinds
         klass = module.classes[record.queue]
-        kinds = [kind for at, kind in enumerate(module.kinds) if klass.kind in (-1, at)]
+        kinds = [
+            kind for at, kind in enumerate(module.kinds)
+            if klass.kind in (-1, at) and names.is_open(names.all[at])
+        ]  # fmt: skip
         if kinds and not any(
             record.cores <= kind.cores * module.admit_cores
             and record.memory <= kind.memory * module.admit_memory
--- a/tests/server/test_settings_change.py
+++ b/tests/server/test_settings_change.py
@@ -53,10 +53,10 @@
     assert site.revision.number == number and site.settings is loaded
 
 
-def refused(world: World, queue: str, account: str = "north") -> str:
+def refused(world: World, queue: str, account: str = "north", cpus: float = 1.0) -> str:
     """What a submission is told that is not taken."""
     told: list[tuple[str, str]] = []
-    attrs = attributes("work", queue, 1.0, 1.0, 30, account)
+    attrs = attributes("work", queue, cpus, 1.0, 30, account)
     Submission(world.loop, world.public, queue, attrs, b"true\n", lambda job, why: told.append((job, why)))
     world.until(lambda: told)
     assert not told[0][0]
@@ -188,6 +188,7 @@
         del value["kinds"]["large"], value["queues"]["billing"]
 
     change(world, edit)
+    assert "no kind of node here holds 64 cores" in refused(world, "web", cpus=WHOLE)
     waits = world.submit("web")
     world.run_for(S // 2)
     assert (world.row(waits).get("run_count"), world.row(runs).get("job_state")) == ("0", "R")
