--- a/ladderhub/server/settings/loaded.py
+++ b/ladderhub/server/settings/loaded.py
@@ -14,6 +14,7 @@
 from ladderhub.server.settings.names import NameTable
 from ladderhub.server.settings.peers import peer_settings
 from ladderhub.server.settings.policy import read_policy
+from ladderhub.server.settings.ranges import check_ranges
 from ladderhub.server.settings.schema import File, Kind, Policy, Queue
 from ladderhub.server.settings.terms import (
     Names,
@@ -35,6 +36,7 @@
         self.file, self.source = file, source
         check = Checker(source)
         _check_names(file, check)
+        check_ranges(file, check)
         self.listen = check.address("listen", file.listen)
         self.http = check.address("http", file.http) if file.http else None
         self.directory = check.address("directory", file.directory)
@@ -112,13 +114,17 @@
         raise wrong_shape(fault, source) from None
 
 
-def load(path: Path) -> Loaded:
-    """Evaluate and check a file; `SettingsError` where it can't be used."""
+def evaluate(path: Path) -> Any:
+    """The value of a Jsonnet file; `SettingsError` where it can't be evaluated."""
     import _jsonnet
 
     try:
-        text = _jsonnet.evaluate_file(str(path))
+        return msgspec.json.decode(_jsonnet.evaluate_file(str(path)))
     except RuntimeError as fault:
         lines = [line.strip() for line in str(fault).splitlines() if line.strip()]
         raise SettingsError("; ".join(lines[:2])) from None
-    return check(msgspec.json.decode(text), str(path))
+
+
+def load(path: Path) -> Loaded:
+    """Evaluate and check a file; `SettingsError` where it can't be used."""
+    return check(evaluate(path), str(path))
