--- a/ladderhub/lab/scale/measure.py
+++ b/ladderhub/lab/scale/measure.py
@@ -12,11 +12,13 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from ladderhub.lab.load import cpu_s
+from ladderhub.usage import traffic as usage
 
 PAGE_S = 10.0
 NS = 1_000_000_000
 PROCESSOR, BYTES, MESSAGES = "ladderhub_processor_seconds", "ladderhub_bytes", "ladderhub_messages"
 IN, OUT = "in", "out"
+WHOLE = "whole"  # the cause where time is not told apart
 
 
 class Traffic(msgspec.Struct):
@@ -93,6 +95,15 @@
         return None
 
 
+def counted_by(processor_s: float, traffic: usage.Traffic) -> Counted:
+    """What a process of the laboratory counted; its processor time has no causes."""
+    counted = Counted({WHOLE: processor_s})
+    for kind, count in traffic.kinds.items():
+        counted.bytes[kind] = Traffic(count.bytes_in, count.bytes_out)
+        counted.messages[kind] = Traffic(count.messages_in, count.messages_out)
+    return counted
+
+
 def counted_on(page: str) -> Counted | None:
     """The counters on a metrics page; None where it has none of them."""
     counted = Counted()
