Tests side by side: listeners of tests and fleets on a loopback address of their process

Need: one test in one of two runs of 350 by six workers ended with an exception on its loop that its text does not explain, and that 800 plays of it alone on a busy machine did not show again. Change: these listeners stand on an address of 127.0.0.0/8 that belongs to the process, so callers of other processes never reach them; the bed tells what the exception was.

--- a/ladderhub/lab/fleet.py
+++ b/ladderhub/lab/fleet.py
@@ -17,7 +17,7 @@
 
 from ladderhub.directory.service import Directory
 from ladderhub.lab.flaky import FlakyAgent
-from ladderhub.lab.ports import free_port
+from ladderhub.lab.ports import free_port, own_host
 from ladderhub.lab.process import module
 from ladderhub.lab.tap import Tap
 from ladderhub.loop import Loop
@@ -89,7 +89,7 @@
         self._runner, self._emulated = runner, emulated or EmulatedSettings()
         self._racks, self._prefix, self._peers = racks, prefix, peers
         self.tap = Tap(loop, record) if record is not None else None
-        self.directory = Directory(loop, ("127.0.0.1", 0), list_delay_ns, lapse_ns=1 * S)
+        self.directory = Directory(loop, (own_host(), 0), list_delay_ns, lapse_ns=1 * S)
         self.schedulers: dict[str, SchedulerProcess] = {}
         self.nodes: dict[str, FlakyAgent] = {}
         self._places: dict[str, tuple[str, str, int, tuple[str, int]]] = {}
--- a/ladderhub/lab/mesh/relay.py
+++ b/ladderhub/lab/mesh/relay.py
@@ -9,6 +9,7 @@
 
 from ladderhub.lab.emulator.net import Faults
 from ladderhub.lab.mesh.days import Pairs
+from ladderhub.lab.ports import own_host
 from ladderhub.loop import Loop
 from ladderhub.loop.datagram import Datagrams
 from ladderhub.loop.stream import Address
@@ -34,7 +35,7 @@
         self._private[slot] = private
         self._slots[private] = slot
         self._sockets[slot] = Datagrams(
-            self.loop, ("127.0.0.1", 0), lambda data, source: self._pass(slot, data, source)
+            self.loop, (own_host(), 0), lambda data, source: self._pass(slot, data, source)
         )
         return self._sockets[slot].address
 
--- a/ladderhub/lab/ports.py
+++ b/ladderhub/lab/ports.py
@@ -1,9 +1,12 @@
-"""Ports of 127.0.0.1 for processes that are still to start, each given out once on this machine.
+"""Places on loopback that no other process uses, for fleets and tests that run side by side.
 
-Between the choice of a port and its use nobody listens there, so another fleet beside this one could choose
-it too.  Each choice is therefore locked for the life of the process that made it: one byte of a file that
-all processes of the user share, at the offset of the port's number.  The system releases the locks at the
-process's end, however it ends."""
+`own_host` is an address of the loopback network for listeners of this process, on any port that the system
+gives: a caller that goes on trying a listener which has ended elsewhere never comes to one of ours.
+
+`free_port` is for processes that are still to start, on 127.0.0.1.  Between the choice of a port and its use
+nobody listens there, so another fleet beside this one could choose it too.  Each choice is therefore locked
+for the life of the process that made it: one byte of a file that all processes of the user share, at the
+offset of the port's number.  The system releases the locks at the process's end, however it ends."""
 
 from __future__ import annotations
 
@@ -17,9 +20,17 @@
 
 FIRST_PORT, LAST_PORT = 11_000, 31_999  # below the range from which the system takes ports for connections
 
+_OWN_NETWORK = 64  # 127.64.0.0 on: room for all process numbers, away from the addresses in common use
+
 _given: set[int] = set()  # by this process: its own locks do not keep it out
 
 
+def own_host() -> str:
+    """An address of the loopback network that is this process's own while it lives."""
+    number = os.getpid()
+    return f"127.{_OWN_NETWORK + (number >> 16)}.{number >> 8 & 255}.{number & 255}"
+
+
 @cache
 def _lock_file() -> int:
     """The descriptor of the shared file.  It stays open: closing it would release all locks."""
--- a/ladderhub/lab/tap.py
+++ b/ladderhub/lab/tap.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ladderhub.lab.ports import own_host
 from ladderhub.loop import Listener, Loop, Stream
 from ladderhub.loop.stream import Address, connect
 
@@ -42,7 +43,7 @@
 
     def add(self, channel: str, target: Address) -> Address:
         """Listen for `target`; gives the address to be used in its stead."""
-        listener = Listener(self.loop, ("127.0.0.1", 0), lambda sock: self._accept(channel, target, sock))
+        listener = Listener(self.loop, (own_host(), 0), lambda sock: self._accept(channel, target, sock))
         self._listeners.append(listener)
         return listener.address
 
--- a/tests/lab/test_ports.py
+++ b/tests/lab/test_ports.py
@@ -51,3 +51,14 @@
         sock.bind(("127.0.0.1", given[0]))
         assert not ports._is_unused(given[0])
     assert ports._is_unused(given[0])
+
+
+def test_each_process_has_a_loopback_address_of_its_own() -> None:
+    # Guards against callers of one test that reach another's listener by a port that was used again.
+    code = "from ladderhub.lab import ports; print(ports.own_host())"
+    other = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    hosts = {ports.own_host(), other.stdout.strip()}
+    assert len(hosts) == 2
+    for host in hosts:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from ladderhub.decide import Scheduler
+from ladderhub.lab.ports import own_host
 from ladderhub.loop import Listener, Loop, ManualClock, Stream
 from ladderhub.platform.config import load
 from ladderhub.platform.report import Report
@@ -82,7 +83,7 @@
         self.silent = False
         self.on_accept: Callable[[MachineConn], object] = lambda conn: None
         self.dead: list[MachineConn] = []  # connections that stay open and bring nothing any more
-        self.listener = Listener(bed.loop, ("127.0.0.1", 0), self._accept)
+        self.listener = Listener(bed.loop, (own_host(), 0), self._accept)
         self.address = self.listener.address
 
     def _accept(self, sock: Any) -> None:
@@ -150,7 +151,7 @@
         self.tails: list[bytes] = []
         self.streams: list[Stream] = []
         self.bed = bed
-        self.listener = Listener(bed.loop, ("127.0.0.1", 0), self._accept)
+        self.listener = Listener(bed.loop, (own_host(), 0), self._accept)
         self.address = ":".join(map(str, self.listener.address))
 
     def _accept(self, sock: Any) -> None:
@@ -198,7 +199,7 @@
         self.environment = {"PROXY_NAME": "n0", "PROXY_CONFIG": str(self.path)}
         self.path.write_text(json.dumps(self.file))
         report = Report(self.clock.now_ns, lambda data: self.logged.append(json.loads(data)))
-        config = replace(load(self.environment), listen=("127.0.0.1", 0))  # any free port, which no file says
+        config = replace(load(self.environment), listen=(own_host(), 0))  # any free port, which no file says
         self.service = Service(self.loop, config, report)
         self.service.start()
         while caught_up and not self.service.follower.caught_up:
@@ -239,7 +240,7 @@
         return self.service.tasks.module
 
     def close(self) -> None:
-        assert self.troubles == []
+        assert self.troubles == [], self.troubles
         assert not [row for row in self.logged if row["event"] == "trouble"]
         self.loop.close()
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,7 +16,7 @@
 from ladderhub.lab.client import BatchClient, Submission, attributes
 from ladderhub.lab.fleet import SETTINGS
 from ladderhub.lab.flaky import FlakyAgent
-from ladderhub.lab.ports import free_port
+from ladderhub.lab.ports import free_port, own_host
 from ladderhub.lab.tap import Tap
 from ladderhub.loop import Loop
 from ladderhub.node.admission import NodeSettings
@@ -44,7 +44,7 @@
         self.troubles: list[BaseException] = []
         self.loop = Loop(trouble=lambda where, fault: self.troubles.append(fault))
         self.tap = Tap(self.loop, folder / "recording.tap") if record else None
-        self.directory = Directory(self.loop, ("127.0.0.1", 0), delay_ns=0, lapse_ns=200 * MS)
+        self.directory = Directory(self.loop, (own_host(), 0), delay_ns=0, lapse_ns=200 * MS)
         self.settings: dict[str, Any] = copy.deepcopy(SETTINGS)
         self.settings["nodes"]["answers"] = answers
         for queue in self.settings["queues"].values():
