--- a/ladderhub/lab/mesh/change_days.py
+++ b/ladderhub/lab/mesh/change_days.py
@@ -13,16 +13,22 @@
 
 
 def _changes(count: int, rng: random.Random) -> Day:
-    """A change a second for a minute.  The voters are the first slots, a majority of them on the left."""
+    """A change a second for a minute.  The voters are the first slots, a majority of them on the left.
+
+    One is started anew at once, one without its record, and one comes back from an old record."""
     voters = min(5, count) - (min(5, count) + 1) % 2
     left = [*range(voters // 2 + 1), *range(voters, voters + (count - voters) // 2)]
     right = [slot for slot in range(count) if slot not in left]
     killed, paused = rng.sample(range(count), 2)
     deaf, mute = rng.sample(range(count), 2)
+    old = rng.choice(right)
+    forgetful = rng.choice([slot for slot in range(count) if slot != old])
     bad = Faults(loss=0.1, delay_ns=(MS // 2, 20 * MS))
     steps = [
         Step(0.1, "net", value=bad), Step(8, "kill", killed), Step(9.5, "start", killed),
         Step(15, "pause", paused), Step(20, "go_on", paused),
+        Step(22, "kill", forgetful), Step(22.5, "forget", forgetful), Step(23.5, "start", forgetful),
+        Step(27, "kill", old), Step(45, "start", old),
         Step(24, "cut", value=frozenset({(mute, deaf)})), Step(30, "cut", value=frozenset()),
         Step(33, "cut", value=between(left, right)), Step(42, "cut", value=frozenset()),
     ]  # fmt: skip
--- a/ladderhub/lab/mesh/changes.py
+++ b/ladderhub/lab/mesh/changes.py
@@ -17,6 +17,7 @@
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, Request
 
+RECORD = "revisions"  # in the spool of a scheduler
 SERVICES = 40
 LIFE_S = (0.5, 2.0)
 AIM_MS = 700  # of the first change; each has another
@@ -85,6 +86,8 @@
     def do(self, step: Step) -> None:
         if step.what == "change":
             self._change(step.who, bool(step.value))
+        elif step.what == "forget":
+            (self.folder / self.name_of(step.who) / RECORD).unlink()
         else:
             super().do(step)
 
--- a/ladderhub/lab/mesh/days.py
+++ b/ladderhub/lab/mesh/days.py
@@ -26,7 +26,8 @@
     `usurp`: a scheduler of a new name at the address of slot `value`; `back`: start with a clock set back and
     an empty spool; `hold` and `release`: keep copies of what `who` sends, and send them late; `noise`:
     datagrams that are no messages; `change`: an operator asks there for another policy, with `value` True for
-    one made from the revision in force there, which loses where another comes first."""
+    one made from the revision in force there, which loses where another comes first; `forget`: the record of
+    revisions in the spool of `who`, which does not run, is lost."""
 
     at_s: float
     what: str
