--- a/ladderhub/node/connection.py
+++ b/ladderhub/node/connection.py
@@ -14,6 +14,8 @@
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Reply, Request, refusal
 from ladderhub.pbs.connection import SUBMITTING, Exchange, ServerConnection
+from ladderhub.usage.accounted import CountedStream
+from ladderhub.usage.traffic import SCHEDULER, Traffic
 
 MAX_UNSERVED_BYTES = 2 * n.SCRIPT_MOST
 Answer = Callable[[Reply], None]
@@ -23,6 +25,7 @@
     """What a connection asks of its node."""
 
     loop: Loop
+    traffic: Traffic
 
     def offered(self, request: Request, answer: Answer) -> None:
         """Queue Job; answered once the node has admitted or refused the job."""
@@ -55,10 +58,12 @@
         self._admitting = False  # its Queue Job is not answered yet
         self._serving = False  # inside `_serve_next`
         self._unserved: deque[Exchange] = deque()
-        self.stream = Stream(jobs.loop, sock, self)
+        self._count = jobs.traffic.of(SCHEDULER)
+        self.stream = CountedStream(jobs.loop, sock, self, self._count)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         for exchange in self._connection.receive(data):
+            self._count.messages_in += 1
             self._unserved.append(exchange)
         self._serve_next()
         if self._connection.trouble is not None:
@@ -142,6 +147,7 @@
                 return
             assert isinstance(exchange.reply, bytes)  # nodes have no long replies
             if exchange.reply:
+                self._count.messages_out += 1
                 self.send(exchange.request, exchange.reply)
             if exchange.last:
                 self.stream.close()
--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -25,6 +25,7 @@
 from ladderhub.peers.wire import VERSION, Frame, FrameFault, cluster_tag, decode, encode
 from ladderhub.revision import types as revision_types
 from ladderhub.revision.messages import Head, RevisionMessage
+from ladderhub.usage.traffic import UNREADABLE, Traffic
 
 SPOILT_REPORT_INTERVAL_NS = 1_000_000_000
 MAX_PARSED_ADDRESSES = 10_000  # kept; peers choose what addresses we are told of
@@ -53,9 +54,11 @@
         view: MembershipView,
         on_change: Callable[[MemberChanged], None],
         on_spoilt: Callable[[Spoilt], None],
+        traffic: Traffic | None = None,
     ) -> None:
         self.loop, self.view = loop, view
         self.tally = Tally()
+        self.traffic = traffic or Traffic()
         self._cluster_tag = cluster_tag(cluster)
         self._on_change, self._on_spoilt = on_change, on_spoilt
         self._tell_view: Callable[[Event], None] = _not_joined
@@ -82,6 +85,7 @@
 
     def _on_datagram(self, data: bytes, source: Address) -> None:
         frame = decode(data, self._cluster_tag)
+        self._count_in(frame, len(data))
         if isinstance(frame, FrameFault):
             self.tally.count(frame.value, "{}:{}".format(*source))
             return
@@ -145,7 +149,17 @@
         )  # fmt: skip
         parsed = self._parse(address)
         if parsed is not None:
-            self.datagrams.send(encode(frame), parsed)
+            data = encode(frame)
+            count = self.traffic.of_message(message)
+            count.messages_out += 1
+            count.bytes_out += len(data)
+            self.datagrams.send(data, parsed)
+
+    def _count_in(self, frame: Frame | FrameFault, size: int) -> None:
+        traffic = self.traffic
+        count = traffic.of_message(frame.message) if isinstance(frame, Frame) else traffic.of(UNREADABLE)
+        count.messages_in += 1
+        count.bytes_in += size
 
     def _parse(self, address: str) -> Address | None:
         """Addresses come from peers: what is none is counted, and not sent to."""
--- a/ladderhub/server/peers.py
+++ b/ladderhub/server/peers.py
@@ -26,6 +26,7 @@
 from ladderhub.server.lasting import SpoolError, write_lasting
 from ladderhub.server.settings import PeerSettings
 from ladderhub.server.site import Site
+from ladderhub.usage.processor import Cause
 
 SAVE_INTERVAL_NS = 5_000_000_000
 _WARNED_CHANGES = (Change.DUPLICATE, Change.YIELDED, Change.REPORTED_GONE, Change.UNCONFIRMED)
@@ -134,9 +135,18 @@
     # --- as a part --------------------------------------------------------------------------------------
 
     def start(self) -> None:
+        self._site.processor.run(Cause.PEERS, self._start)
+
+    def _start(self) -> None:
         site, settings = self._site, self._settings
         carrier = PeerCarrier(
-            site.loop, settings.listen, settings.cluster, self.view, self._log_change, self._log_spoilt
+            site.loop,
+            settings.listen,
+            settings.cluster,
+            self.view,
+            self._log_change,
+            self._log_spoilt,
+            site.traffic,
         )
         self._carrier = carrier
         if settings.voters:
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -61,9 +61,10 @@
         "ladderhub.rollout": {"ladderhub.interface", "ladderhub.rollout"},
         "ladderhub.membership": {"ladderhub.membership"},
         "ladderhub.revision": {"ladderhub.revision"},
+        "ladderhub.usage": {"ladderhub.usage", "ladderhub.loop"},
         "ladderhub.peers": {
             "ladderhub.peers", "ladderhub.membership", "ladderhub.revision", "ladderhub.loop",
-            "ladderhub.errors",
+            "ladderhub.errors", "ladderhub.usage",
         },
         "ladderhub.pbs": {"ladderhub.pbs", "ladderhub.errors"},
         "ladderhub.loop": {"ladderhub.loop"},
@@ -75,12 +76,17 @@
             "ladderhub.translate", "ladderhub.decide", "ladderhub.interface", "ladderhub.errors",
         },
         "ladderhub.commands": {"ladderhub", "ladderhub.pbs", "ladderhub.commands", "ladderhub.errors"},
-        "ladderhub.directory": {"ladderhub.directory", "ladderhub.loop", "ladderhub.errors"},
-        "ladderhub.node": {"ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory"},
+        "ladderhub.directory": {
+            "ladderhub.directory", "ladderhub.loop", "ladderhub.errors", "ladderhub.usage",
+        },
+        "ladderhub.node": {
+            "ladderhub.node", "ladderhub.loop", "ladderhub.pbs", "ladderhub.directory", "ladderhub.usage",
+        },
         "ladderhub.server": {
             "ladderhub.server", "ladderhub.loop", "ladderhub.pbs", "ladderhub.owner", "ladderhub.decide",
             "ladderhub.interface", "ladderhub.directory", "ladderhub.rollout", "ladderhub.board",
             "ladderhub.errors", "ladderhub.membership", "ladderhub.peers", "ladderhub.revision",
+            "ladderhub.usage",
         },
     }  # fmt: skip
     for name, used in imports().items():
