A directory that starts anew tells no full list before nodes had time to register

Seen: benchmarks/losses.py restart, a directory killed and started again under 1,100 nodes: up to 444 of 600 running jobs were stopped and started elsewhere. Checked: its first full list came 1.7 to 2.1 s after the kill and lacked 57 to 1,098 nodes, which registered 0.2 to 0.4 s later; schedulers take a node that a full list omits for gone, as they should. At fault: directory/service.py, _send: full at once for any watcher; and versions that began at one in each life, so that a version of an earlier life could pass for one of this. Change: for settle_ns from its start (, 5 s; nodes try again each 0.2 s) it tells what it knows as changes, and one full list to each watcher after that; versions grow over all lives. The sending is split by step.

--- a/ladderhub/cli/daemons.py
+++ b/ladderhub/cli/daemons.py
@@ -133,17 +133,23 @@
 @click.command()
 @click.option("--listen", default="127.0.0.1:15009", callback=address_option, show_default=True)
 @click.option("--delay", default=1.0, show_default=True, help="Seconds by which schedulers are told late.")
+@click.option(
+    "--settle",
+    default=5.0,
+    show_default=True,
+    help="Seconds from its start in which it tells no full list: nodes try again each 0.2 s.",
+)
 @click.option(
     "--stats", type=click.Path(dir_okay=False, path_type=Path), help="Written at SIGUSR1 and the end."
 )
-def directory(listen: tuple[str, int], delay: float, stats: Path | None) -> None:
+def directory(listen: tuple[str, int], delay: float, settle: float, stats: Path | None) -> None:
     """Run the directory that tells schedulers of nodes."""
     from ladderhub.directory.service import Directory
 
     log = set_up_log("json", "info")
     loop = make_loop(log)
     try:
-        service = Directory(loop, listen, round(delay * 1e9))
+        service = Directory(loop, listen, round(delay * 1e9), settle_ns=round(settle * 1e9))
     except OSError as fault:
         click.echo(f"ladderhub: cannot start: {fault}", err=True)
         sys.exit(1)
--- a/ladderhub/directory/service.py
+++ b/ladderhub/directory/service.py
@@ -28,19 +28,26 @@
 
 PUSH_NS = 200_000_000
 CHANGES_MOST = 10_000
+VERSION_STEP_NS = 1_000  # a life begins at the version that a change each microsecond would have reached
 
 
 class Directory:
     """One listener for nodes and schedulers.
 
-    A node whose connection ends stays listed as it was for `lapse_ns` and is then listed as gone."""
+    A node whose connection ends stays listed as it was for `lapse_ns` and is then listed as gone.  For
+    `settle_ns` from its start it tells no full list, since nodes may not have registered again yet: whoever
+    kept the list of an earlier life would take those that it lacks for gone, and end what runs there."""
 
     def __init__(
-        self, loop: Loop, address: Address, delay_ns: int = 1_000_000_000, lapse_ns: int = 1_000_000_000
-    ) -> None:
+        self, loop: Loop, address: Address, delay_ns: int = 1_000_000_000, lapse_ns: int = 1_000_000_000,
+        settle_ns: int = 0,
+    ) -> None:  # fmt: skip
         self.loop, self.delay_ns, self.lapse_ns = loop, delay_ns, lapse_ns
+        self._settled_ns = loop.now_ns() + settle_ns
         self.entries: dict[str, Entry] = {}
-        self.version = 0
+        # Versions grow over all lives: one that an earlier life told must not pass for one of this life.
+        self.version = self._first_version = loop.now_ns() // VERSION_STEP_NS
+        self._owed_full: set[_Peer] = set()  # watchers that were told parts alone
         self._owners: dict[str, _Peer] = {}
         self._watchers: dict[_Peer, int] = {}  # the version that each was sent
         self._log: deque[tuple[int, int, str]] = deque(maxlen=CHANGES_MOST)  # moment, version, node
@@ -74,7 +81,7 @@
             processor_seconds=time.process_time(),
             traffic=self.traffic.rows(),
             rows=sum(entry.stage != "gone" for entry in self.entries.values()),
-            changes=self.version,
+            changes=self.version - self._first_version,
             rounds=self.rounds,
             lists=self.lists,
             rows_sent=self.rows_sent,
@@ -104,6 +111,7 @@
 
     def lost(self, peer: _Peer) -> None:
         self._watchers.pop(peer, None)
+        self._owed_full.discard(peer)
         if peer.node and self._owners.get(peer.node) is peer:
             del self._owners[peer.node]
             self.loop.call_later(self.lapse_ns, self._lapsed, peer.node)
@@ -143,38 +151,50 @@
         if peer.stream.backed_up():
             return
         since, until = self._watchers[peer], self._visible()
-        if until <= since and since > 0:
+        settled = self.loop.now_ns() >= self._settled_ns
+        owed = settled and peer in self._owed_full
+        if until <= since and since > 0 and not owed:
             return
+        oldest = self._log[0][1] if self._log else self.version + 1
+        whole = owed or since <= 0 or since + 1 < oldest
+        rows = self._listed(until) if whole else self._changes(since, until)
+        if not rows:
+            return
+        self._watchers[peer] = until
+        if whole:
+            (self._owed_full.discard if settled else self._owed_full.add)(peer)
+        self._tell(peer, Listed("full" if whole and settled else "changes", until, rows))
+
+    def _tell(self, peer: _Peer, listed: Listed) -> None:
+        self.lists += 1
+        self.rows_sent += len(listed.entries)
+        peer.stream.count.messages_out += 1
+        peer.stream.write(encode(listed))
+
+    def _changes(self, since: int, until: int) -> list[Entry]:
+        """What changed after one version and up to another, each entry as it was then."""
         changed: dict[str, Entry] = {}
-        oldest = self._log[0][1] if self._log else 1
         for _, number, name in reversed(self._log):
             self.log_entries_walked += 1
             if number <= since:
                 break
             if number <= until:
                 changed.setdefault(name, self._past[number])
-        full = since <= 0 or since + 1 < oldest
-        if full:
-            # The log reaches back to the first entry, or holds each node's state as it was told last.
-            listed = {name: entry for name, entry in self.entries.items()}
-            for _, number, name in reversed(self._log):
-                self.log_entries_walked += 1
-                if number > until:
-                    before = self._before(name, number)
-                    if before is None:
-                        listed.pop(name, None)
-                    else:
-                        listed[name] = before
-            changed = {name: entry for name, entry in listed.items() if entry.stage != "gone"}
-            if not changed:
-                return
-        elif not changed:
-            return
-        self._watchers[peer] = until
-        self.lists += 1
-        self.rows_sent += len(changed)
-        peer.stream.count.messages_out += 1
-        peer.stream.write(encode(Listed("full" if full else "changes", until, list(changed.values()))))
+        return list(changed.values())
+
+    def _listed(self, until: int) -> list[Entry]:
+        """All entries that are not gone, as they were at a version."""
+        # The log reaches back to the first entry, or holds each node's state as it was told last.
+        listed = dict(self.entries)
+        for _, number, name in reversed(self._log):
+            self.log_entries_walked += 1
+            if number > until:
+                before = self._before(name, number)
+                if before is None:
+                    listed.pop(name, None)
+                else:
+                    listed[name] = before
+        return [entry for entry in listed.values() if entry.stage != "gone"]
 
     def _before(self, name: str, number: int) -> Entry | None:
         for _, version, other in reversed(self._log):
