--- a/ladderhub/cli/daemons.py
+++ b/ladderhub/cli/daemons.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from ladderhub.cli.common import address_option, fail, load_settings, make_loop, set_up_log
 from ladderhub.errors import LadderhubError
@@ -25,12 +26,15 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def serve(file: Path) -> None:
     """Run one scheduler daemon with the settings in FILE.  SIGTERM settles what was taken, then ends it."""
-    from ladderhub.loop.http import HttpDoor
+    from ladderhub.loop.http import HttpDoor, Page
     from ladderhub.server.daemon import Daemon
+    from ladderhub.usage.accounted import AccountedLoop
+    from ladderhub.usage.processor import Cause, ProcessorTime
 
     settings = load_settings(file)
-    log = set_up_log(settings.file.log.format, settings.file.log.level)
-    loop = make_loop(log)
+    processor = ProcessorTime()
+    log = set_up_log(settings.file.log.format, settings.file.log.level, processor)
+    loop = AccountedLoop(processor)
     try:
         daemon = Daemon(loop, settings, log)
         count = daemon.metrics
@@ -42,11 +46,12 @@
         loop.trouble = trouble
         daemon.start()
         if settings.http is not None:
-            HttpDoor(loop, settings.http, {
+            pages: dict[str, Page] = {
                 "/metrics": daemon.metrics.page,
                 "/health": lambda: (503, "text/plain", b"stopping\n") if daemon.stopping
                 else (200, "text/plain", b"ok\n"),
-            })  # fmt: skip
+            }  # fmt: skip
+            processor.run(Cause.LOG_METRICS, HttpDoor, loop, settings.http, pages)
     except LadderhubError as fault:
         fail(fault, f"ladderhub: {file}: cannot start")
     except (OSError, ValueError) as fault:
@@ -128,21 +133,41 @@
 @click.command()
 @click.option("--listen", default="127.0.0.1:15009", callback=address_option, show_default=True)
 @click.option("--delay", default=1.0, show_default=True, help="Seconds by which schedulers are told late.")
-def directory(listen: tuple[str, int], delay: float) -> None:
+@click.option(
+    "--settle",
+    default=5.0,
+    show_default=True,
+    help="Seconds from its start in which it tells no full list: nodes try again each 0.2 s.",
+)
+@click.option(
+    "--stats", type=click.Path(dir_okay=False, path_type=Path), help="Written at SIGUSR1 and the end."
+)
+def directory(listen: tuple[str, int], delay: float, settle: float, stats: Path | None) -> None:
     """Run the directory that tells schedulers of nodes."""
     from ladderhub.directory.service import Directory
 
     log = set_up_log("json", "info")
     loop = make_loop(log)
     try:
-        service = Directory(loop, listen, round(delay * 1e9))
+        service = Directory(loop, listen, round(delay * 1e9), settle_ns=round(settle * 1e9))
     except OSError as fault:
         click.echo(f"ladderhub: cannot start: {fault}", err=True)
         sys.exit(1)
     log.info("ready", address="{}:{}".format(*service.address))
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.on_signal(signal.SIGINT, loop.stop)
+    if stats is not None:
+        loop.on_signal(signal.SIGUSR1, lambda: _write_whole(stats, msgspec.json.encode(service.stats())))
     loop.run()
+    if stats is not None:
+        _write_whole(stats, msgspec.json.encode(service.stats()))
+
+
+def _write_whole(path: Path, data: bytes) -> None:
+    """Write a file so that whoever finds it finds all of it."""
+    fresh = path.with_name(path.name + ".new")
+    fresh.write_bytes(data)
+    fresh.replace(path)
 
 
 @click.command()
--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -27,6 +27,7 @@
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, Request, Row, refusal
 from ladderhub.pbs.resources import ResourceError
+from ladderhub.usage.traffic import DIRECTORY, SCHEDULER, Traffic
 
 MS, S = 1_000_000, 1_000_000_000
 COMMIT_TIMEOUT_NS = 10 * S  # after which an offer that is not committed is withdrawn
@@ -52,8 +53,9 @@
         address: Address = ("127.0.0.1", 0),
         directory: Address | None = None, advertise: str = "", rack: str = "rack-1", zone: str = "zone-1",
         look_ns: tuple[int, int] = (6 * MS, 30 * MS), cold_times: float = 9.0, answers: str = "running",
-        seed: int = 1,
+        seed: int = 1, traffic: Traffic | None = None,
     ) -> None:  # fmt: skip
+        self.traffic = traffic or Traffic()
         self.loop, self.name, self.settings, self.runner = loop, name, settings, runner
         self.rack, self.zone = rack, zone
         self.look_ns, self.cold_times, self.answers = look_ns, cold_times, answers
@@ -72,7 +74,9 @@
         self.closed = False
         self._directory: DirectoryLink | None = None
         if directory is not None:
-            self._directory = DirectoryLink(loop, directory, self.entry, lambda: self.admission.free())
+            self._directory = DirectoryLink(
+                loop, directory, self.entry, lambda: self.admission.free(), self.traffic.of(DIRECTORY)
+            )
 
     def entry(self) -> Entry:
         """The node's row in the directory."""
@@ -230,7 +234,12 @@
     def _running_update(self, held: HeldJob) -> Request:
         attrs = [Attr("job_state", "R"), Attr("run_version", str(held.key[1])), Attr("exec_host", self.name)]
         return Request(
-            n.MODIFY_JOB, f"node@{self.name}", held.key[0], attrs, command=n.CMD_SET, object_type=n.OBJ_JOB
+            n.MODIFY_JOB,
+            f"{n.NODE_USER}{self.name}",
+            held.key[0],
+            attrs,
+            command=n.CMD_SET,
+            object_type=n.OBJ_JOB,
         )
 
     def _ended(self, key: Key, status: int, reason: str) -> None:
@@ -256,7 +265,7 @@
             Attr("run_version", str(key[1])), Attr("exit_reason", ended.reason), Attr("exec_host", self.name),
             Attr("load", f"{cores:g}", "cores_free"), Attr("load", f"{memory:g}", "memory_free"),
         ]  # fmt: skip
-        return Request(n.JOB_OBIT, f"node@{self.name}", key[0], attrs, status=ended.status)
+        return Request(n.JOB_OBIT, f"{n.NODE_USER}{self.name}", key[0], attrs, status=ended.status)
 
     def _recent_load(self) -> tuple[float, float]:
         """The node's figures as of some moments ago: they are taken at intervals, not for each answer."""
@@ -269,7 +278,7 @@
         if not held.server:
             return
         if held.server not in self.outboxes:
-            self.outboxes[held.server] = Outbox(self.loop, held.server)
+            self.outboxes[held.server] = Outbox(self.loop, held.server, self.traffic.of(SCHEDULER))
         self.outboxes[held.server].send(request)
 
     # --- other requests -------------------------------------------------------------------------------------
