Log rows with a field named cause are written again, and faults of decisions are told

Cause: the account of the log took the fields of a row for its own arguments, so a row on a member's change ended in a TypeError. The row that tells of a fault in a decision had a field that structlog takes for the event's name, and so failed as well (before these accounts too).

Change: the account's arguments are positional alone; the fault's row names its event `told`.

--- a/ladderhub/cli/common.py
+++ b/ladderhub/cli/common.py
@@ -53,9 +53,9 @@
     class AccountedLogger(plain):  # type: ignore[misc]
         """Lines that the level lets through are made and written on the account of the log."""
 
-        def _proxy_to_logger(self, method_name: str, event: str | None = None, *args: Any, **row: Any) -> Any:
+        def _proxy_to_logger(self, name: str, event: str | None = None, /, *args: Any, **row: Any) -> Any:
             proxy = super()._proxy_to_logger
-            return run(Cause.LOG_METRICS, proxy, method_name, event, *args, **row)
+            return run(Cause.LOG_METRICS, proxy, name, event, *args, **row)
 
     return AccountedLogger
 
--- a/ladderhub/server/site.py
+++ b/ladderhub/server/site.py
@@ -162,7 +162,7 @@
 
     def _fault(self, event: Any, fault: Exception) -> None:
         self.metrics.troubles += 1
-        self.log.error("decision", event=repr(event), exc_info=fault)
+        self.log.error("decision", told=repr(event), exc_info=fault)
 
 
 def _nobody(event: Any) -> None:
--- a/ladderhub/usage/processor.py
+++ b/ladderhub/usage/processor.py
@@ -49,7 +49,7 @@
             self._since_ns, self.cause = now, cause
         return before
 
-    def run(self, cause: Cause, call: Callable[P, R], *args: P.args, **options: P.kwargs) -> R:
+    def run(self, cause: Cause, call: Callable[P, R], /, *args: P.args, **options: P.kwargs) -> R:
         """Call within a section of this cause."""
         before = self.switch(cause)
         try:
