Scale run: hollow schedulers, many to a process, with the real modules and carriers

Need: a fleet of hundreds of schedulers does not fit on one machine as processes, and what a real one hears from its peers grows with them.

--- a/ladderhub/lab/scale/fleet.py
+++ b/ladderhub/lab/scale/fleet.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from importlib.util import find_spec
 from pathlib import Path
 from typing import Any
 
@@ -141,10 +140,11 @@
 
     def _start_hollow_schedulers(self) -> None:
         count = self.size.schedulers - self.plan.real_schedulers
-        if count > 0 and find_spec("ladderhub.lab.scale.hollow_schedulers") is not None:
+        if count > 0:
             told = tell.HollowPlan(
                 tell.CLUSTER, self._seeds(), self._elector_addresses(), count, self.plan.peers.period,
                 self.plan.peers.lease, self.size.schedulers, self.seed,
+                self.plan.settings["nodes"]["cold"]["window"],
             )  # fmt: skip
             self.hollow = self._start_helper("hollow_schedulers", HOLLOW_SCHEDULER, "hollow", told)
             self.hollow.share = count
--- /dev/null
+++ b/ladderhub/lab/scale/hollow_schedulers.py
@@ -0,0 +1,247 @@
+"""Many hollow schedulers in one process: what peers see of a scheduler, without jobs and nodes.
+
+`python -m ladderhub.lab.scale.hollow_schedulers PLAN OUT` starts the members of PLAN, each with the decision
+modules of a real scheduler (membership, leases, revisions of the configuration), the real carriers and a
+datagram socket of its own on loopback.  None is a voter.  On SIGTERM they leave the group, and OUT gets what
+they counted.
+"""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ladderhub.board import Board
+from ladderhub.lab.ports import free_port
+from ladderhub.lab.scale.children import raise_descriptor_limit
+from ladderhub.lab.scale.measure import Counted, counted_by
+from ladderhub.loop import Loop
+from ladderhub.membership import LeaseHolder, LeaseSettings, MemberSettings, MembershipView
+from ladderhub.membership.types import MembershipSummary, Stop
+from ladderhub.peers.carrier import PeerCarrier, PeerError
+from ladderhub.peers.revisions import RevisionCarrier
+from ladderhub.revision import Notice, Record, Revision, Revisions, RevisionSettings
+from ladderhub.revision.types import Outcome
+from ladderhub.server.settings import span_ns
+from ladderhub.usage.traffic import Traffic
+
+HOST = "127.0.0.1"
+PORT_TRIES = 20  # another process may take a port between its choice and its use
+STARTS_PER_PERIOD = 100  # members that join in one period
+NO_POLICY = b"{}"  # what a hollow scheduler's settings file gives; only voters propose theirs
+
+
+class HollowPlan(msgspec.Struct):
+    """The hollow schedulers of one process.  `slots` are those of the cold budget; times as `8s`."""
+
+    cluster: str
+    seeds: list[str]
+    electors: list[str]
+    count: int
+    period: str
+    lease: str
+    slots: int
+    seed: int
+    cold_window: str = "2s"
+    prefix: str = "hollow"
+
+
+class MembersSeen(msgspec.Struct):
+    """How many members the hollow schedulers had in their views at the end."""
+
+    least: int
+    mean: float
+    most: int
+
+
+class HollowResult(msgspec.Struct):
+    """What a process of hollow schedulers leaves.  `counted` is the sum over all of them since the start,
+    `member_mean` its part for one."""
+
+    count: int
+    seconds: float
+    members_seen: MembersSeen
+    leases_held: int
+    revision_least: int
+    datagrams_unsent: int
+    troubles: int
+    counted: Counted
+    member_mean: Counted
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a hollow scheduler is."""
+
+    name: str
+    life: int
+    address: tuple[str, int]
+    seed: int
+
+    @property
+    def advertise(self) -> str:
+        return "{}:{}".format(*self.address)
+
+
+class RevisionFollower:
+    """Takes each revision that the voters choose: there is nothing in it that a change would touch."""
+
+    def __init__(self) -> None:
+        self.active = 0
+
+    def store(self, record: Record) -> None:
+        """Nothing: a hollow scheduler has one life."""
+
+    def check(self, body: bytes) -> str | None:
+        return None
+
+    def activate(self, revision: Revision) -> None:
+        self.active = revision.header.number
+
+    def answer(self, request: int, outcome: Outcome) -> None:
+        """Nothing: nobody asks it."""
+
+    def hold(self, reason: str) -> None:
+        """Nothing: it has no jobs."""
+
+    def resume(self) -> None:
+        """Nothing: it has no jobs."""
+
+    def tell(self, notice: Notice, text: str) -> None:
+        """Nothing: it has no log."""
+
+
+class HollowScheduler:
+    """One member with its modules, put together as `server.peers` and `server.revisions` do."""
+
+    def __init__(self, loop: Loop, plan: HollowPlan, identity: Identity, traffic: Traffic) -> None:
+        self._loop, self._plan, self._identity = loop, plan, identity
+        self.troubles = 0
+        member = MemberSettings(
+            identity.name, identity.life, identity.advertise, tuple(plan.seeds), (),
+            span_ns(plan.period, "period"),
+        )  # fmt: skip
+        self.view = MembershipView(member, identity.seed)
+        self.carrier = PeerCarrier(
+            loop, identity.address, plan.cluster, self.view, lambda change: None, lambda row: None, traffic
+        )
+        self._board = Board(loop.now_ns, self._on_fault)
+        self.leases = LeaseHolder(self._lease_settings(), identity.seed, loop.now_ns())
+        self._tell_leases = self._board.add(self.leases, self.carrier)
+        self.follower = RevisionFollower()
+
+    def _lease_settings(self) -> LeaseSettings:
+        plan, identity = self._plan, self._identity
+        return LeaseSettings(
+            name=identity.name, life=identity.life, address=identity.advertise, slots=plan.slots,
+            voters=tuple(plan.electors), lease_ns=span_ns(plan.lease, "lease"),
+            window_ns=span_ns(plan.cold_window, "cold_window"),
+        )  # fmt: skip
+
+    def start(self) -> None:
+        """Join the group."""
+        self.carrier.tell_leases = self._tell_leases
+        self.carrier.on_tick = self._on_tick
+        self.carrier.join(self._board.add(self.view, self.carrier))
+        self._start_revisions()
+
+    def _start_revisions(self) -> None:
+        identity, plan = self._identity, self._plan
+        settings = RevisionSettings(
+            identity.name, identity.life, identity.advertise, tuple(plan.electors), NO_POLICY
+        )
+        revisions = Revisions(settings, None, identity.seed)
+        self._revision_carrier = RevisionCarrier(self.carrier, revisions, self.follower)
+        self._revision_carrier.join(self._board.add(revisions, self._revision_carrier))
+
+    def _on_tick(self) -> None:
+        names = sorted(entry.name for entry in self.view.members())
+        confirmed = self.view.confirmed and self.view.yielded_to is None
+        self._tell_leases(MembershipSummary(len(names), names.index(self._identity.name), confirmed))
+
+    def _on_fault(self, event: object, fault: Exception) -> None:
+        self.troubles += 1
+        print(f"{self._identity.name}: {event!r}: {fault!r}", file=sys.stderr, flush=True)
+
+    def leave(self) -> None:
+        """Release what is held and leave the group."""
+        self._revision_carrier.close()
+        self._tell_leases(Stop())
+        self.carrier.leave()
+
+
+class HollowFleet:
+    """The members of this process."""
+
+    def __init__(self, loop: Loop, plan: HollowPlan) -> None:
+        self._loop, self._plan = loop, plan
+        self.traffic = Traffic()
+        self.members: list[HollowScheduler] = []
+        self._begun_ns = loop.now_ns()
+
+    def start(self) -> None:
+        """Have them join one after the other, so many in a period."""
+        step_ns = span_ns(self._plan.period, "period") // STARTS_PER_PERIOD
+        for at in range(self._plan.count):
+            self._loop.call_later(at * step_ns, self._start_member, at)
+
+    def _start_member(self, at: int) -> None:
+        member = self._make_member(f"{self._plan.prefix}{at:04d}", self._plan.seed + at)
+        self.members.append(member)
+        member.start()
+
+    def _make_member(self, name: str, seed: int) -> HollowScheduler:
+        for _ in range(PORT_TRIES):
+            identity = Identity(name, time.time_ns(), (HOST, free_port()), seed)
+            try:
+                return HollowScheduler(self._loop, self._plan, identity, self.traffic)
+            except PeerError as fault:
+                taken = fault
+        raise taken
+
+    def result(self) -> HollowResult:
+        """What all have counted until now."""
+        now = self._loop.now_ns()
+        seen = [len(member.view.members()) for member in self.members] or [0]
+        counted = counted_by(time.process_time(), self.traffic)
+        return HollowResult(
+            count=len(self.members),
+            seconds=(now - self._begun_ns) / 1e9,
+            members_seen=MembersSeen(min(seen), sum(seen) / len(seen), max(seen)),
+            leases_held=sum(len(member.leases.held(now)) for member in self.members),
+            revision_least=min((member.follower.active for member in self.members), default=0),
+            datagrams_unsent=sum(member.carrier.datagrams.unsent for member in self.members),
+            troubles=sum(member.troubles for member in self.members),
+            counted=counted,
+            member_mean=counted.divided(max(1, len(self.members))),
+        )
+
+    def leave(self) -> None:
+        for member in self.members:
+            member.leave()
+
+
+def main() -> None:
+    plan: HollowPlan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=HollowPlan)
+    raise_descriptor_limit()
+    loop = Loop(trouble=lambda where, fault: print(f"{where}: {fault!r}", file=sys.stderr, flush=True))
+    fleet = HollowFleet(loop, plan)
+    fleet.start()
+    gc.collect()
+    gc.freeze()
+    loop.on_signal(signal.SIGTERM, loop.stop)
+    loop.on_signal(signal.SIGINT, loop.stop)
+    loop.run()
+    result = fleet.result()
+    fleet.leave()
+    Path(sys.argv[2]).write_bytes(msgspec.json.encode(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/ladderhub/lab/scale/measure.py
+++ b/ladderhub/lab/scale/measure.py
@@ -30,6 +30,12 @@
     in_: float | None = msgspec.field(default=None, name="in")
     out: float | None = None
 
+    def divided(self, share: int) -> Traffic:
+        """The part of one of so many."""
+        return Traffic(
+            None if self.in_ is None else self.in_ / share, None if self.out is None else self.out / share
+        )
+
 
 class Counted(msgspec.Struct):
     """What a process counted since its start: seconds by cause, bytes and messages by kind, work in steps."""
@@ -39,6 +45,14 @@
     messages: dict[str, Traffic] = {}
     work: dict[str, float] = {}
 
+    def divided(self, share: int) -> Counted:
+        """The part of one of so many members of the process."""
+        return Counted(
+            {cause: spent / share for cause, spent in self.processor_s.items()},
+            {kind: amount.divided(share) for kind, amount in self.bytes.items()},
+            {kind: amount.divided(share) for kind, amount in self.messages.items()},
+        )
+
 
 class Reading(msgspec.Struct):
     """One process at one moment."""
--- a/ladderhub/lab/scale/settings.py
+++ b/ladderhub/lab/scale/settings.py
@@ -5,31 +5,21 @@
 import random
 from typing import Any
 
-import msgspec
-
 from ladderhub.lab.scale.hollow_nodes import HostPlan, NodePlan
+from ladderhub.lab.scale.hollow_schedulers import HollowPlan
 from ladderhub.lab.scale.load import ClassPlan, LoadPlan, fill_times
 from ladderhub.lab.scale.plan import Plan, Size
 from ladderhub.pbs.resources import GIB, parse_size
 from ladderhub.server.settings import span_ns
 
+__all__ = [
+    "CLUSTER", "HollowPlan", "elector_count", "host_plans", "load_plans", "node_plans", "team_names",
+    "teams_settings", "text",
+]  # fmt: skip
 CLUSTER = "scale"
 MS = 1_000_000
 
 
-class HollowPlan(msgspec.Struct):
-    """What the process of hollow schedulers is told."""
-
-    cluster: str
-    seeds: list[str]
-    electors: list[str]
-    count: int
-    period: str
-    lease: str
-    slots: int
-    seed: int
-
-
 def text(address: tuple[str, int]) -> str:
     return "{}:{}".format(*address)
 
