Scale run: hollow schedulers in a few processes, and every scheduler waited for

Need: several hundred hollow schedulers in one process would wait for each other's turn. Change: they are dealt over a few processes, each with names of its own; a run begins when every real scheduler knows all.

--- a/ladderhub/lab/scale/fleet.py
+++ b/ladderhub/lab/scale/fleet.py
@@ -69,7 +69,7 @@
         self.schedulers: list[RealScheduler] = []
         self.hosts: list[Helper] = []
         self.loads: list[Helper] = []
-        self.hollow: Helper | None = None
+        self.hollow: list[Helper] = []
         self.changes: list[Child] = []
         self._host_of: dict[str, Helper] = {}
         self._peer_addresses = [(HOST, free_port()) for _ in range(plan.real_schedulers)]
@@ -140,14 +140,17 @@
 
     def _start_hollow_schedulers(self) -> None:
         count = self.size.schedulers - self.plan.real_schedulers
-        if count > 0:
+        processes = min(count, self.plan.playing.hollow_processes)
+        for at in range(processes):
+            share = len(range(at, count, processes))
             told = tell.HollowPlan(
-                tell.CLUSTER, self._seeds(), self._elector_addresses(), count, self.plan.peers.period,
-                self.plan.peers.lease, self.size.schedulers, self.seed,
-                self.plan.settings["nodes"]["cold"]["window"],
+                tell.CLUSTER, self._seeds(), self._elector_addresses(), share, self.plan.peers.period,
+                self.plan.peers.lease, self.size.schedulers, self.seed + at * count,
+                self.plan.settings["nodes"]["cold"]["window"], f"hollow{at}-",
             )  # fmt: skip
-            self.hollow = self._start_helper("hollow_schedulers", HOLLOW_SCHEDULER, "hollow", told)
-            self.hollow.share = count
+            helper = self._start_helper("hollow_schedulers", HOLLOW_SCHEDULER, f"hollow-{at}", told)
+            helper.share = share
+            self.hollow.append(helper)
 
     # --- waiting ----------------------------------------------------------------------------------------
 
@@ -168,8 +171,7 @@
         return self._each_tells("ladderhub_nodes", self.size.nodes)
 
     def _all_know_each_other(self) -> bool:
-        hollow = self.hollow.share if self.hollow is not None else 0
-        return self._each_tells("ladderhub_members", self.plan.real_schedulers + hollow)
+        return self._each_tells("ladderhub_members", self.size.schedulers)
 
     def _each_tells(self, gauge: str, wanted: int) -> bool:
         pages = (fetch(scheduler.http, "/metrics") for scheduler in self.schedulers)
--- a/ladderhub/lab/scale/plan.jsonnet
+++ b/ladderhub/lab/scale/plan.jsonnet
@@ -34,6 +34,7 @@
     ready_s: 60,
     join_s: 14,  // for schedulers to find each other and to take their leases
     node_processes: 6,
+    hollow_processes: 4,
     load_processes: 2,
     memory_gib_most: 12,
     processes_most: 200,
--- a/ladderhub/lab/scale/plan.py
+++ b/ladderhub/lab/scale/plan.py
@@ -67,6 +67,7 @@
     ready_s: float
     join_s: float
     node_processes: int
+    hollow_processes: int
     load_processes: int
     memory_gib_most: float
     processes_most: int
--- a/ladderhub/lab/scale/run.py
+++ b/ladderhub/lab/scale/run.py
@@ -134,8 +134,7 @@
     for host in fleet.hosts:
         reading = read_process(host.child.pid, fleet.counted_by_nodes(host))
         members[host.child.pid] = Member(NODE_AGENT, host.share, reading)
-    if fleet.hollow is not None:
-        hollow = fleet.hollow
+    for hollow in fleet.hollow:
         members[hollow.child.pid] = Member(HOLLOW_SCHEDULER, hollow.share, read_process(hollow.child.pid))
     return members
 
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -38,6 +38,7 @@
 def test_every_role_is_there_with_as_many_members_as_were_asked_for(played: RunFigures) -> None:
     counts = {role: figures.count for role, figures in played.roles.items()}
     processes = {"elector": 1, "scheduler": REAL - 1, "directory": 1, "node_agent": NODES}
+    processes["hollow_scheduler"] = HOLLOW
     assert counts == processes | {"client_door": REAL}
 
 
