--- a/ladderhub/node/agent.py
+++ b/ladderhub/node/agent.py
@@ -12,7 +12,6 @@
 import signal as signals
 import socket
 from collections import OrderedDict
-from dataclasses import dataclass
 from functools import partial
 
 from ladderhub.directory.wire import Entry, State
@@ -21,7 +20,7 @@
 from ladderhub.node.admission import Admission, Key, NodeSettings, Refusal
 from ladderhub.node.connection import AgentConnection, Answer
 from ladderhub.node.directory_link import DirectoryLink
-from ladderhub.node.jobs import HeldJob, JobState, held_job, run_of
+from ladderhub.node.jobs import FENCE, EndedRun, HeldJob, JobState, fenced_run, held_job, run_of
 from ladderhub.node.outbox import Outbox
 from ladderhub.node.runners import Runner
 from ladderhub.pbs import names as n
@@ -34,15 +33,6 @@
 MAX_ENDED_RUNS = 5000  # remembered, to answer questions about them
 LOAD_INTERVAL_NS = 500 * MS
 ANSWERS_ACCEPTED = "accepted"  # Commit is answered at once; else when the job runs
-FENCE = "fence:"  # extension of Status Job: bar the run where it is not known
-
-
-@dataclass(frozen=True, slots=True)
-class EndedRun:
-    """How a run on this node ended."""
-
-    status: int
-    reason: str
 
 
 class Agent:
@@ -321,7 +311,7 @@
     def status_job(self, request: Request) -> Reply:
         """Status Job: the jobs here but for those that are only offered, or one run that is fenced."""
         if request.extension.startswith(FENCE):
-            return self._fence((request.job, _fenced_run(request.extension)))
+            return self._fence((request.job, fenced_run(request.extension)))
         rows = [self._row(held) for key, held in self.jobs.items() if request.job in ("", key[0])]
         if request.job and not rows:
             return refusal(n.UNKNOWN_JOB)
@@ -333,7 +323,7 @@
         if held is not None and held.state is not JobState.OFFERED:
             return Reply(0, n.R_STATUS, rows=[self._row(held)])
         if key in self._ended_runs:
-            return Reply(0, n.R_STATUS, rows=[_ended_row(key, self._ended_runs[key])])
+            return Reply(0, n.R_STATUS, rows=[self._ended_runs[key].row(key)])
         self.withdraw(key)
         self.admission.bar(self.loop.now_ns(), key)
         return refusal(n.UNKNOWN_JOB)
@@ -386,19 +376,5 @@
             self.runner.stop(held.key[0], reason)
 
 
-def _fenced_run(extension: str) -> int:
-    text = extension.removeprefix(FENCE)
-    return int(text) if text.isascii() and text.isdigit() else 0
-
-
-def _ended_row(key: Key, ended: EndedRun) -> Row:
-    attrs = [
-        Attr("job_state", "F"),
-        Attr("Exit_status", str(ended.status)),
-        Attr("exit_reason", ended.reason),
-    ]
-    return Row(n.OBJ_JOB, key[0], attrs)
-
-
 def _refused(refused: Refusal) -> Reply:
     return refusal(n.NODE_REJECTED, f"{refused.code} {refused.text}")
--- a/ladderhub/node/jobs.py
+++ b/ladderhub/node/jobs.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
 from ladderhub.loop import Timer
 from ladderhub.node.admission import Ask, Key
 from ladderhub.node.runners import Work
+from ladderhub.pbs import names as n
 from ladderhub.pbs.attributes import variables_of
-from ladderhub.pbs.batch import Attr, Reply, Request
+from ladderhub.pbs.batch import Attr, Reply, Request, Row
 from ladderhub.pbs.resources import GIB, wanted
 
 DEFAULT_JOB_NAME = "STDIN"
 DEFAULT_CORES = 1.0
 NO_UMASK = -1
+FENCE = "fence:"  # extension of Status Job: bar the run where it is not known
 _MAX_RUN_DIGITS = 9
 _OCTAL_DIGITS = set("01234567")
 
@@ -51,13 +54,33 @@
         self.started_ns = 0
 
 
-def run_number(text: str) -> int:
-    """The run that a request speaks of; 0 where it names none."""
-    return int(text) if text.isascii() and text.isdigit() and len(text) <= _MAX_RUN_DIGITS else 0
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """How a run on this node ended."""
+
+    status: int
+    reason: str
+
+    def row(self, key: Key) -> Row:
+        """The row of Status Job."""
+        attrs = [
+            Attr("job_state", "F"),
+            Attr("Exit_status", str(self.status)),
+            Attr("exit_reason", self.reason),
+        ]
+        return Row(n.OBJ_JOB, key[0], attrs)
+
+
+def fenced_run(extension: str) -> int:
+    """The run that a fence speaks of; 0 where it names none."""
+    text = extension.removeprefix(FENCE)
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def run_of(request: Request) -> int:
-    return run_number(request.get("run_version", "0"))
+    """The run that a request speaks of; 0 where it names none."""
+    text = request.get("run_version", "0")
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= _MAX_RUN_DIGITS else 0
 
 
 def held_job(request: Request, node: str) -> HeldJob:
