Tests of revisions in small emulated fleets: what operators are told, who acts by what, and a judge that can fail

Each hard case has its test: two operators at once, a stale parent, an objection, a silent member, no majority, a proposer killed half way, a late start from nothing and from an old record, a pause, a differing file, forged headers, and a voter that has lost its record, with planted faults that the judge must name.

--- a/ladderhub/lab/emulator/revision_judge.py
+++ b/ladderhub/lab/emulator/revision_judge.py
@@ -71,7 +71,7 @@
     unanswered: int  # requests of lives that were not killed
     differing: int  # schedulers whose head is not the last chosen one at the end
     in_force_ns: list[int] = field(default_factory=list)  # of each applied change on each reachable one
-    decided_ns: list[int] = field(default_factory=list)
+    first_ns: list[int] = field(default_factory=list)
     bytes_s: float = 0.0
     bytes_s_most: float = 0.0  # of the scheduler that sent most
     messages_s: float = 0.0
@@ -86,7 +86,7 @@
     def lines(self) -> Iterator[str]:
         told = ", ".join(f"{count} {name}" for name, count in sorted(self.outcomes.items()))
         yield f"{self.schedulers} schedulers, {self.changes} changes asked for: {told}"
-        yield f"decided in s, p50 p99 most: {_spans(self.decided_ns)}"
+        yield f"first in force anywhere in s, p50 p99 most: {_spans(self.first_ns)}"
         yield f"in force on all that are reachable in s, p50 p99 most: {_spans(self.in_force_ns)}"
         yield f"{self.bytes_s:.0f} bytes and {self.messages_s:.1f} messages a second sent by a scheduler"
         yield f"{self.bytes_s_most:.0f} bytes a second sent by the one that sent most"
--- a/ladderhub/lab/emulator/revisions.py
+++ b/ladderhub/lab/emulator/revisions.py
@@ -263,7 +263,7 @@
                 times.append(max(0, found - begun))
         verdict.in_force_ns += times
         if times:
-            verdict.decided_ns.append(min(times))
+            verdict.first_ns.append(min(times))
 
 
 def changes(
--- /dev/null
+++ b/tests/revision/test_fleet.py
@@ -0,0 +1,304 @@
+"""Emulated fleets: what operators are told in each hard case, who acts by what, and a judge that can fail."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ladderhub.lab.checker.schedules import at_random
+from ladderhub.lab.emulator.net import MS, Faults, S
+from ladderhub.lab.emulator.revisions import Play, changes
+from ladderhub.revision import Apply, HeadSeen, MessageReceived, Revisions, RevisionSettings, Tell, Tick
+from ladderhub.revision.activation import Activation
+from ladderhub.revision.messages import Head, Header, Headers
+from ladderhub.revision.opinions import Opinions
+from ladderhub.revision.types import (
+    Applied, Invalid, LostTo, NoMajority, Notice, Outcome, Refused, StaleParent, Unchanged,
+)  # fmt: skip
+from ladderhub.revision.voter import Voter
+
+
+class Bench(Play):
+    """A small fleet that has decided its first revision; some members may refuse some bodies."""
+
+    def __init__(self, count: int = 5, loss: float = 0.0, voters: int = 3) -> None:
+        self.refusals: dict[tuple[str, bytes], str] = {}
+        faults = Faults(loss=loss, delay_ns=(MS, 10 * MS))
+        super().__init__(count, seed=1, faults=faults, voters=voters, body_bytes=3000)
+        self.wait(5.0)
+
+    def fault_of(self, host: Any, body: bytes) -> str | None:
+        return self.refusals.get((host.name, body))
+
+    def wait(self, seconds: float) -> None:
+        self.net.run(self.net.now + round(seconds * S))
+
+    def ask(self, at: int, body: bytes, parent: bytes | None = None, number: int = 0) -> None:
+        request = Apply(number, parent, "ann", "a reason", 1, body)
+        self.hosts[at].feed(request)
+
+    def outcome(self, number: int = 0) -> Outcome:
+        return self.judge.outcomes[number]
+
+    def active(self) -> set[int]:
+        return {host.active[-1] if host.active else 0 for host in self.hosts.values() if host.alive}
+
+    def digest(self, at: int = 0) -> bytes:
+        return self.hosts[at].revisions.status(self.net.now).digest
+
+
+def test_a_change_is_in_force_everywhere_within_a_second() -> None:
+    bench = Bench()
+    assert bench.active() == {1} and not any(host.held for host in bench.hosts.values())
+    bench.ask(4, b"new", bench.digest())
+    bench.wait(1.0)
+    outcome = bench.outcome()
+    assert isinstance(outcome, Applied) and outcome.header.number == 2 and outcome.silent == ()
+    assert bench.active() == {2} and not bench.judge.broken
+
+
+def test_of_two_operators_at_once_one_is_told_who_won() -> None:
+    bench = Bench()
+    parent = bench.digest()
+    bench.ask(3, b"mine", parent, 1)
+    bench.ask(4, b"yours", parent, 2)
+    bench.wait(2.0)
+    first, second = sorted((bench.outcome(1), bench.outcome(2)), key=lambda each: isinstance(each, LostTo))
+    assert isinstance(first, Applied) and isinstance(second, LostTo)
+    assert second.winner == first.header and second.winner.author == "ann"
+    assert bench.active() == {2}
+
+
+def test_on_top_of_whatever_is_current_both_are_applied_in_some_order() -> None:
+    bench = Bench()
+    bench.ask(3, b"mine", None, 1)
+    bench.ask(4, b"yours", None, 2)
+    bench.wait(2.0)
+    both = (bench.outcome(1), bench.outcome(2))
+    numbers = {each.header.number for each in both if isinstance(each, Applied)}
+    assert numbers == {2, 3} and bench.active() == {3}
+
+
+def test_one_that_is_made_from_an_old_revision_is_told_so_at_once() -> None:
+    bench = Bench()
+    old = bench.digest()
+    bench.ask(3, b"new", old, 1)
+    bench.wait(1.0)
+    bench.ask(4, b"newer", old, 2)
+    assert isinstance(bench.outcome(1), Applied)
+    stale = bench.outcome(2)
+    assert isinstance(stale, StaleParent) and stale.current is not None and stale.current.number == 2
+
+
+def test_the_same_again_changes_nothing() -> None:
+    bench = Bench()
+    for number in (1, 2):
+        bench.ask(3, b"new", None, number)
+        bench.wait(1.0)
+    assert isinstance(bench.outcome(2), Unchanged) and bench.active() == {2}
+
+
+def test_a_member_that_cannot_act_by_it_keeps_it_inactive_everywhere() -> None:
+    bench = Bench()
+    bench.refusals["s2", b"too much"] = "no such kind of node"
+    bench.ask(4, b"too much")
+    bench.wait(2.0)
+    assert bench.outcome() == Refused("s2", "no such kind of node")
+    assert bench.active() == {1} and set(bench.judge.chosen) == {1}
+
+
+def test_a_silent_member_is_named_and_says_later_that_it_cannot_act_by_it() -> None:
+    bench = Bench()
+    bench.refusals["s4", b"too much"] = "no such kind of node"
+    bench.pause(4, 3 * S)
+    bench.ask(3, b"too much")
+    bench.wait(1.5)
+    outcome = bench.outcome()
+    assert isinstance(outcome, Applied) and outcome.silent == ("s4",)
+    bench.wait(4.0)
+    status = bench.hosts[4].revisions.status(bench.net.now)
+    assert status.fault == "no such kind of node" and status.head == outcome.header
+    assert bench.hosts[4].active == [1] and bench.judge.notices[Notice.CANNOT_TAKE] == 1
+    bench.ask(0, b"better", None, 1)  # the next one it can take
+    bench.wait(2.0)
+    assert bench.active() == {3}
+
+
+def test_a_side_without_a_majority_changes_nothing_and_says_how_old_it_is() -> None:
+    bench = Bench()
+    bench.cut({1, 2, 4}, 20 * S)
+    bench.wait(3.0)
+    bench.ask(0, b"alone", None, 1)
+    bench.ask(4, b"together", None, 2)
+    bench.wait(5.0)
+    outcome = bench.outcome(1)
+    assert isinstance(outcome, NoMajority) and (outcome.answered, outcome.voters) == (1, 3)
+    assert not outcome.may_follow and outcome.age_ns is not None and 6 * S <= outcome.age_ns <= 8 * S
+    assert isinstance(bench.outcome(2), Applied)
+    assert {bench.hosts[at].active[-1] for at in (0, 3)} == {1}
+    bench.wait(15.0)
+    assert bench.active() == {2}
+
+
+def test_a_proposer_killed_half_way_has_its_value_finished() -> None:
+    for left in range(2, 40, 3):
+        bench = Bench(count=4)
+        bench.ask(3, b"half way")
+        bench.crash(3, 60 * S, actions_left=left)
+        bench.wait(6.0)
+        living = {host.active[-1] for host in bench.hosts.values() if host.alive}
+        assert living == {max(bench.judge.chosen)} and not bench.judge.broken, left
+
+
+def test_one_that_starts_late_from_nothing_or_an_old_record_acts_by_the_newest_before_it_decides() -> None:
+    bench = Bench()
+    bench.crash(4, 15 * S)
+    bench.crash(3, 15 * S, keep_disk=False)
+    for number in range(10):
+        bench.ask(0, b"change %d" % number, None, number)
+        bench.wait(1.3)
+    bench.wait(2.001)
+    for at in (3, 4):
+        host = bench.hosts[at]
+        assert host.alive and host.held
+    bench.wait(1.0)
+    assert bench.active() == {11} and not bench.hosts[3].held and not bench.hosts[4].held
+    assert set(bench.hosts[4].active) <= {1, 11}  # what its last life acted by, then the newest
+
+
+def test_one_that_wakes_holds_decisions_until_it_has_caught_up() -> None:
+    bench = Bench()
+    bench.pause(4, 5 * S)
+    bench.wait(1.0)
+    bench.ask(0, b"meanwhile")
+    bench.wait(3.9)
+    assert bench.hosts[4].revisions.is_stale(bench.net.now)
+    bench.wait(1.0)
+    assert not bench.hosts[4].held and bench.active() == {2}
+    assert bench.judge.notices[Notice.CAUGHT_UP] == 6
+
+
+def test_one_that_reaches_nobody_goes_on_after_three_seconds_and_says_how_old_that_is() -> None:
+    settings = RevisionSettings("a", 1, "h:1", ("h:1", "h:2", "h:3"), b"file")
+    revisions = Revisions(settings, None, 1)
+    actions = [action for at in range(0, 40) for action in revisions.handle(at * 100 * MS, Tick())]
+    told = [action for action in actions if isinstance(action, Tell)]
+    notices = [action.text for action in told if action.notice is Notice.BEHIND]
+    assert len(notices) == 1 and notices[0].startswith("nobody answers")
+    assert not revisions.is_stale(39 * 100 * MS)
+
+
+def test_a_file_that_differs_from_what_is_in_force_is_told_and_not_followed() -> None:
+    bench = Bench()
+    bench.first = b"another file"
+    bench.crash(4, S)
+    bench.wait(4.0)
+    assert bench.judge.notices[Notice.FILE_DIFFERS] == 1
+    assert bench.active() == {1} and bench.hosts[4].revisions.status(0).file_differs
+
+
+def test_requests_that_make_no_sense_are_answered() -> None:
+    bench = Bench()
+    bench.hosts[0].feed(Apply(1, None, "x" * 65, "", 1, b""))
+    bench.hosts[0].feed(Apply(2, None, "x", "ä" * 101, 1, b""))
+    bench.hosts[0].feed(Apply(3, None, "x", "", 1, bytes(2_000_000)))
+    assert all(isinstance(bench.outcome(number), Invalid) for number in (1, 2, 3))
+
+
+def test_hostile_words_of_what_was_chosen_change_nothing() -> None:
+    bench = Bench()
+    host, digest = bench.hosts[3], bench.digest()
+    forged = Header(1, bytes(16), "eve", 1, "", bytes(16))
+    unlinked = (Header(2, digest, "eve", 1, "", bytes(16)), Header(3, digest, "eve", 1, "", bytes(16)))
+    orphan = Header(2, bytes(16), "eve", 1, "", bytes(16))
+    for headers in ((forged,), unlinked, (orphan,)):
+        host.feed(MessageReceived("s1", 1, Headers(1, headers)))
+    host.feed(HeadSeen("10.0.0.1:7000", Head(1 << 30, bytes(8), 0)))
+    bench.wait(5.0)
+    assert bench.digest(3) == digest and bench.judge.notices[Notice.CONFLICT] == 1
+    bench.ask(0, b"new")
+    bench.wait(2.0)
+    assert bench.active() == {2}
+
+
+@pytest.mark.parametrize("voters", [1, 5])
+def test_other_numbers_of_voters_decide_too(voters: int) -> None:
+    bench = Bench(count=6, loss=0.1, voters=voters)
+    for number in range(4):
+        bench.ask(number, b"change %d" % number, None, number)
+    bench.wait(4.0)
+    assert bench.active() == {5} and not bench.judge.broken
+
+
+def test_changes_under_faults_are_in_force_in_time_on_all_that_are_reachable() -> None:
+    for seed in (1, 2):
+        verdict = changes(16, seed, seconds=20)
+        assert verdict.good(), list(verdict.lines())
+        assert verdict.bytes_s < 6_000
+
+
+def test_random_schedules_of_whole_schedulers_hold() -> None:
+    found = at_random(12, seed=5)
+    assert not found.broken, (found.broken, found.seed)
+
+
+def test_the_judge_fails_where_a_proposal_is_acted_by(monkeypatch: pytest.MonkeyPatch) -> None:
+    on_checked = Opinions.on_checked
+
+    def act(self: Opinions, now: int, digest: bytes, fault: str | None) -> None:
+        on_checked(self, now, digest, fault)
+        header = Header(99, bytes(16), "eve", 1, "", digest)
+        activation._activate(header, b"")
+
+    bench = Bench()
+    activation = bench.hosts[2].revisions._activation
+    monkeypatch.setattr(Opinions, "on_checked", act)
+    bench.ask(0, b"new")
+    bench.wait(1.0)
+    assert any("was not chosen" in each for each in bench.judge.broken)
+
+
+def test_the_judge_fails_where_an_older_one_is_acted_by_after_a_newer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    bench = Bench()
+    bench.ask(0, b"new")
+    bench.wait(1.0)
+    host = bench.hosts[2]
+    activation = host.revisions._activation
+    monkeypatch.setattr(Activation, "progress", lambda self: self._activate(bench.judge.chosen[1], b""))
+    host.feed(Tick())
+    assert any("in one life" in each for each in bench.judge.broken) and activation.acting is not None
+
+
+def lose_a_record() -> Bench:
+    """The first voter and the second choose a revision; the first loses its record while the second sleeps,
+    and the third, which has heard nothing of it, wants another."""
+    bench = Bench(count=3)
+    bench.cut({2}, 2 * S)
+    bench.ask(0, b"chosen", None, 1)
+    bench.wait(1.9)
+    bench.pause(1, 10 * S)
+    bench.crash(0, S, keep_disk=False)
+    bench.wait(2.0)
+    bench.ask(2, b"another", None, 2)
+    bench.wait(5.0)
+    return bench
+
+
+def test_a_voter_without_its_record_does_not_help_to_choose_anew() -> None:
+    bench = lose_a_record()
+    assert isinstance(bench.outcome(1), Applied) and isinstance(bench.outcome(2), NoMajority)
+    bench.wait(8.0)
+    assert not bench.judge.broken and bench.active() == {2}
+    bench.ask(
+        2, b"another", None, 3
+    )  # the number after the next is the first that the forgetful one votes on
+    bench.wait(3.0)
+    assert isinstance(bench.outcome(3), Applied) and bench.active() == {3}
+
+
+def test_the_judge_fails_where_a_voter_votes_without_its_record(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Voter, "_may_vote", lambda self, number: self.is_voter)
+    assert any("chosen twice" in each for each in lose_a_record().judge.broken)
