Tables of the capacity page: predicted, measured and budget of each figure in one row

Need: the page shows prediction against measurement beside each other, for two full runs. Kinds of datagrams are summed by purpose; slopes come from the file that has them.

--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -1,32 +1,64 @@
 """Tables of docs/CAPACITY.md from the JSON of scale runs: `python benchmarks/capacity_tables.py FILE ...`.
 
-Each file is what `ladderhub lab scale --json FILE` wrote.  Figures that a file does not have are shown as not
-measured; nothing is computed here but shares, and the error of each prediction.
+Each file is what `ladderhub lab scale --json FILE` wrote; slopes and prediction are taken from the first that
+has them.  What no file has is shown as not measured; nothing is computed but sums by kind and errors.
 """
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 import msgspec
 
-from ladderhub.lab.scale.budgets import BudgetVerdict
 from ladderhub.lab.scale.report import Report, RoleFigures, RunFigures, figures_of
 
 MISSING = "not measured"
-KEPT_FIGURES = (
-    "scheduler.memory_mb", "scheduler.cores", "scheduler.control.cores", "scheduler.control.bytes_per_s",
-    "scheduler.cores.job", "scheduler.cores.lists", "scheduler.cores.peers",
-    "scheduler.cores.configuration", "scheduler.cores.metrics", "scheduler.bytes_per_s.lists.in",
-    "scheduler.bytes_per_s.peers.in", "scheduler.bytes_per_s.peers.out", "scheduler.messages_per_s.lists.in",
-    "scheduler.messages_per_s.peers.in", "scheduler.messages_per_s.peers.out", "scheduler.descriptors",
-    "elector.memory_mb", "elector.cores", "elector.control.cores", "elector.control.bytes_per_s",
-    "directory.memory_mb", "directory.cores", "directory.descriptors", "node_agent.memory_mb",
-    "node_agent.cores", "node_agent.descriptors", "starts.urgent.p50_ms", "starts.urgent.p99_ms",
-    "starts.web.p99_ms", "starts.batch.p99_ms", "change_in_force_s.p50", "change_in_force_s.most",
+ROLE_FIGURES = {
+    role: [
+        "memory_mb", "memory_growth_mb_per_s", "cores", "cores.jobs", "cores.lists", "cores.peers",
+        "cores.configuration", "cores.log_metrics", "cores.other", "control.cores",
+        "control.bytes_per_s", "descriptors",
+    ]
+    for role in ("scheduler", "elector")
+} | {
+    "directory": [
+        "memory_mb", "cores", "descriptors", "messages_per_s.node.in", "bytes_per_s.node.in",
+        "messages_per_s.scheduler.out", "bytes_per_s.scheduler.out", "work_per_s.rows_sent",
+        "work_per_s.log_entries_walked",
+    ],
+    "node_agent": [
+        "all.memory_mb", "all.cores", "all.descriptors", "all.messages_per_s.scheduler.in",
+        "all.bytes_per_s.scheduler.in", "all.bytes_per_s.scheduler.out", "all.messages_per_s.directory.out",
+        "all.bytes_per_s.directory.out",
+    ],
+    "client_door": [
+        "descriptors", "messages_per_s.client.in", "bytes_per_s.client.in", "bytes_per_s.client.out",
+    ],
+    "starts": [
+        "urgent.p50_ms", "urgent.p99_ms", "urgent.missed_share", "web.p99_ms", "web.missed_share",
+        "batch.p99_ms", "batch.missed_share",
+    ],
+    "change_in_force_s": ["p50", "p99", "most", "missed_share"],
+}  # fmt: skip
+SLOPED = (
+    "scheduler.memory_mb", "scheduler.cores", "scheduler.cores.jobs", "scheduler.control.cores",
+    "scheduler.control.bytes_per_s", "scheduler.bytes_per_s.directory.in", "elector.control.cores",
+    "elector.control.bytes_per_s", "directory.cores", "directory.memory_mb",
+    "directory.bytes_per_s.scheduler.out", "directory.work_per_s.log_entries_walked",
+    "node_agent.all.cores", "node_agent.all.memory_mb", "starts.urgent.p99_ms", "change_in_force_s.most",
 )  # fmt: skip
+GROUPS = {
+    "lists": {"directory"},
+    "membership": {"ping", "ack", "indirect_probe", "indirect_ack", "indirect_nack", "sync_digest",
+                   "sync_entries", "name_conflict"},
+    "leases": {"lease_request", "lease_grant", "lease_release"},
+    "job path, clients": {"client"},
+    "job path, nodes": {"node"},
+}  # fmt: skip
+
+GROUPED = ("scheduler", "elector")  # roles whose kinds of messages are those of `GROUPS`
 
 
 def shown(value: float | None) -> str:
@@ -43,114 +75,100 @@
     return [*lines, *("| " + " | ".join(row) + " |" for row in rows)]
 
 
-def role_rows(roles: dict[str, RoleFigures]) -> Iterable[list[str]]:
-    for name, role in roles.items():
-        yield [
-            f"{name} ({role.count})", f"{shown(role.memory_mb)}; {shown(role.most.get('memory_mb'))}",
-            f"{shown(role.cores)}; {shown(role.most.get('cores'))}", shown(role.descriptors),
-            f"{shown(role.control.cores)}; {shown(role.most.get('control.cores'))}",
-            f"{shown(role.control.bytes_per_s)}; {shown(role.most.get('control.bytes_per_s'))}",
-        ]  # fmt: skip
-
-
-def kind_rows(role: RoleFigures) -> Iterable[list[str]]:
-    for kind in sorted({*role.bytes_per_s, *role.messages_per_s}):
-        counted, sent = role.messages_per_s.get(kind), role.bytes_per_s.get(kind)
-        yield [
-            kind, shown(counted.in_ if counted else None), shown(counted.out if counted else None),
-            shown(sent.in_ if sent else None), shown(sent.out if sent else None),
-        ]  # fmt: skip
-
-
-def run_lines(run: RunFigures) -> Iterable[str]:
-    size = run.dimensions
-    yield (
-        f"**{run.name}**, seed {run.seed}, {run.seconds:.0f} s: {size.nodes} nodes, "
-        f"{size.starts_per_s:g} starts a second, {size.running} running wanted and {run.running:.0f} found, "
-        f"{size.teams} teams, {size.schedulers} schedulers, {size.changes_per_h:g} changes an hour."
-    )
-    yield ""
-    heads = ["role (how many)", "MB: mean; most", "cores: mean; most", "descriptors"]
-    heads += ["control, cores: mean; most", "control, bytes a second: mean; most"]
-    yield from table(heads, role_rows(run.roles))
-    for name, role in run.roles.items():
-        if role.cores_by_cause:
-            yield ""
-            rows = ([cause, shown(cores)] for cause, cores in sorted(role.cores_by_cause.items()))
-            yield from table([f"{name}: cause", "cores"], rows)
-        if role.bytes_per_s or role.messages_per_s:
-            yield ""
-            heads = [f"{name}: kind", "messages a second in", "out", "bytes a second in", "out"]
-            yield from table(heads, kind_rows(role))
-    yield ""
-    yield from table(
-        ["class", "jobs", "start p50, ms", "p99, ms", "refused", "failed", "never ran"],
-        (
-            [name, str(each.count), shown(each.p50_ms), shown(each.p99_ms), str(each.refused),
-             str(each.failed), f"{each.missed_share:.2%}"]
-            for name, each in run.starts.items()
-        ),
-    )  # fmt: skip
-    change = run.change_in_force_s
-    yield ""
-    yield (
-        f"Changes of configuration: {change.count}; in force after p50 {shown(change.p50)}, p99 "
-        f"{shown(change.p99)}, most {shown(change.most)} s."
-    )
-    yield from (f"Note: {note}." for note in run.notes)
-    yield ""
+def group_of(kind: str) -> str:
+    """Kinds of datagrams that are of no other group are those of revisions."""
+    return next((name for name, kinds in GROUPS.items() if kind in kinds), "configuration")
+
+
+def group_rows(role: RoleFigures) -> Iterable[list[str]]:
+    """Messages and bytes a second in and out by group, as counted."""
+    sums: dict[str, list[float]] = {}
+    for column, counted in ((0, role.messages_per_s), (2, role.bytes_per_s)):
+        for kind, traffic in counted.items():
+            row = sums.setdefault(group_of(kind), [0.0] * 4)
+            row[column] += traffic.in_ or 0.0
+            row[column + 1] += traffic.out or 0.0
+    for name, row in sorted(sums.items()):
+        yield [name, *map(shown, row)]
+
+
+def full_runs(reports: Iterable[Report]) -> list[RunFigures]:
+    return [run for report in reports for run in report.runs if run.name.startswith("full")]
+
+
+def compared_rows(
+    role: str, predicted: Mapping[str, float], full: list[RunFigures], budgets: Mapping[str, float]
+) -> Iterable[list[str]]:
+    """A role's figures: predicted, measured in each full run with the prediction's error, and the budget."""
+    measured = [figures_of(run) for run in full]
+    for name in ROLE_FIGURES[role]:
+        figure = f"{role}.{name}"
+        said = predicted.get(figure)
+        row = [f"`{name}`", shown(said)]
+        for each in measured:
+            found = each.get(figure)
+            error = f"{(said - found) / found:+.0%}" if said is not None and found else "-"
+            row += [shown(found), error]
+        limit = budgets.get(f"{role}.most.{name}", budgets.get(figure))
+        yield [*row, "" if limit is None else shown(limit)]
 
 
 def slope_rows(report: Report) -> Iterable[list[str]]:
     for slope in report.slopes:
-        if slope.figure in KEPT_FIGURES:
+        if slope.figure in SLOPED:
             points = ", ".join(f"{x:g}: {shown(y)}" for x, y in slope.points)
-            straight = "yes" if slope.straight else "NO"
+            straight = "yes" if slope.straight else "**no**"
             yield [
-                slope.figure, slope.dimension, f"{slope.per_unit:.3g}", f"{slope.intercept:.3g}",
+                f"`{slope.figure}`", slope.dimension, f"{slope.per_unit:.3g}", f"{slope.intercept:.3g}",
                 f"{slope.residual:.2g}", straight, points,
             ]  # fmt: skip
 
 
-def prediction_rows(report: Report) -> Iterable[list[str]]:
-    full = next((run for run in reversed(report.runs) if run.name.startswith("full")), None)
-    measured = figures_of(full) if full is not None else {}
-    for figure in KEPT_FIGURES:
-        if figure in report.prediction.figures or figure in measured:
-            said, found = report.prediction.figures.get(figure), measured.get(figure)
-            error = f"{(said - found) / found:+.0%}" if said is not None and found else "-"
-            yield [figure, shown(said), shown(found), error]
-
-
-def verdict_of(budget: BudgetVerdict) -> str:
-    if budget.measured is None:
-        return MISSING
-    return "holds" if budget.holds else "passed"
-
-
-def lines_of(path: Path) -> Iterable[str]:
-    report = msgspec.json.decode(path.read_bytes(), type=Report)
-    yield f"### {path.name}: commit {report.commit}, seed {report.seed}, {report.machine}"
+def lines_of(reports: list[Report]) -> Iterable[str]:
+    planned = next((report for report in reports if report.prediction.figures), reports[0])
+    full = full_runs(reports)
+    budgets = {budget.figure: budget.limit for budget in planned.budgets}
+    for report in reports:
+        yield f"commit {report.commit}, seed {report.seed}, {report.machine}"
+    for run in full:
+        size = run.dimensions
+        yield f"{run.name}, {run.seconds:.0f} s: {size}, {run.running:.0f} found running"
+        yield from (f"  {note}" for note in run.notes)
+        waited = {name: role.waited for name, role in run.roles.items() if role.waited is not None}
+        yield "  waited for a processor: " + ", ".join(
+            f"{name} {share:.0%}" for name, share in waited.items()
+        )
+    yield f"prediction written {planned.prediction.written_at or MISSING}"
+    heads = ["predicted"]
+    for run in full:
+        heads += [run.name, "error"]
+    for role in ROLE_FIGURES:
+        yield from ("", f"### {role}", "")
+        yield from table(
+            ["figure", *heads, "budget"], compared_rows(role, planned.prediction.figures, full, budgets)
+        )
+        figures = full[0].roles.get(role) if full else None
+        if role in GROUPED and figures is not None and figures.messages_per_s:
+            yield ""
+            heads_of_groups = ["kind", "messages a second in", "out", "bytes a second in", "out"]
+            yield from table(heads_of_groups, group_rows(figures))
     yield ""
-    for run in report.runs:
-        yield from run_lines(run)
     heads = ["figure", "dimension", "a unit", "at none", "residual", "straight", "points"]
-    yield from table(heads, slope_rows(report))
-    yield ""
-    yield f"Prediction written {report.prediction.written_at}:"
-    yield ""
-    yield from table(["figure", "predicted", "measured", "error"], prediction_rows(report))
-    yield ""
-    yield from table(
-        ["budget", "limit", "measured", "verdict"],
-        ([each.figure, shown(each.limit), shown(each.measured), verdict_of(each)] for each in report.budgets),
-    )
-    yield ""
+    yield from table(heads, slope_rows(planned))
+    for report in reports:
+        yield ""
+        yield from table(["budget", "limit", "measured", "verdict"], budget_rows(report))
+
+
+def budget_rows(report: Report) -> Iterable[list[str]]:
+    for budget in report.budgets:
+        verdict = MISSING if budget.measured is None else "holds" if budget.holds else "passed"
+        yield [f"`{budget.figure}`", shown(budget.limit), shown(budget.measured), verdict]
 
 
 def main() -> None:
-    for name in sys.argv[1:]:
-        print("\n".join(lines_of(Path(name))))
+    reports = [msgspec.json.decode(Path(name).read_bytes(), type=Report) for name in sys.argv[1:]]
+    print("\n".join(lines_of(reports)))
 
 
 if __name__ == "__main__":
