Revisions: a peer that claims a newer head and never shows it is left alone for a while

Each frame of such a peer, or of one on another chain, renewed requests every 60 to 100 ms for as long as it was there. After eight requests that taught nothing it is ignored for ten seconds; the test counts what is sent to it.

--- a/ladderhub/revision/sync.py
+++ b/ladderhub/revision/sync.py
@@ -13,7 +13,7 @@
 from ladderhub.revision.context import Context
 from ladderhub.revision.ledger import HEADERS_KEPT, Ledger
 from ladderhub.revision.messages import HEADERS_TOLD, FetchHeaders, Head, Header, Headers
-from ladderhub.revision.types import MS, Notice
+from ladderhub.revision.types import MS, Notice, S
 
 PUSHED_TO = 4  # members that each member tells of a head at once
 PUSHED_AGAIN_TO = 2  # and a while later
@@ -22,6 +22,8 @@
 RETRY_NS = (60 * MS, 100 * MS)
 SOURCES_MOST = 16
 TRIES_MOST = 8  # requests to a source that teach nothing
+IGNORED_NS = 10 * S  # so long a source is left alone after them
+IGNORED_MOST = 256
 ANSWERS_MOST = 4  # messages in answer to one request
 
 
@@ -32,6 +34,7 @@
         self._context, self._ledger = context, ledger
         self._sources: dict[str, int] = {}  # addresses whose head is newer than ours, and its number
         self._tries: dict[str, int] = {}
+        self._ignored: dict[str, int] = {}  # sources that taught nothing, and until when
         self._ask_ns = 0  # no request before
         self._push_again_ns: int | None = None
         self._conflicts: set[int] = set()
@@ -53,6 +56,8 @@
         """Somebody's head is newer than ours: ask, unless that is under way."""
         if number <= self._ledger.number or not address or address == self._context.settings.address:
             return
+        if now < self._ignored.get(address, 0):
+            return
         if address not in self._sources and len(self._sources) >= SOURCES_MOST:
             del self._sources[next(iter(self._sources))]
         self._sources[address] = max(number, self._sources.get(address, 0))
@@ -68,7 +73,9 @@
     def tick(self, now: int) -> None:
         if self._sources and now >= self._ask_ns:
             for address, number in list(self._sources.items()):
-                if number <= self._ledger.number or self._tries.get(address, 0) >= TRIES_MOST:
+                if self._tries.get(address, 0) >= TRIES_MOST:
+                    self._ignore(now, address)
+                elif number <= self._ledger.number:
                     del self._sources[address]
             self._tries = {each: tries for each, tries in self._tries.items() if each in self._sources}
             if self._sources:
@@ -77,6 +84,13 @@
             self._push_again_ns = None
             self._push_to(self._context.sample(PUSHED_AGAIN_TO))
 
+    def _ignore(self, now: int, address: str) -> None:
+        """It says that its head is newer, and does not show it or shows another chain."""
+        del self._sources[address]
+        if len(self._ignored) >= IGNORED_MOST:
+            del self._ignored[next(iter(self._ignored))]
+        self._ignored[address] = now + IGNORED_NS
+
     def due_ns(self) -> int | None:
         due = [self._ask_ns] if self._sources else []
         return min([*due, *([] if self._push_again_ns is None else [self._push_again_ns])], default=None)
--- a/tests/revision/test_fleet.py
+++ b/tests/revision/test_fleet.py
@@ -13,6 +13,7 @@
 from ladderhub.revision.activation import Activation
 from ladderhub.revision.messages import Head, Header, Headers
 from ladderhub.revision.opinions import Opinions
+from ladderhub.revision.sync import TRIES_MOST
 from ladderhub.revision.types import (
     Applied, Invalid, LostTo, NoMajority, Notice, Outcome, Refused, StaleParent, Unchanged,
 )  # fmt: skip
@@ -222,6 +223,23 @@
     assert bench.active() == {2}
 
 
+def test_one_that_always_claims_a_newer_head_and_never_shows_it_costs_little(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    bench, asked = Bench(), list[str]()
+    send = bench.net.send
+
+    def counted(source: str, target: str, message: Any, size: int) -> None:
+        asked.append(target)
+        send(source, target, message, size)
+
+    monkeypatch.setattr(bench.net, "send", counted)
+    for _ in range(90):
+        bench.wait(0.1)
+        bench.hosts[3].feed(HeadSeen("h:9", Head(1 << 30, bytes(8), 0)))
+    assert 0 < asked.count("h:9") <= TRIES_MOST
+
+
 @pytest.mark.parametrize("voters", [1, 5])
 def test_other_numbers_of_voters_decide_too(voters: int) -> None:
     bench = Bench(count=6, loss=0.1, voters=voters)
