--- a/ladderhub/server/revisions.py
+++ b/ladderhub/server/revisions.py
@@ -39,8 +39,8 @@
     """The record of revisions in the spool folder can't be read."""
 
     remedy = (
-        "put the file back from a copy, or remove it: the scheduler then fetches what is in force from its "
-        "peers, and as a voter asks the others before it votes"
+        "remove it: the scheduler then fetches what is in force from its peers, and as a voter asks the "
+        "others before it votes; an older copy put back at a voter would vote again on what it has voted on"
     )
 
 
