Voters of a new fleet vote once a majority may, and what one may have forgotten counts as voted

Cause: a first voter promised number 1 as soon as it knew that nobody had voted. And a voter that had lost its record told others that it had voted on nothing: a second one that lost its record took that for knowledge and could vote again on a number that had been chosen with its vote.

Change: nobody votes on number 1 before it knows of a majority that may; a voter tells the highest number on which it may have voted.

--- a/ladderhub/revision/voter.py
+++ b/ladderhub/revision/voter.py
@@ -7,7 +7,10 @@
 A voter that starts without its record has forgotten what it voted.  It votes on no number on which it may
 have voted before: such a number follows one that a majority had accepted, and enough of the other voters that
 have their records, asked after its start, include one of those.  Where too many have none, all others have to
-answer; where nobody has voted on anything, the fleet is new."""
+answer; where nobody has voted on anything, the fleet is new.
+
+Nobody votes on number 1 before a majority may: a voter of a new fleet that asks only then could not tell
+itself from one that has forgotten its vote, and number 1 would never have its majority."""
 
 from __future__ import annotations
 
@@ -30,12 +33,12 @@
         self.waiting: Accept | None = None  # its body is not here yet
 
     def voted(self) -> int | None:
-        """The highest number on which this voter has voted, or that it knows to be chosen."""
+        """The highest number on which this voter may have voted, or that it knows to be chosen."""
         ledger = self._ledger
         if not self.is_voter or ledger.votes_from is None:
             return None
         voted_on_next = ledger.promised is not None or ledger.accepted is not None
-        return ledger.number + 1 if voted_on_next else ledger.number
+        return max(ledger.number + voted_on_next, ledger.votes_from - 1)
 
     def start(self) -> None:
         """Without its record a voter asks the others; where it is the only one there is nothing to ask."""
@@ -47,8 +50,10 @@
         """The answer to a question of this life."""
         settings = self._context.settings
         others = answer.sender in settings.voters and answer.sender != settings.address
-        if others and self.is_voter and self._ledger.votes_from is None:
-            self._others_voted[answer.sender] = answer.voted
+        if not others or not self.is_voter:
+            return
+        self._others_voted[answer.sender] = answer.voted
+        if self._ledger.votes_from is None:
             self._settle_votes()
 
     def _settle_votes(self) -> None:
@@ -63,7 +68,14 @@
 
     def _may_vote(self, number: int) -> bool:
         votes_from = self._ledger.votes_from
-        return self.is_voter and votes_from is not None and number >= votes_from
+        if not self.is_voter or votes_from is None or number < votes_from:
+            return False
+        return number > 1 or self._first_may_be_decided()
+
+    def _first_may_be_decided(self) -> bool:
+        """Do we know of a majority that may vote on number 1?"""
+        able = sum(voted is not None and voted <= 1 for voted in self._others_voted.values())
+        return 1 + able >= self._context.settings.majority
 
     def _is_next(self, number: int, reply_to: str) -> bool:
         """Only the number after the head is voted on; what was chosen before it is asked for."""
--- /dev/null
+++ b/tests/revision/test_voters.py
@@ -0,0 +1,91 @@
+"""Voters without a record: a fresh fleet always begins, and what one has forgotten no other counts as known."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from itertools import count
+
+import pytest
+
+from ladderhub.revision import (
+    Activate, BodyChecked, CheckBody, MembersChanged, MessageReceived, Revisions, RevisionSettings, Send, Tick,
+    WakeAt,
+)  # fmt: skip
+from ladderhub.revision.messages import AskHead, HeadIs
+from ladderhub.revision.types import Action, Event
+
+MS, S = 1_000_000, 1_000_000_000
+VOTERS = tuple(f"10.0.0.{at}:1" for at in range(5))
+NAMES = {f"s{at}": address for at, address in enumerate(VOTERS)}
+
+
+def scheduler(name: str, life: int = 1) -> Revisions:
+    return Revisions(RevisionSettings(name, life, NAMES[name], VOTERS, b"{}"), None, seed=life)
+
+
+class Group:
+    """Five fresh voters that start one after the other; messages take up to `most_ns`."""
+
+    def __init__(self, seed: int, most_ns: int) -> None:
+        self._random, self._most_ns = random.Random(seed), most_ns
+        self._queue: list[tuple[int, int, str, Event]] = []
+        self._count = count()
+        self._schedulers = {name: scheduler(name) for name in NAMES}
+        self._started: set[str] = set()
+        self.active: dict[str, int] = {}
+        for name in NAMES:
+            self._add(self._random.randrange(300 * MS), name, MembersChanged(NAMES))
+
+    def _add(self, at_ns: int, name: str, event: Event) -> None:
+        heapq.heappush(self._queue, (at_ns, next(self._count), name, event))
+
+    def run(self, until_ns: int) -> None:
+        while self._queue and self._queue[0][0] < until_ns:
+            now, _, name, event = heapq.heappop(self._queue)
+            if isinstance(event, MembersChanged):
+                self._started.add(name)
+            if name in self._started:
+                for action in self._schedulers[name].handle(now, event):
+                    self._carry(now, name, action)
+
+    def _carry(self, now: int, name: str, action: Action) -> None:
+        if isinstance(action, Send):
+            to = next(each for each, address in NAMES.items() if address == action.address)
+            late = self._random.randrange(MS, self._most_ns)
+            self._add(now + late, to, MessageReceived(name, 1, action.message))
+        elif isinstance(action, WakeAt):
+            self._add(action.at_ns, name, Tick())
+        elif isinstance(action, CheckBody):
+            self._add(now, name, BodyChecked(action.digest, None))
+        elif isinstance(action, Activate):
+            self.active[name] = action.revision.header.number
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_a_fresh_fleet_comes_to_its_first_revision_however_its_voters_start(seed: int) -> None:
+    # Guards against a first voter that promised before the others knew that they had never voted: those then
+    # voted from number 3 on, and number 1 never had a majority.
+    group = Group(seed, (2, 20, 120)[seed % 3] * MS)
+    group.run(20 * S)
+    assert group.active == dict.fromkeys(NAMES, 1)
+
+
+def told_voted(revisions: Revisions, now: int) -> int | None:
+    """What it tells of its votes to whoever asks."""
+    ask = MessageReceived("s4", 1, AskHead(7, VOTERS[4]))
+    answers = [each.message for each in revisions.handle(now, ask) if isinstance(each, Send)]
+    return next(each.voted for each in answers if isinstance(each, HeadIs) and each.nonce == 7)
+
+
+def test_what_a_voter_may_have_forgotten_counts_as_voted_for_others_that_forgot() -> None:
+    # Guards against two voters that lose their records one after the other: the second would take the first
+    # one's word for that nothing was voted on, and vote on a number that had been chosen with its own vote.
+    revisions = scheduler("s0", life=2)
+    asked = [each.message for each in revisions.handle(0, Tick()) if isinstance(each, Send)]
+    nonce = next(each.nonce for each in asked if isinstance(each, AskHead))
+    assert told_voted(revisions, MS) is None
+    for at, voted in ((1, 1), (2, 0), (3, 0)):
+        revisions.handle(2 * MS, MessageReceived(f"s{at}", 1, HeadIs(nonce, VOTERS[at], 0, voted)))
+    told = told_voted(revisions, 3 * MS)
+    assert told is not None and told >= 2
