--- a/ladderhub/revision/revisions.py
+++ b/ladderhub/revision/revisions.py
@@ -184,7 +184,9 @@
         elif isinstance(message, Lacking):
             self._downloads.on_lacking(now, message)
         elif isinstance(message, AskHead):
-            head = HeadIs(message.nonce, self.settings.address, self._ledger.number, self._voter.voted())
+            head = HeadIs(
+                message.nonce, self.settings.address, self._ledger.number, self._voter.accepted_number()
+            )
             self._context.send(message.reply_to, head)
         elif isinstance(message, HeadIs):
             if self._confirmation.on_head_is(now, message):
@@ -199,7 +201,8 @@
     def _on_ballot(self, now: int, message: Prepare | Accept | Promise | Accepted | Rejected) -> None:
         decision = self._proposer.decision
         if isinstance(message, Prepare):
-            if not self._tell_chosen(message.number, message.reply_to):
+            told = self._tell_chosen(message.number, message.reply_to)
+            if not told and self._voter.may_begin(message.number):
                 self._voter.on_prepare(message)
         elif isinstance(message, Accept):
             header = message.header
--- a/tests/revision/test_voters.py
+++ b/tests/revision/test_voters.py
@@ -1,4 +1,4 @@
-"""Voters without a record: a fresh fleet always begins, and what one has forgotten no other counts as known."""
+"""Voters without a record: a fresh fleet always begins, and what one forgot no other counts as known."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 import pytest
 
 from ladderhub.revision import (
-    Activate, BodyChecked, CheckBody, MembersChanged, MessageReceived, Revisions, RevisionSettings, Send, Tick,
-    WakeAt,
+    Activate, BodyChecked, CheckBody, MembersChanged, MessageReceived, Revisions, RevisionSettings, Send,
+    Tick, WakeAt,
 )  # fmt: skip
-from ladderhub.revision.messages import AskHead, HeadIs
+from ladderhub.revision.messages import AskHead, Ballot, HeadIs, Prepare, Promise
 from ladderhub.revision.types import Action, Event
 
 MS, S = 1_000_000, 1_000_000_000
@@ -71,11 +71,11 @@
     assert group.active == dict.fromkeys(NAMES, 1)
 
 
-def told_voted(revisions: Revisions, now: int) -> int | None:
-    """What it tells of its votes to whoever asks."""
+def told_accepted(revisions: Revisions, now: int) -> int | None:
+    """What it tells whoever asks."""
     ask = MessageReceived("s4", 1, AskHead(7, VOTERS[4]))
     answers = [each.message for each in revisions.handle(now, ask) if isinstance(each, Send)]
-    return next(each.voted for each in answers if isinstance(each, HeadIs) and each.nonce == 7)
+    return next(each.accepted for each in answers if isinstance(each, HeadIs) and each.nonce == 7)
 
 
 def test_what_a_voter_may_have_forgotten_counts_as_voted_for_others_that_forgot() -> None:
@@ -84,8 +84,27 @@
     revisions = scheduler("s0", life=2)
     asked = [each.message for each in revisions.handle(0, Tick()) if isinstance(each, Send)]
     nonce = next(each.nonce for each in asked if isinstance(each, AskHead))
-    assert told_voted(revisions, MS) is None
-    for at, voted in ((1, 1), (2, 0), (3, 0)):
-        revisions.handle(2 * MS, MessageReceived(f"s{at}", 1, HeadIs(nonce, VOTERS[at], 0, voted)))
-    told = told_voted(revisions, 3 * MS)
+    assert told_accepted(revisions, MS) is None
+    for at, accepted in ((1, 1), (2, 0), (3, 0)):
+        revisions.handle(2 * MS, MessageReceived(f"s{at}", 1, HeadIs(nonce, VOTERS[at], 0, accepted)))
+    told = told_accepted(revisions, 3 * MS)
     assert told is not None and told >= 2
+
+
+def test_a_promise_on_the_first_number_shows_that_a_vote_may_be_forgotten() -> None:
+    # Guards against a voter that accepted number 1, lost its record while the others' acceptances were on the
+    # way, took the fleet for new and gave the majority to another first revision.
+    revisions = scheduler("s0")
+    asked = [each.message for each in revisions.handle(0, Tick()) if isinstance(each, Send)]
+    nonce = next(each.nonce for each in asked if isinstance(each, AskHead))
+    prepare = MessageReceived("s4", 1, Prepare(1, Ballot(1, 4), VOTERS[4]))
+    for at in (1, 2, 3):
+        revisions.handle(MS, MessageReceived(f"s{at}", 1, HeadIs(nonce, VOTERS[at], 0, None)))
+    revisions.handle(MS, MessageReceived("s4", 1, HeadIs(nonce, VOTERS[4], 0, 0)))
+    assert told_accepted(revisions, 2 * MS) == 0
+    promises = [each for each in revisions.handle(3 * MS, prepare) if isinstance(each, Send)]
+    assert not any(isinstance(each.message, Promise) for each in promises)  # two of five may vote
+    revisions.handle(4 * MS, MessageReceived("s1", 1, HeadIs(nonce, VOTERS[1], 0, 0)))
+    promises = [each for each in revisions.handle(5 * MS, prepare) if isinstance(each, Send)]
+    assert any(isinstance(each.message, Promise) for each in promises)
+    assert told_accepted(revisions, 6 * MS) == 1
