--- a/ladderhub/revision/revisions.py
+++ b/ladderhub/revision/revisions.py
@@ -201,7 +201,8 @@
     def _on_ballot(self, now: int, message: Prepare | Accept | Promise | Accepted | Rejected) -> None:
         decision = self._proposer.decision
         if isinstance(message, Prepare):
-            if not self._tell_chosen(message.number, message.reply_to):
+            told = self._tell_chosen(message.number, message.reply_to)
+            if not told and self._voter.may_begin(message.number):
                 self._voter.on_prepare(message)
         elif isinstance(message, Accept):
             header = message.header
--- a/ladderhub/revision/voter.py
+++ b/ladderhub/revision/voter.py
@@ -7,7 +7,11 @@
 A voter that starts without its record has forgotten what it voted.  It votes on no number on which it may
 have voted before: the number before that one was chosen, so a majority had accepted a value for it, and
 enough of the other voters that have their records, asked after its start, include one of those.  Where too
-many have none, all others have to answer; where nobody has accepted anything, the fleet is new."""
+many have none, all others have to answer; where nobody has accepted anything, the fleet is new.
+
+Nothing was chosen before number 1, so there a promise counts as an acceptance: a majority promises before
+anybody accepts.  And nobody votes on number 1 before it knows of a majority that may, since a voter of a new
+fleet that asks only then can't tell itself from one that has forgotten its vote."""
 
 from __future__ import annotations
 
@@ -30,11 +34,13 @@
         self.waiting: Accept | None = None  # its body is not here yet
 
     def accepted_number(self) -> int | None:
-        """The highest number for which this voter has accepted a value, or knows the chosen one."""
+        """The highest number for which this voter may have accepted a value, or knows the chosen one."""
         ledger = self._ledger
         if not self.is_voter or ledger.votes_from is None:
             return None
-        return ledger.number if ledger.accepted is None else ledger.number + 1
+        promised_first = ledger.number == 0 and ledger.promised is not None
+        known = ledger.number + (promised_first or ledger.accepted is not None)
+        return max(known, ledger.votes_from - 1)  # what is below, it may have forgotten
 
     def start(self) -> None:
         """Without its record a voter asks the others; where it is the only one there is nothing to ask."""
@@ -46,8 +52,10 @@
         """The answer to a question of this life."""
         settings = self._context.settings
         others = answer.sender in settings.voters and answer.sender != settings.address
-        if others and self.is_voter and self._ledger.votes_from is None:
-            self._others_accepted[answer.sender] = answer.accepted
+        if not others or not self.is_voter:
+            return
+        self._others_accepted[answer.sender] = answer.accepted
+        if self._ledger.votes_from is None:
             self._settle_votes()
 
     def _settle_votes(self) -> None:
@@ -64,6 +72,11 @@
         votes_from = self._ledger.votes_from
         return self.is_voter and votes_from is not None and number >= votes_from
 
+    def may_begin(self, number: int) -> bool:
+        """May ballots on it begin: for number 1, do we know of a majority that may vote on it?"""
+        able = sum(known is not None and known <= 1 for known in self._others_accepted.values())
+        return number > 1 or 1 + able >= self._context.settings.majority
+
     def _is_next(self, number: int, reply_to: str) -> bool:
         """Only the number after the head is voted on; what was chosen before it is asked for."""
         if number > self._ledger.number + 1:
