Revisions: a new fleet has its first revision within its hold, and an unknown parent may be one not learned yet

Since no voter promises number 1 before it knows of a majority that may vote, a fleet that started together came to its first revision only after the hold of three seconds: a voter that had answered «no record» was not asked again. While nothing is chosen all voters are asked each time.

An operator's parent that a scheduler did not know was called stale at once, also where the scheduler knew that it was behind. Such a request now waits for its turn; all others are told at once as before.

--- a/ladderhub/revision/confirm.py
+++ b/ladderhub/revision/confirm.py
@@ -46,9 +46,12 @@
         self.settle()
 
     def ask(self, beside: int) -> None:
-        """Ask the voters that have not answered, and some others."""
+        """Ask the voters that have not answered, and some others.
+
+        While nothing is chosen all are asked: whether they may vote on the first revision changes soon."""
         context, mine = self._context, self._context.settings.address
-        voters = [each for each in context.settings.voters if each not in self.voters_heard]
+        heard = self.voters_heard if self._ledger.head is not None else ()
+        voters = [each for each in context.settings.voters if each not in heard]
         for address in [*voters, *context.sample(beside, context.settings.voters)]:
             if address != mine:
                 context.send(address, AskHead(self._nonce, mine))
--- a/ladderhub/revision/proposer.py
+++ b/ladderhub/revision/proposer.py
@@ -85,9 +85,9 @@
         elif ledger.head is not None and ledger.head.body == request.digest:
             close(request, Unchanged(ledger.head, ledger.digest))
         elif request.parent is not None and request.parent != ledger.digest:
-            winner = self._child_of(request.parent) or ledger.head
+            winner = self._child_of(request.parent)
             if winner is None:
-                close(request, StaleParent(None, ledger.digest))
+                close(request, StaleParent(ledger.head, ledger.digest))
             else:
                 close(request, LostTo(winner, digest_of(winner)))
         elif request.ready_ns is not None and now >= request.ready_ns + DECIDE_NS:
--- a/ladderhub/revision/revisions.py
+++ b/ladderhub/revision/revisions.py
@@ -114,12 +114,17 @@
             self._catch_up.begin(now, f"stood still for {(now - last) / S:.1f} s")
 
     def _on_apply(self, now: int, apply: Apply) -> None:
-        ledger = self._ledger
-        if apply.parent is not None and apply.parent != ledger.digest:
+        ledger, parent = self._ledger, apply.parent
+        if parent is not None and parent != ledger.digest and not self._may_follow(parent):
             self._context.actions.append(Answer(apply.request, StaleParent(ledger.head, ledger.digest)))
         else:
             self._requests.add(now, apply)
 
+    def _may_follow(self, parent: bytes) -> bool:
+        """Could this be the digest of a revision that we are about to learn of?"""
+        behind = self._sync.newest_seen() > self._ledger.number or self._catch_up.reason is not None
+        return behind and parent not in self._ledger.digests
+
     def _drain(self, now: int) -> None:
         """What we said to ourselves."""
         inbox = self._context.inbox
--- a/tests/revision/test_fleet.py
+++ b/tests/revision/test_fleet.py
@@ -92,6 +92,20 @@
     assert isinstance(stale, StaleParent) and stale.current is not None and stale.current.number == 2
 
 
+def test_one_that_is_made_from_a_revision_that_is_not_known_here_yet_is_not_turned_away() -> None:
+    bench = Bench()
+    bench.cut({4}, round(1.2 * S))
+    bench.ask(0, b"new", None, 1)
+    bench.wait(1.15)  # chosen without it after a second, and the cut is about to end
+    host, newest = bench.hosts[4], bench.digest(0)
+    assert bench.digest(4) != newest
+    host.feed(HeadSeen(bench.addresses["s0"], bench.hosts[0].revisions.head(bench.net.now)))
+    bench.ask(4, b"newer", newest, 2)
+    bench.ask(4, b"from nowhere", b"?" * 16, 3)
+    bench.wait(2.0)
+    assert isinstance(bench.outcome(2), Applied) and isinstance(bench.outcome(3), StaleParent)
+
+
 def test_the_same_again_changes_nothing() -> None:
     bench = Bench()
     for number in (1, 2):
