--- /dev/null
+++ b/tests/rollout/test_orders.py
@@ -0,0 +1,215 @@
+"""Updates of services: every order of a small one, and long random ones."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from hypothesis import Phase
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from ladderhub.interface import Effect
+from ladderhub.rollout import Rollouts
+from ladderhub.rollout import types as t
+
+from tests.rollout.world import S, World, declared
+
+DEPTH = 14  # steps of the small update that are enumerated; where all goes well it takes nine
+KINDS = st.sampled_from([t.End.DONE, t.End.REFUSED, t.End.LOST])
+
+
+def test_every_order_of_a_small_update_keeps_the_limits() -> None:
+    # Three copies, unsafe, one that fails, one restart of the scheduler, news in every order: breadth first
+    # over all states that can be told apart, each reached by replaying its path.
+    limits = t.Limits(down=1, healthy_ns=S, failures=2)
+    rules = t.ServiceRules("svc", 3, Effect.UNSAFE)
+    Path = tuple[tuple[str, int], ...]
+
+    def play(path: Path) -> World:
+        world = World()
+        world.feed(t.Declared(rules, 1, limits))
+        world.settle()
+        world.feed(t.Declared(rules, 2, limits))
+        for what, number in path:
+            if what == "place":
+                world.place(number)
+            elif what in ("end", "fail"):
+                world.end(number)
+            elif what == "doubt":
+                world.end(number, t.End.LOST, proven=False)
+            elif what == "prove":
+                world.prove(number)
+            elif what == "wait":
+                world.wait(S)
+            elif what == "restart":
+                old, world.rollouts = world.rollouts, Rollouts(world.rollouts.settings)
+                service = old.services["svc"]
+                world.wakes.clear()
+                # What was asked for and not placed is stopped with its scheduler; what may run is found.
+                world.asked.clear()
+                restored = t.Restored(
+                    rules, service.version, service.previous, limits, service.stage, service.why
+                )
+                world.feed(restored)
+                for copy in [*world.runs.values(), *world.told.values(), *world.doubt.values()]:
+                    world.feed(t.Found("svc", copy.copy, copy.slot, copy.version, "n", "r"))
+                world.runs |= world.told | world.doubt
+                world.told.clear()
+                world.doubt.clear()
+                world.feed(t.Settled())
+        return world
+
+    def moves(world: World, path: Path) -> list[tuple[str, int]]:
+        done = [what for what, _ in path]
+        found = [("place", number) for number in world.asked] + [("end", number) for number in world.told]
+        found += [("prove", number) for number in world.doubt]
+        if "doubt" not in done:
+            found += [("doubt", number) for number in world.told]
+        if "fail" not in done:
+            found += [("fail", number) for number in world.runs]
+        if "restart" not in done:
+            found.append(("restart", 0))
+        return [*found, ("wait", 0)]
+
+    def shape(world: World, path: Path) -> tuple[object, ...]:
+        """What may come to matter later; all else about a state does not."""
+        s, now = world.rollouts.services["svc"], world.now
+        slots = tuple(
+            (
+                tuple((c.version, c.state, min(S, now - c.placed_ns)) for c in slot.copies),
+                min(8 * S, max(0, slot.not_before_ns - now)), slot.back_ns, slot.settled,
+            )
+            for slot in s.slots
+        )  # fmt: skip
+        used = frozenset(what for what, _ in path if what in ("doubt", "fail", "restart"))
+        return (slots, s.stage, len(s.failed), int(world.rollouts.pace.window), used)
+
+    seen: set[tuple[object, ...]] = set()
+    queue: deque[Path] = deque([()])
+    overs = 0
+    while queue:
+        path = queue.popleft()
+        world = play(path)  # the world's own checks hold at each step, or this raises
+        key = shape(world, path)
+        if key in seen:
+            continue
+        seen.add(key)
+        overs += world.rollouts.view(world.now, "svc").stage is t.Stage.OVER
+        if len(path) < DEPTH:
+            queue.extend((*path, move) for move in moves(world, path))
+    print(f"{len(seen)} states within {DEPTH} steps, {overs} of them at the end of the update")
+    assert len(seen) > 1000 and overs
+
+
+class Machine(RuleBasedStateMachine):
+    """News in any order, late and repeated, with operators at work; the world checks every action."""
+
+    @initialize(effect=st.sampled_from(list(Effect)), count=st.integers(1, 8), surplus=st.integers(0, 3),
+                down=st.integers(1, 3), wave=st.integers(0, 3))  # fmt: skip
+    def begin(self, effect: Effect, count: int, surplus: int, down: int, wave: int) -> None:
+        self.world = World()
+        surplus = 0 if effect is Effect.UNSAFE else surplus
+        self.effect, self.count, self.version = effect, count, 1
+        self.limits = t.Limits(down, surplus, wave, S, S, failures=4)
+        self.repeat = 3 * S if effect is Effect.KEYED else 0
+        self.world.feed(declared(1, count, effect, self.limits, repeat_ns=self.repeat))
+
+    def pick(self, pool: dict[int, t.StartCopy], at: int) -> int:
+        return list(pool)[at % len(pool)]
+
+    @precondition(lambda self: self.world.asked)
+    @rule(at=st.integers(0, 99), rack=st.integers(0, 2))
+    def places(self, at: int, rack: int) -> None:
+        self.world.place(self.pick(self.world.asked, at), f"r{rack}")
+
+    @precondition(lambda self: self.world.asked)
+    @rule(at=st.integers(0, 99))
+    def refuses(self, at: int) -> None:
+        self.world.end(self.pick(self.world.asked, at), t.End.REFUSED)
+
+    @precondition(lambda self: self.world.runs)
+    @rule(at=st.integers(0, 99), end=KINDS, proven=st.booleans())
+    def fails(self, at: int, end: t.End, proven: bool) -> None:
+        self.world.end(self.pick(self.world.runs, at), end, proven)
+
+    @precondition(lambda self: self.world.runs)
+    @rule(at=st.integers(0, 99))
+    def loses_its_place(self, at: int) -> None:
+        number = self.pick(self.world.runs, at)
+        self.world.asked[number] = self.world.runs.pop(number)
+        self.world.feed(t.Unplaced(number))
+
+    @precondition(lambda self: self.world.told)
+    @rule(at=st.integers(0, 99), proven=st.booleans())
+    def ends(self, at: int, proven: bool) -> None:
+        self.world.end(self.pick(self.world.told, at), proven=proven)
+
+    @precondition(lambda self: self.world.doubt)
+    @rule(at=st.integers(0, 99))
+    def is_proven(self, at: int) -> None:
+        self.world.prove(self.pick(self.world.doubt, at))
+
+    @rule(node=st.integers(0, 4), back=st.booleans())
+    def node_comes_or_goes(self, node: int, back: bool) -> None:
+        self.world.feed((t.NodeBack if back else t.NodeGone)(f"n-{node}"))
+
+    @rule(number=st.integers(1, 60), news=st.integers(0, 3))
+    def late_news(self, number: int, news: int) -> None:
+        pools = (self.world.asked, self.world.runs, self.world.told, self.world.doubt)
+        if number in self.world.runs and news == 0:
+            self.world.feed(t.Placed(number, "n", "r"))  # told twice
+        elif not any(number in pool for pool in pools):
+            # Of a copy long over, or never known.
+            self.world.feed((t.Placed(number, "n", "r"), t.Unplaced(number), t.Ended(number, t.End.DONE),
+                             t.Proven(number))[news])  # fmt: skip
+
+    @rule(halves=st.integers(1, 12))
+    def time_passes(self, halves: int) -> None:
+        self.world.wait(halves * S // 2)
+
+    @rule(what=st.sampled_from([t.Pause, t.Resume, t.Abort]))
+    def operator(self, what: type[t.Pause] | type[t.Resume] | type[t.Abort]) -> None:
+        if not self.world.rollouts.check(what("svc")):
+            self.world.feed(what("svc"))
+
+    @rule(if_busy=st.sampled_from(list(t.IfBusy)))
+    def updates(self, if_busy: t.IfBusy) -> None:
+        event = declared(self.version + 1, self.count, self.effect, self.limits, "svc", if_busy, self.repeat)
+        if not self.world.rollouts.check(event):
+            self.version += 1
+            self.world.feed(event)
+
+    @invariant()
+    def books_agree_with_the_world(self) -> None:
+        s = self.world.rollouts.services["svc"]
+        assert s.alive == len(self.world.alive("svc")) <= self.count + self.limits.surplus
+        assert self.world.rollouts.pace.pending == len(self.world.asked)
+        assert s.down() >= self.count - len(self.world.serving("svc"))
+        assert sorted(at for slots in s.by_kind.values() for at in slots) == list(range(self.count))
+
+    def teardown(self) -> None:
+        if not hasattr(self, "world"):
+            return
+        if not self.world.rollouts.check(t.Resume("svc")):
+            self.world.feed(t.Resume("svc"))
+        for node in ("n", *(f"n-{at}" for at in range(5))):
+            self.world.feed(t.NodeBack(node))
+        settled = self.world.settle()
+        assert settled, (
+            "an update that nothing stands in the way of must come to its end",
+            self.world.rollouts.view(self.world.now, "svc"),
+            self.world.rollouts.copies("svc"),
+        )
+        for _ in range(2):  # an update that is over may still have copies that were lost since
+            self.world.wait(10 * S)
+            assert self.world.settle()
+        self.world.wait(10 * S)
+        view = self.world.rollouts.view(self.world.now, "svc")
+        assert (view.stage, view.new, view.alive) == (t.Stage.OVER, self.count, self.count)
+
+
+Machine.TestCase.settings = hypothesis_settings(
+    max_examples=250, phases=[Phase.generate], stateful_step_count=50, deadline=None, derandomize=True
+)
+TestMachine = Machine.TestCase
--- a/tests/test_owner_changes.py
+++ b/tests/test_owner_changes.py
@@ -12,7 +12,7 @@
 from ladderhub.owner import types as t
 from ladderhub.rollout import types as rollout
 from tests.test_owner import LIMIT, MS, SAFE, UNSAFE, S, asked, only, settings
-from tests.test_rollout import World
+from tests.rollout.world import World
 
 LATER = 60 * S
 
