--- /dev/null
+++ b/benchmarks/directory.py
@@ -0,0 +1,136 @@
+"""Work of the directory in steps: `python benchmarks/directory.py [--nodes N] [--starts S] [--schedulers K]`.
+
+Outside CI.  Nodes tell their free room as node agents do, at most each half second, while so many jobs a
+second start and as many end, spread evenly; time is moved by hand.  Told at an eighth, a quarter, a half and
+the whole of the nodes, with the starts held: changes a second, log entries walked for a push to one scheduler
+that is up to date and for a full list, and the processor time of both.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+from typing import Any, cast
+
+from ladderhub.directory.service import PUSH_NS, Directory
+from ladderhub.directory.wire import Entry, Register, Room, Watch
+from ladderhub.loop import Loop, ManualClock
+from ladderhub.usage.traffic import TrafficCount
+
+S = 1_000_000_000
+ROOM_NS = S // 2
+SHARES = (0.125, 0.25, 0.5, 1.0)
+WARM_S, MEASURED_S = 40, 20
+FULL_LISTS = 5
+
+
+class Sink:
+    """A connection that takes all that is written."""
+
+    def __init__(self) -> None:
+        self.count = TrafficCount()
+        self.size = 0
+
+    def backed_up(self) -> bool:
+        return False
+
+    def write(self, data: bytes) -> None:
+        self.size += len(data)
+
+    def abort(self) -> None:
+        return
+
+
+class Peer:
+    """A node or a scheduler, as the directory sees it."""
+
+    def __init__(self) -> None:
+        self.node, self.stream = "", Sink()
+
+
+class Bed:
+    """A directory, its nodes and schedulers on a clock that is moved by hand."""
+
+    def __init__(self, nodes: int, starts_per_s: float, schedulers: int) -> None:
+        self.clock = ManualClock(S)
+        self.loop = Loop(self.clock)
+        self.directory = Directory(self.loop, ("127.0.0.1", 0))
+        self.random = random.Random(1)
+        self._events_per_s = 2 * starts_per_s  # each start has an end
+        self._free = [1000.0] * nodes
+        self._told = [0.0] * nodes
+        self.nodes = [Peer() for _ in range(nodes)]
+        self.schedulers = [Peer() for _ in range(schedulers)]
+        for at, peer in enumerate(self.nodes):
+            entry = Entry(f"node-{at:05d}", f"127.0.0.1:{10000 + at}", "large", "rack-1", "zone-1", 1)
+            self._take(peer, Register(entry))
+            self.loop.call_later(self.random.randrange(ROOM_NS), self._tell_room, at)
+        for peer in self.schedulers:
+            self._take(peer, Watch("scheduler"))
+
+    def _take(self, peer: Peer, message: Register | Room | Watch) -> None:
+        self.directory.take(cast(Any, peer), message)
+
+    def _tell_room(self, at: int) -> None:
+        if self._free[at] != self._told[at]:
+            self._told[at] = self._free[at]
+            self._take(self.nodes[at], Room(self._free[at], 1.0))
+        self.loop.call_later(ROOM_NS, self._tell_room, at)
+
+    def run(self, seconds: float) -> None:
+        step_ns = PUSH_NS // 20
+        for _ in range(round(seconds * S / step_ns)):
+            for _event in range(round(self._events_per_s * step_ns / S)):
+                self._free[self.random.randrange(len(self._free))] += self.random.choice((-1.0, 1.0))
+            self.clock.advance(step_ns)
+            self.loop.turn(0)
+
+    def full_list(self) -> tuple[int, float, int]:
+        """One more scheduler comes: log entries walked, processor seconds and bytes for its first list."""
+        walked, spent, peer = self.directory.log_entries_walked, time.thread_time(), Peer()
+        self._take(peer, Watch("new"))
+        self.directory.lost(cast(Any, peer))
+        spent = time.thread_time() - spent
+        return self.directory.log_entries_walked - walked, spent, peer.stream.size
+
+
+def measure(nodes: int, starts_per_s: float, schedulers: int) -> None:
+    bed = Bed(nodes, starts_per_s, schedulers)
+    directory = bed.directory
+    bed.run(WARM_S)
+    walked, version, rounds = directory.log_entries_walked, directory.version, directory.rounds
+    lists, rows = directory.lists, directory.rows_sent
+    spent = time.thread_time()
+    bed.run(MEASURED_S)
+    spent = time.thread_time() - spent
+    walked = directory.log_entries_walked - walked
+    pushes = (directory.rounds - rounds) * schedulers
+    changes, lists, rows = directory.version - version, directory.lists - lists, directory.rows_sent - rows
+    full = [bed.full_list() for _ in range(FULL_LISTS)]
+    print(
+        f"{nodes} nodes, {starts_per_s:g} starts/s, {schedulers} schedulers: "
+        f"{changes / MEASURED_S:.0f} changes/s; "
+        f"a push: {walked / pushes:.0f} "
+        f"log entries walked, {rows / lists:.0f} rows; "
+        f"a full list: {sum(each[0] for each in full) / FULL_LISTS:.0f} log entries walked, "
+        f"{1000 * min(each[1] for each in full):.1f} ms, {full[0][2]} bytes; "
+        f"all: {spent / MEASURED_S:.3f} of a core with the nodes' side",
+        flush=True,
+    )
+    directory.close()
+    bed.loop.close()
+
+
+def main() -> None:
+    options = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    options.add_argument("--nodes", type=int, default=1100)
+    options.add_argument("--starts", type=float, default=350.0)
+    options.add_argument("--schedulers", type=int, default=7)
+    given = options.parse_args()
+    for share in SHARES:
+        measure(round(given.nodes * share), given.starts, given.schedulers)
+
+
+if __name__ == "__main__":
+    main()
