Directory: each change keeps the entry that it replaced, in place of walks over the whole log

Cause: for a full list each row that changed within the delay walked the log (10,000 entries) for its state before; each push walked twice over the last second for each scheduler. Where a node's state before had left the log, a full list lacked the node.

Change: changes are kept by version, each with the entry that it replaced; the newest version that may be told moves on with time.

--- a/ladderhub/directory/service.py
+++ b/ladderhub/directory/service.py
@@ -4,7 +4,7 @@
 
 import socket
 import time
-from collections import deque
+from dataclasses import dataclass
 
 import msgspec
 
@@ -31,6 +31,15 @@
 VERSION_STEP_NS = 1_000  # a life begins at the version that a change each microsecond would have reached
 
 
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """One version: the entry that it gave, and the one that it replaced."""
+
+    at_ns: int
+    entry: Entry
+    before: Entry | None
+
+
 class Directory:
     """One listener for nodes and schedulers.
 
@@ -50,8 +59,8 @@
         self._owed_full: set[_Peer] = set()  # watchers that were told parts alone
         self._owners: dict[str, _Peer] = {}
         self._watchers: dict[_Peer, int] = {}  # the version that each was sent
-        self._log: deque[tuple[int, int, str]] = deque(maxlen=CHANGES_MOST)  # moment, version, node
-        self._past: dict[int, Entry] = {}
+        self._changes: dict[int, _Change] = {}  # the last ones, by version
+        self._visible = self.version  # the newest version that is old enough to be told
         self.traffic = Traffic()
         self.rounds = self.lists = self.rows_sent = self.log_entries_walked = 0
         self.listener = Listener(loop, address, self._accept)
@@ -121,28 +130,36 @@
             self._set(msgspec.structs.replace(self.entries[node], stage="gone"))
 
     def _set(self, entry: Entry) -> None:
-        if self.entries.get(entry.name) == entry:
+        before = self.entries.get(entry.name)
+        if before == entry:
             return
+        if len(self._changes) == CHANGES_MOST:
+            del self._changes[self._oldest()]
         self.entries[entry.name] = entry
         self.version += 1
-        if len(self._log) == self._log.maxlen:
-            self._past.pop(self._log[0][1], None)
-        self._log.append((self.loop.now_ns(), self.version, entry.name))
-        self._past[self.version] = entry
+        self._changes[self.version] = _Change(self.loop.now_ns(), entry, before)
 
     # --- what schedulers are told ---------------------------------------------------------------------------
 
-    def _visible(self) -> int:
-        """The newest version that is old enough to be told."""
-        newest = self.loop.now_ns() - self.delay_ns
-        for moment, number, _ in reversed(self._log):
-            self.log_entries_walked += 1
-            if moment <= newest:
-                return number
-        return self._log[0][1] - 1 if self._log else 0
+    def _visible_now(self) -> int:
+        """The newest version that is old enough to be told, or the one before all changes that are kept."""
+        newest_ns = self.loop.now_ns() - self.delay_ns
+        self._visible = max(self._visible, self._oldest() - 1)
+        while self._visible < self.version and self._change(self._visible + 1).at_ns <= newest_ns:
+            self._visible += 1
+        return self._visible
+
+    def _oldest(self) -> int:
+        """The first version whose change is kept."""
+        return self.version - len(self._changes) + 1
+
+    def _change(self, version: int) -> _Change:
+        self.log_entries_walked += 1
+        return self._changes[version]
 
     def _push(self) -> None:
         self.rounds += 1
+        self._visible_now()  # a change is walked once here, also while nobody watches
         for peer in list(self._watchers):
             self._send(peer)
         self._timer = self.loop.call_later(PUSH_NS, self._push)
@@ -150,14 +167,13 @@
     def _send(self, peer: _Peer) -> None:
         if peer.stream.backed_up():
             return
-        since, until = self._watchers[peer], self._visible()
+        since, until = self._watchers[peer], self._visible_now()
         settled = self.loop.now_ns() >= self._settled_ns
         owed = settled and peer in self._owed_full
         if until <= since and since > 0 and not owed:
             return
-        oldest = self._log[0][1] if self._log else self.version + 1
-        whole = owed or since <= 0 or since + 1 < oldest
-        rows = self._listed(until) if whole else self._changes(since, until)
+        whole = owed or since <= 0 or since + 1 < self._oldest()
+        rows = self._listed(until) if whole else self._changed(since, until)
         if not rows:
             return
         self._watchers[peer] = until
@@ -171,38 +187,25 @@
         peer.stream.count.messages_out += 1
         peer.stream.write(encode(listed))
 
-    def _changes(self, since: int, until: int) -> list[Entry]:
+    def _changed(self, since: int, until: int) -> list[Entry]:
         """What changed after one version and up to another, each entry as it was then."""
         changed: dict[str, Entry] = {}
-        for _, number, name in reversed(self._log):
-            self.log_entries_walked += 1
-            if number <= since:
-                break
-            if number <= until:
-                changed.setdefault(name, self._past[number])
+        for version in range(until, since, -1):
+            entry = self._change(version).entry
+            changed.setdefault(entry.name, entry)
         return list(changed.values())
 
     def _listed(self, until: int) -> list[Entry]:
         """All entries that are not gone, as they were at a version."""
-        # The log reaches back to the first entry, or holds each node's state as it was told last.
         listed = dict(self.entries)
-        for _, number, name in reversed(self._log):
-            self.log_entries_walked += 1
-            if number > until:
-                before = self._before(name, number)
-                if before is None:
-                    listed.pop(name, None)
-                else:
-                    listed[name] = before
+        for version in range(self.version, until, -1):
+            change = self._change(version)
+            if change.before is None:
+                del listed[change.entry.name]
+            else:
+                listed[change.entry.name] = change.before
         return [entry for entry in listed.values() if entry.stage != "gone"]
 
-    def _before(self, name: str, number: int) -> Entry | None:
-        for _, version, other in reversed(self._log):
-            self.log_entries_walked += 1
-            if version < number and other == name:
-                return self._past[version]
-        return None
-
 
 class _Peer:
     """One connection, of a node or a scheduler."""
