--- /dev/null
+++ b/tests/hard_cases/__init__.py
@@ -0,0 +1,1 @@
+"""Hard cases of the running path, each caused over sockets."""
--- /dev/null
+++ b/tests/hard_cases/bed.py
@@ -0,0 +1,70 @@
+"""What the hard cases share: recordings that are judged, and connections that speak bytes of their own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+
+from ladderhub.lab import tap
+from ladderhub.lab.auditor import audit
+from ladderhub.lab.client import attributes
+from ladderhub.lab.day import audit_rules
+from ladderhub.loop import Stream
+from ladderhub.loop.stream import connect
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Reply, ReplyParser, Request, encode_request
+
+from tests.world import S, World
+
+Make = Callable[..., World]
+
+
+def judged(world: World) -> None:
+    """The recording keeps all five rules."""
+    assert world.tap is not None
+    world.tap.close()
+    verdict = audit(tap.read(world.tap.path), audit_rules(world.settings))
+    assert verdict.good(), verdict.lines()
+    assert verdict.checked["no effect twice"]
+
+
+def raw(world: World, *requests: Request, read: bool = True) -> Stream:
+    """A client that writes and may go away without reading."""
+    got: list[bytes] = []
+
+    class Sink:
+        def on_data(self, stream: Stream, data: bytes) -> None:
+            got.append(data)
+
+        def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+            return
+
+    stream = connect(world.loop, world.public, Sink(), S)
+    world.until(lambda: stream.connected)
+    stream.write(b"".join(map(encode_request, requests)))
+    if read:
+        world.until(lambda: got)
+    return stream
+
+
+def queue_job() -> Request:
+    return Request(n.QUEUE_JOB, "tester", attrs=attributes("w", "s", 1, 1, 30), destination="billing")
+
+
+def raw_talk(world: World, address: tuple[str, int], sent: bytes) -> list[Reply]:
+    """All replies that come to one write, until the other end closes."""
+    replies: list[Reply] = []
+    parser, over = ReplyParser(), []
+
+    class Reader:
+        def on_data(self, stream: Stream, data: bytes) -> None:
+            parser.feed(data)
+            while (reply := parser.next()) is not None:
+                replies.append(reply)
+
+        def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+            over.append(fault)
+
+    connect(world.loop, address, Reader(), 2 * S, lambda stream: stream.write(sent))
+    world.until(lambda: over)
+    return replies
--- /dev/null
+++ b/tests/hard_cases/test_nodes.py
@@ -0,0 +1,131 @@
+"""Nodes that misbehave."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import pytest
+
+from ladderhub.node.outbox import Outbox
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Attr, Request
+
+from tests.world import MS, S
+from tests.hard_cases.bed import Make, judged
+
+
+def test_a_node_that_turns_one_tenant_away_wrongly_is_left_for_another(make: Make) -> None:
+    world = make(3)
+    world.daemon()
+    for name in ("node-1", "node-2"):
+        world.agents[name].full_for = frozenset({"north"})
+    job = world.submit("billing", account="north")
+    assert world.wait(job, "R").get("exec_host") == "node-3/0"
+    world.agents["node-3"].full_for = frozenset({"north"})
+    refused = world.wait_answer(world.submit("billing", account="north"), "refused")
+    assert "no room for north" in refused.get("comment")
+    assert world.wait(world.submit("billing", account="south"), "R")
+
+
+@pytest.mark.parametrize("fault", ["lose", "cut"])
+@pytest.mark.parametrize("queue", ["billing", "web", "mail"])
+def test_an_accepted_job_whose_answer_is_lost_or_breaks_off_runs_once(
+    make: Make, queue: str, fault: str
+) -> None:
+    world = make(2, record=True, limit="8s")
+    world.daemon()
+    for agent in world.agents.values():
+        setattr(agent, fault, 1.0)
+    job = world.submit(queue)
+    world.until(lambda: world.live(job))
+    for agent in world.agents.values():
+        setattr(agent, fault, 0.0)
+    world.wait_answer(job, "placed")
+    world.until(lambda: len(world.live(job)) == 1)
+    host = world.row(job).get("exec_host")
+    assert world.live(job) == [host.partition("/")[0]]
+    judged(world)
+
+
+def test_a_node_that_stalls_with_open_connections_does_not_hold_an_unsafe_job_twice(make: Make) -> None:
+    world = make(2, record=True, warm_ns=400 * MS, limit="10s")
+    world.daemon()
+    job = world.submit("billing")
+    world.until(lambda: world.live(job))
+    held = world.agents[world.live(job)[0]]
+    held.stall(60 * S)
+    world.run_for(3 * S)  # past the module's deadline: the job may run, so it waits and says why
+    row = world.row(job)
+    assert row.get("job_state") == "Q" and held.name in row.get("comment")
+    assert world.live(job) == [held.name]
+    held.wake()
+    world.wait_answer(job, "placed")
+    assert world.live(job) == [held.name]
+    judged(world)
+
+
+def test_an_unsafe_job_at_a_node_that_stays_silent_fails_in_time(make: Make) -> None:
+    world = make(1, warm_ns=400 * MS, limit="3s")
+    world.daemon()
+    job = world.submit("billing")
+    world.until(lambda: world.live(job))
+    world.agents["node-1"].stall(60 * S)
+    row = world.wait_answer(job, "failed")
+    assert "may have run at node-1" in row.get("comment")
+    # The run that nobody wants any more is stopped once its node is reached.
+    world.agents["node-1"].wake()
+    world.until(lambda: not world.live(job))
+    assert world.row(job).get("placement") == "failed"
+
+
+def test_answers_that_come_twice_change_nothing(make: Make) -> None:
+    # Guards against the repeated answer to one step being taken for the answer to the next, or, over a kept
+    # connection, to another job's: a refusal would then prove what is not so.
+    world = make(3, record=True, limit="10s")
+    daemon = world.daemon()
+    for agent in world.agents.values():
+        agent.repeat = 0.4
+    world.agents["node-1"].full_for = frozenset({"south"})
+    jobs = [
+        world.submit("billing", life_s=0.4, account=("north", "south")[at % 2], service=f"billing-{at}")
+        for at in range(30)
+    ]
+    for job in jobs:
+        assert world.wait(job, "F").get("placement") == "placed"
+    assert daemon.owner.owes() == 0 and not world.troubles
+    judged(world)
+
+
+def test_news_of_an_attempt_long_settled_changes_nothing(make: Make) -> None:
+    world = make(2)
+    daemon = world.daemon()
+    job = world.submit("billing")
+    row = world.wait(job, "R")
+    outbox = Outbox(world.loop, "{}:{}".format(*world.public))
+    stale = [Attr("run_version", "99"), Attr("exit_reason", n.END_DONE)]
+    outbox.send(Request(n.JOB_OBIT, "node@node-1", job, stale, status=3))
+    outbox.send(Request(n.JOB_OBIT, "node@node-1", "77.nowhere", stale, status=3))
+    world.until(lambda: not outbox.waiting())
+    outbox.close()
+    assert world.row(job).get("job_state") == "R" and len(daemon.jobs.live) == 1
+    assert world.live(job) == [row.get("exec_host").partition("/")[0]]
+
+
+def test_a_crashed_node_loses_its_jobs_and_each_is_placed_again_once(make: Make) -> None:
+    world = make(3, record=True)
+    world.daemon()
+    jobs = [world.submit(queue, service=f"{queue}-{at}") for at, queue in enumerate(["web", "billing"] * 4)]
+    for job in jobs:
+        world.wait(job, "R")
+    lost = [job for job in jobs if world.live(job) == ["node-1"]]
+    world.crash("node-1")
+    world.until(lambda: world.directory.entries["node-1"].stage == "gone")
+    world.run_for(500 * MS)
+    unsafe = [job for job in lost if world.row(job).get("queue") == "billing"]
+    assert not any(world.live(job) for job in unsafe)  # nothing proves yet that they do not run
+    agent = world.add_node("node-1")
+    agent.ready_ns = agent.admission.ready_ns = world.loop.now_ns()
+    for job in jobs:
+        world.wait(job, "R")
+        world.until(partial(lambda each: len(world.live(each)) == 1, job))
+    judged(world)
