--- a/ladderhub/revision/requests.py
+++ b/ladderhub/revision/requests.py
@@ -17,6 +17,7 @@
 REQUESTS_MOST = 32
 CHECK_NS = 1 * S  # for so long silent members are waited for
 ASK_AGAIN_NS = (200 * MS, 450 * MS, 700 * MS)  # from the begin; then each silent member is asked by itself
+ASKED_MOST = 8  # silent members that are pointed to each one that has the body
 NAMES_TOLD = 16  # silent members named in an answer
 
 
@@ -149,11 +150,13 @@
                 self._ask_again(request)
 
     def _ask_again(self, request: Request) -> None:
-        """Each that is still silent; they fetch the body from those that have it."""
+        """Those that are still silent, as many as those that have the body can serve; they hand it on."""
         context, mine = self._context, self._context.settings.address
-        for address in sorted(request.silent.values()):
-            holder = context.random.choice(request.helpers) if request.helpers else mine
-            context.send(address, Proposal(request.digest, mine, holder))
+        holders = [mine, *request.helpers]
+        silent = sorted(request.silent.values())
+        asked = context.random.sample(silent, min(len(silent), ASKED_MOST * len(holders)))
+        for at, address in enumerate(asked):
+            context.send(address, Proposal(request.digest, mine, holders[at % len(holders)]))
 
     def due_ns(self) -> int | None:
         """When something is to be done for a request that is not ready."""
