--- a/ladderhub/server/__init__.py
+++ b/ladderhub/server/__init__.py
@@ -1,11 +1,12 @@
 """The scheduler daemon: sockets, jobs and settings around the decisions.
 
 Tells `decide` and `owner` what happened and carries out what they say; decides nothing of its own.  Imports
-`loop`, `pbs`, `owner`, `directory.wire`, `decide` and `interface`; must not import `node`, `lab`, `commands`.
+`loop`, `usage`, `pbs`, `owner`, `directory.wire`, `decide` and `interface`; must not import `node`, `lab`, `commands`.
 
 One room for one concern, each importing only those above it:
 
     jobs, board, metrics, settings/    state, the queue of events, counters, checked settings
+    usagemetrics                       what the process spends, on the page of metrics
     offer, nodelinks, runs, nodelist   one offer's steps, connections to nodes, what is out, the directory
     site                               what all rooms share, and `Part`: what lives as long as the daemon
     placing, words, owning             carry out the two decision modules; what nodes say of runs
