--- a/ladderhub/cli/lab.py
+++ b/ladderhub/cli/lab.py
@@ -149,9 +149,10 @@
 @lab.command()
 @click.option("--day", "name", default="drawn", show_default=True, help="By name; `all`: of membership, all.")
 @click.option("--schedulers", default=16, show_default=True, type=click.IntRange(2, 64))
+@click.option("--hollow", default=0, show_default=True, help="Hollow schedulers beside them, of changes.")
 @_SEED
 @_FOLDER
-def mesh(name: str, schedulers: int, seed: int, folder: Path | None) -> None:
+def mesh(name: str, schedulers: int, hollow: int, seed: int, folder: Path | None) -> None:
     """Play fault days on real schedulers with a faulty network between them.  Their views are judged, and on
     the days `changes` and `few-changes` the revisions of the configuration."""
     import tempfile
@@ -176,7 +177,7 @@
             place = (folder / day.name) if folder is not None else Path(scratch)
             place.mkdir(parents=True, exist_ok=True)
             verdict: Verdict | RevisionVerdict = (
-                run_changes(day, place, schedulers, seed)
+                run_changes(day, place, schedulers, seed, hollow=hollow)
                 if name in CHANGE_DAYS
                 else run_day(day, place, schedulers, seed)
             )
--- a/ladderhub/lab/mesh/change_days.py
+++ b/ladderhub/lab/mesh/change_days.py
@@ -10,6 +10,7 @@
 
 CHANGES_S = 60
 CHANGES_AT_ONCE = 10
+NOBODY = -1  # the slot of senders that have none: hollow schedulers stand on the left
 
 
 def _changes(count: int, rng: random.Random) -> Day:
@@ -30,7 +31,7 @@
         Step(22, "kill", forgetful), Step(22.5, "forget", forgetful), Step(23.5, "start", forgetful),
         Step(27, "kill", old), Step(45, "start", old),
         Step(24, "cut", value=frozenset({(mute, deaf)})), Step(30, "cut", value=frozenset()),
-        Step(33, "cut", value=between(left, right)), Step(42, "cut", value=frozenset()),
+        Step(33, "cut", value=between([*left, NOBODY], right)), Step(42, "cut", value=frozenset()),
     ]  # fmt: skip
     steps += [Step(at, "change", rng.randrange(count)) for at in range(1, CHANGES_S + 1)]
     steps += [Step(46.5, "change", slot, True) for slot in rng.sample(range(count), 2)]
--- a/ladderhub/lab/mesh/revision_judge.py
+++ b/ladderhub/lab/mesh/revision_judge.py
@@ -40,6 +40,8 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     lags: list[float] = field(default_factory=list)  # seconds from the proposal until in force, each process
     within_s: float | None = WITHIN_S
+    hollow: int = 0  # hollow schedulers beside the judged ones
+    hollow_least: int = 0  # the lowest revision that any of them acted by in the end
 
     @property
     def troubles(self) -> list[str]:
@@ -68,6 +70,8 @@
         p50, p99, most = self.quantiles()
         yield f"in force after {p50:.2f} s p50, {p99:.2f} s p99, {most:.2f} s at most; late: {len(self.late)}"
         yield from self.late[:5]
+        if self.hollow:
+            yield f"{self.hollow} hollow schedulers: each acts by revision {self.hollow_least} or later"
         yield from self.membership.lines()
 
     def quantiles(self) -> tuple[float, float, float]:
