--- a/benchmarks/teams.py
+++ b/benchmarks/teams.py
@@ -11,13 +11,11 @@
 from __future__ import annotations
 
 import argparse
-import gc
-import sys
 from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import accumulate
-from types import FunctionType, ModuleType
 
+from deep_size import deep_size
 from load_of_site import NODES, ORDINARY, RUNNING, SCHEDULERS, SETTLING_S, STARTS, TEAMS, URGENT, WITHIN
 from load_of_site import Load, add_figures, classes, percentile
 
@@ -28,20 +26,6 @@
 SHARES = (0, 1 / 8, 1 / 4, 1 / 2, 1)  # of the plan's teams; the first is one team, the last is predicted
 
 
-def deep_size(root: object) -> int:
-    """Bytes of all that hangs on an object, but for code and modules."""
-    seen: set[int] = set()
-    waiting, total = [root], 0
-    while waiting:
-        each = waiting.pop()
-        if id(each) in seen or isinstance(each, type | FunctionType | ModuleType):
-            continue
-        seen.add(id(each))
-        total += sys.getsizeof(each)
-        waiting += gc.get_referents(each)
-    return total
-
-
 def build(args: argparse.Namespace, teams: int, seed: int, charged: bool = False) -> Site:
     tenant = api.Tenant(1 / teams, args.starts / teams, args.nodes * args.cores / teams)
     settings = SiteSettings(
