--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -187,7 +187,8 @@
         print(
             f"N={count} process of {result.count}: members seen {seen.least} to {seen.most}; leases held "
             f"{result.leases_held}; revision {result.revision_least}; "
-            f"{100 * whole / result.count:.3f} % of a core a member; {result.datagrams_unsent} datagrams unsent, {result.troubles} troubles",
+            f"{100 * whole / result.count:.3f} % of a core a member; "
+            f"{result.datagrams_unsent} datagrams unsent, {result.troubles} troubles",
             flush=True,
         )
 
