--- a/ladderhub/lab/emulator/revisions.py
+++ b/ladderhub/lab/emulator/revisions.py
@@ -250,7 +250,7 @@
 
     def _time_in_force(self, verdict: RevisionVerdict, change: Change, number: int) -> None:
         """On each scheduler, from when it and the proposer could both be reached."""
-        times = []
+        moments = []
         for at, host in self.hosts.items():
             activated = self.activated.get(at, ())
             found = next((when for when, active in activated if active >= number), None)
@@ -260,10 +260,10 @@
                 for since, until in sorted(both):
                     if since <= begun + IN_FORCE_NS and until >= begun:
                         begun = until
-                times.append(max(0, found - begun))
-        verdict.in_force_ns += times
-        if times:
-            verdict.first_ns.append(min(times))
+                verdict.in_force_ns.append(max(0, found - begun))
+                moments.append(found)
+        if moments:
+            verdict.first_ns.append(min(moments) - change.at_ns)
 
 
 def changes(
