Scale run: changes come faster in the runs of slopes, so that some fall into each

Need: at an eighth of the plan, sped up by 20, a run of 20 s has one change or none, which gives no line. Change: the plan has a factor of its own for them; the prediction is for the rate at which the whole size is played.

--- a/ladderhub/lab/scale/plan.jsonnet
+++ b/ladderhub/lab/scale/plan.jsonnet
@@ -45,6 +45,7 @@
   slopes: {
     shares: [1 / 8, 1 / 4, 1 / 2],
     held_at: 1 / 4,
+    changes_speedup: 100,  // so that some changes fall into each short run
     residual_most: 0.05,  // of the range; above it a line is not straight
     flat: 0.1,  // a figure whose range is a smaller part of its size does not depend on the dimension
     error_most: 0.25,  // a prediction that is further off is listed
--- a/ladderhub/lab/scale/plan.py
+++ b/ladderhub/lab/scale/plan.py
@@ -80,6 +80,7 @@
 
     shares: list[float]
     held_at: float
+    changes_speedup: float
     residual_most: float
     flat: float
     error_most: float
@@ -252,11 +253,10 @@
 
 def slope_sizes(plan: Plan) -> dict[str, list[tuple[float, Size]]]:
     """For each dimension the shares and sizes at which it is moved while all others are held."""
-    whole = plan.played()
     base = at_shares(plan, dict.fromkeys(DIMENSIONS, plan.slopes.held_at))
     sizes: dict[str, list[tuple[float, Size]]] = {}
     for dimension in DIMENSIONS:
-        if whole.value(dimension) == 0:
+        if plan.size.value(dimension) == 0:
             continue
         moved = dict.fromkeys(DIMENSIONS, plan.slopes.held_at)
         points = []
@@ -268,13 +268,13 @@
 
 
 def at_shares(plan: Plan, shares: dict[str, float]) -> Size:
-    """The whole size with each dimension at its share; real schedulers are never fewer than planned."""
-    whole = plan.played()
+    """The size of a slope's run, each dimension at its share; real schedulers are never fewer than planned."""
+    whole = plan.size
     return Size(
         nodes=max(1, round(whole.nodes * shares["nodes"])),
         starts_per_s=whole.starts_per_s * shares["starts_per_s"],
         running=max(1, round(whole.running * shares["running"])),
         teams=max(1, round(whole.teams * shares["teams"])),
         schedulers=max(plan.real_schedulers, round(whole.schedulers * shares["schedulers"])),
-        changes_per_h=whole.changes_per_h * shares["changes_per_h"],
+        changes_per_h=whole.changes_per_h * shares["changes_per_h"] * plan.slopes.changes_speedup,
     )
