Scale run: what a run took, and the whole size always played after its prediction

Need: a kept run of the whole size could have been held against a prediction written later; and nothing told how many processes and how much memory a run took. Change: the whole size is played anew each time and tells when it began; each run has its most processes and memory. The small run in the tests holds that the directory counts as many messages to schedulers as lists, and one a round at most.

--- a/ladderhub/lab/scale/children.py
+++ b/ladderhub/lab/scale/children.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import resource
 import signal
 import subprocess
@@ -72,6 +73,7 @@
         self._seconds_most, self._began_s = seconds_most, time.monotonic()
         self._processes_most, self._memory_most = processes_most, memory_gib_most * _GIB
         self.members: list[Child] = []
+        self.most_processes = self.most_memory_bytes = 0
         self._guard = subprocess.Popen(module("ladderhub.lab.scale.guard"), stdin=subprocess.PIPE)
 
     def start(self, name: str, role: str, argv: Sequence[str], brief: bool = False) -> Child:
@@ -84,6 +86,7 @@
             process = subprocess.Popen(list(argv), stdin=subprocess.PIPE, stdout=log, stderr=log)
         child = Child(name, role, process, path, brief)
         self.members.append(child)
+        self.most_processes = max(self.most_processes, running + 1)
         assert self._guard.stdin is not None
         self._guard.stdin.write(f"{process.pid}\n".encode())
         self._guard.stdin.flush()
@@ -98,12 +101,13 @@
             raise ScaleError(
                 "the run takes too long", where=str(self._folder), meant=f"{self._seconds_most:g} s"
             )
-        total = 0
+        total = memory_bytes(os.getpid()) + memory_bytes(self._guard.pid)
         for child in self.members:
             if not child.alive() and not child.brief:
                 status = child.process.returncode
                 raise ScaleError(f"ended by itself with status {status}", where=str(child.log))
             total += memory_bytes(child.pid)
+        self.most_memory_bytes = max(self.most_memory_bytes, total)
         if total > self._memory_most:
             held = f"{total / _GIB:.1f} GiB are held"
             raise ScaleError(
--- a/ladderhub/lab/scale/command.py
+++ b/ladderhub/lab/scale/command.py
@@ -62,15 +62,17 @@
     keeper = RunKeeper(plan, options.folder, playing(say))
     file = options.predict or options.folder / "prediction.json"
     if options.slopes and options.stage in (SLOPES, PREDICT, ALL):
-        _take_slopes(plan, keeper, options.stage, report, say)
+        _take_slopes(plan, keeper, report, say)
     if options.slopes and options.stage in (PREDICT, ALL):
         report.prediction = write_prediction(plan, report.slopes, file)
         say(f"prediction of {len(report.prediction.figures)} figures written to {file}")
     if options.stage not in (FULL, ALL):
+        say("budgets are judged at the whole size, by the stages `full` and `all`")
         return True
     if options.stage == FULL and file.exists():
         report.prediction = read_prediction(file)
-    run = keeper.take(full_run(plan))
+    # Always played: the prediction has to be older than what is held against it.
+    run = keeper.play(full_run(plan))
     report.runs.append(run)
     _tell_run(run, say)
     if report.prediction.figures:
@@ -83,7 +85,7 @@
     return all_hold(report.budgets)
 
 
-def _take_slopes(plan: Plan, keeper: RunKeeper, stage: str, report: Report, say: Say) -> None:
+def _take_slopes(plan: Plan, keeper: RunKeeper, report: Report, say: Say) -> None:
     for run in slope_runs(plan):
         report.runs.append(keeper.take(run))
         _tell_run(report.runs[-1], say)
@@ -109,3 +111,7 @@
         told = f"{started.p50_ms} / {started.p99_ms} ms at p50 / p99"
         say(f"  {name}: {started.count} due, {told}, {started.missed_share:.2%} never ran")
     say(f"  {run.running:.0f} running at its middle; " + "; ".join(run.notes))
+    change = run.change_in_force_s
+    if change.count:
+        say(f"  {change.count} changes in force after {change.p50} / {change.p99} s at p50 / p99")
+    say(f"  {run.processes} processes, {run.memory_gib:.2f} GiB")
--- a/ladderhub/lab/scale/plan.py
+++ b/ladderhub/lab/scale/plan.py
@@ -268,7 +268,7 @@
 
 
 def at_shares(plan: Plan, shares: dict[str, float]) -> Size:
-    """The size of a slope's run, each dimension at its share; real schedulers are never fewer than planned."""
+    """The size of a slope's run, each dimension at its share; no fewer schedulers than the real ones."""
     whole = plan.size
     return Size(
         nodes=max(1, round(whole.nodes * shares["nodes"])),
--- a/ladderhub/lab/scale/report.py
+++ b/ladderhub/lab/scale/report.py
@@ -80,7 +80,7 @@
 
 
 class RunFigures(msgspec.Struct):
-    """One run."""
+    """One run.  `processes` and `memory_gib`: the most that it took at a time."""
 
     name: str
     dimensions: Size
@@ -90,6 +90,9 @@
     starts: dict[str, ClassFigures]
     change_in_force_s: ChangeFigures
     running: float
+    began_at: str = ""
+    processes: int = 0
+    memory_gib: float = 0.0
     notes: list[str] = []
 
 
--- a/ladderhub/lab/scale/run.py
+++ b/ladderhub/lab/scale/run.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable, Sequence
+from datetime import UTC, datetime
 from functools import partial
 from importlib.util import find_spec
 from operator import itemgetter
@@ -21,7 +22,7 @@
 from ladderhub.lab.scale.roles import client_doors, figures_of_process, mean_of_role
 from ladderhub.lab.scale.starts import answers_in, starts_by_class
 
-S = 1_000_000_000
+S, GIB = 1_000_000_000, 1 << 30
 CHANGES_MODULE = "ladderhub.cli.policy"
 CLIENT_DOOR = "client_door"
 CLIENT_KIND = "client"  # as schedulers count the messages of clients
@@ -48,6 +49,7 @@
 
 def play(plan: Plan, run: RunPlan, folder: Path, say: Say) -> RunFigures:
     """Play one run and measure it; `ScaleError` where the fleet does not come up or a bound is passed."""
+    began_at = datetime.now(UTC).isoformat(timespec="seconds")
     fleet = ScaleFleet(plan, run.size, folder, run.seed)
     try:
         say(f"{run.name}: {run.size.nodes} nodes and {run.size.schedulers} schedulers come up")
@@ -55,7 +57,9 @@
         fleet.start_load()
         fleet.children.pause(plan.playing.fill_s)
         say(f"{run.name}: measured for {run.seconds:g} s")
-        return _measure(plan, run, fleet)
+        figures = _measure(plan, run, fleet)
+        figures.began_at = began_at
+        return figures
     finally:
         fleet.close()
 
@@ -84,6 +88,8 @@
         starts=starts_by_class(plan.load.classes, sent, first_runs(seen), answers, since_ns, until_ns),
         change_in_force_s=change_figures(len(fleet.changes), times_in_force(logs)),
         running=running_at(seen, (since_ns + until_ns) // 2),
+        processes=fleet.children.most_processes,
+        memory_gib=fleet.children.most_memory_bytes / GIB,
         notes=notes,
     )
 
--- a/ladderhub/lab/scale/stages.py
+++ b/ladderhub/lab/scale/stages.py
@@ -47,10 +47,14 @@
         return found.figures if (found.plan, found.run) == (self._plan, run) else None
 
     def take(self, run: RunPlan) -> RunFigures:
+        """The run's figures, played now or before."""
         figures = self.kept(run)
-        if figures is None:
-            figures = self._play(self._plan, run, self._folder / run.name)
-            write_lasting(self.path(run), KeptRun(self._plan, run, figures))
+        return self.play(run) if figures is None else figures
+
+    def play(self, run: RunPlan) -> RunFigures:
+        """Play a run now, and keep its figures."""
+        figures = self._play(self._plan, run, self._folder / run.name)
+        write_lasting(self.path(run), KeptRun(self._plan, run, figures))
         return figures
 
 
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -62,12 +62,22 @@
     schedulers = [played.roles["elector"], played.roles["scheduler"]]
     assert directory.messages_per_s["scheduler"].out and directory.work_per_s["lists"] > 0
     assert agents.bytes_per_s["scheduler"].in_ and agents.bytes_per_s["directory"].out
+    assert directory.messages_per_s["scheduler"].out == pytest.approx(directory.work_per_s["lists"])
+    at_most = directory.work_per_s["rounds"] * REAL + REAL / played.seconds
+    assert directory.work_per_s["lists"] <= at_most, "a list for each scheduler in each round at most"
     for scheduler in schedulers:
         assert scheduler.bytes_per_s["directory"].in_ and scheduler.messages_per_s["client"].in_
         assert scheduler.control.bytes_per_s and scheduler.control.cores is not None
         assert set(scheduler.cores_by_cause) >= set(small_plan().control.causes)
 
 
+def test_a_run_tells_what_it_took(played: RunFigures) -> None:
+    bounds = small_plan().playing
+    least = REAL + 1 + bounds.node_processes + bounds.hollow_processes + bounds.load_processes
+    assert least < played.processes <= bounds.processes_most
+    assert 0 < played.memory_gib < bounds.memory_gib_most and played.began_at
+
+
 def test_a_process_that_ends_by_itself_ends_the_run(tmp_path: Path) -> None:
     children = Children(tmp_path, processes_most=10, memory_gib_most=1.0, seconds_most=600.0)
     try:
--- a/tests/lab/test_scale_parts.py
+++ b/tests/lab/test_scale_parts.py
@@ -417,6 +417,8 @@
     other = overridden(plan, Overrides(speedup=plan.churn.speedup * 2))
     RunKeeper(other, tmp_path, world.play).take(slope_runs(other)[0])
     assert world.played == len(runs) + 1
+    RunKeeper(plan, tmp_path, world.play).play(runs[1])
+    assert world.played == len(runs) + 2, "a run that has to be played is"
 
 
 def test_slopes_need_every_run_and_a_prediction_its_file(tmp_path: Path) -> None:
