Commands test: a scheduler that starts anew is asked for its jobs once it has taken them over

Cause: a scheduler serves clients before its nodes have said what they run, and knows a job of its earlier life once its log says adopted (docs/operators.md). The test asked as soon as the port was open, and failed in one of two whole runs side by side with Unknown Job Id. Change: the test waits, 15 s at most, until the log has as many adoptions as jobs, no more and no fewer; every check after it stays as it was.

--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -239,6 +239,9 @@
     assert process is not None and fleet.run_until(lambda: process.poll() is not None, 5 * S)
     assert fleet.run_until(lambda: fleet.schedulers["sched0"].process is not process, 5 * S)
     assert fleet.run_until(lambda: fleet.is_up("sched0"), 15 * S)
+    # It is up before its nodes have said what they run, and says of each job that it has taken it over.
+    log = fleet.schedulers["sched0"].file.with_name("log")
+    assert fleet.run_until(lambda: log.read_text().count('"event":"adopted"') == len(jobs), 15 * S)
     for job in jobs:
         assert wait(fleet, job, "R")["placement"] == "placed"
     fresh = run(fleet, "qsub", "-q", "billing", script="sleep 60\n")
