--- a/tests/lab/test_revision_judge.py
+++ b/tests/lab/test_revision_judge.py
@@ -142,10 +142,6 @@
     rows.remove(answer_of(rows, "Applied"))
 
 
-def an_error_in_a_log(rows: list[Row]) -> None:
-    rows.append({"at": rows[-1]["at"], "what": "trouble", "slot": 0, "text": "it broke"})
-
-
 DOCTORED: dict[str, tuple[Callable[[list[Row]], None], ...]] = {
     "forks": (another_digest, another_parent),
     "unchosen": (
