Benchmark of losses: a node that stops without closing its connections is told to nobody

Measured, `python benchmarks/losses.py silent`: a real node stopped by SIGSTOP stays listed as serving; the directory told nothing in 60 s, and `gone` within 4 s of the node's end, which closes its connections. Not mended here.

--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -3,6 +3,7 @@
     python benchmarks/losses.py leases      # simulated: machine, zone, region, link between regions
     python benchmarks/losses.py directory   # measured: a directory that is started anew under its nodes
     python benchmarks/losses.py restart     # emulated: the same under a real scheduler whose jobs run
+    python benchmarks/losses.py silent      # measured: a node that stops without closing its connections
     python benchmarks/losses.py day         # reckoned from measured bytes of the messages
 
 `leases` plays the membership and lease decisions in simulated time.  Schedulers stand in zones in turn; the
@@ -302,6 +303,39 @@
     )
 
 
+# --- a node that falls silent -------------------------------------------------------------------------------
+
+
+def silent(args: argparse.Namespace) -> None:
+    """SIGSTOP of a real node: nothing is closed, as where its machine loses its power or its network."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    loop, child = Loop(), start_directory(port)
+    argv = [sys.executable, "-m", "ladderhub", "node", "--name", "n1", "--kind", "small", "--cores", "4"]
+    argv += ["--memory", "8gb", "--directory", f"127.0.0.1:{port}"]
+    node = subprocess.Popen(argv, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        watcher = Watcher(loop, ("127.0.0.1", port))
+        run_for(loop, 10)
+        print(f"listed before: {[entry.stage for _, told in watcher.lists for entry in told.entries]}")
+        watcher.lists.clear()
+        node.send_signal(signal.SIGSTOP)
+        run_for(loop, args.silence)
+        stages = [entry.stage for _, told in watcher.lists for entry in told.entries]
+        print(f"told within {args.silence:.0f} s of its silence: {stages or 'nothing'}")
+        watcher.lists.clear()
+        node.kill()
+        run_for(loop, 4)
+        stages = [entry.stage for _, told in watcher.lists for entry in told.entries]
+        print(f"told within 4 s of its end, which closes its connections: {stages or 'nothing'}")
+    finally:
+        node.kill()
+        node.wait()
+        child.terminate()
+        child.wait()
+
+
 # --- a directory's restart under running jobs ---------------------------------------------------------------
 
 
@@ -385,7 +419,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("what", choices=["leases", "directory", "restart", "day"])
+    parser.add_argument("what", choices=["leases", "directory", "restart", "silent", "day"])
     add_figures(parser, {
         "nodes": NODES, "running": RUNNING, "schedulers": SCHEDULERS, "regions": REGIONS, "zones": ZONES,
         "failed": FAILED, "replaced": REPLACED, "restarted": RESTARTED,
@@ -393,10 +427,11 @@
     parser.add_argument("--machine", type=float, default=300.0, help="seconds that a machine is gone")
     parser.add_argument("--zone", type=float, default=600.0, help="seconds that a zone or region is gone")
     parser.add_argument("--link", type=float, default=3600.0, help="seconds that regions lose each other")
+    parser.add_argument("--silence", type=float, default=60.0, help="seconds that a node is silent")
     parser.add_argument("--trials", type=int, default=10, help="restarts of the directory")
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
-    plays = {"leases": leases, "directory": directory, "restart": restart, "day": day}
+    plays = {"leases": leases, "directory": directory, "restart": restart, "silent": silent, "day": day}
     plays[args.what](args)
 
 
