--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -43,11 +43,10 @@
     "change_in_force_s": ["p50", "p99", "most", "missed_share"],
 }  # fmt: skip
 SLOPED = (
-    "scheduler.memory_mb", "scheduler.cores", "scheduler.cores.jobs", "scheduler.control.cores",
-    "scheduler.control.bytes_per_s", "scheduler.bytes_per_s.directory.in", "elector.control.cores",
-    "elector.control.bytes_per_s", "directory.cores", "directory.memory_mb",
-    "directory.bytes_per_s.scheduler.out", "directory.work_per_s.log_entries_walked",
-    "node_agent.all.cores", "node_agent.all.memory_mb", "starts.urgent.p99_ms", "change_in_force_s.most",
+    "scheduler.memory_mb", "scheduler.control.bytes_per_s", "scheduler.control.cores", "scheduler.cores.jobs",
+    "elector.control.bytes_per_s", "elector.control.cores", "directory.bytes_per_s.scheduler.out",
+    "directory.work_per_s.log_entries_walked", "directory.cores", "node_agent.all.cores",
+    "node_agent.all.memory_mb", "starts.urgent.p99_ms", "change_in_force_s.most",
 )  # fmt: skip
 GROUPS = {
     "lists": {"directory"},
@@ -113,15 +112,16 @@
         yield [*row, "" if limit is None else shown(limit)]
 
 
-def slope_rows(report: Report) -> Iterable[list[str]]:
+def slope_rows(report: Report, dimensions: list[str]) -> Iterable[list[str]]:
+    """One figure a row: by dimension the slope, the residual where the line is not straight, the points."""
+    cells: dict[str, dict[str, str]] = {}
     for slope in report.slopes:
-        if slope.figure in SLOPED:
-            points = ", ".join(f"{x:g}: {shown(y)}" for x, y in slope.points)
-            straight = "yes" if slope.straight else "**no**"
-            yield [
-                f"`{slope.figure}`", slope.dimension, f"{slope.per_unit:.3g}", f"{slope.intercept:.3g}",
-                f"{slope.residual:.2g}", straight, points,
-            ]  # fmt: skip
+        values = ", ".join(shown(y) for _, y in slope.points)
+        crooked = "" if slope.straight else f" **(residual {slope.residual:.2g})**"
+        cells.setdefault(slope.figure, {})[slope.dimension] = f"{slope.per_unit:.2g}{crooked}: {values}"
+    for figure in SLOPED:
+        if figure in cells:
+            yield [f"`{figure}`", *(cells[figure].get(name, MISSING) for name in dimensions)]
 
 
 def lines_of(reports: list[Report]) -> Iterable[str]:
@@ -153,8 +153,10 @@
             heads_of_groups = ["kind", "messages a second in", "out", "bytes a second in", "out"]
             yield from table(heads_of_groups, group_rows(figures))
     yield ""
-    heads = ["figure", "dimension", "a unit", "at none", "residual", "straight", "points"]
-    yield from table(heads, slope_rows(planned))
+    dimensions = list(dict.fromkeys(slope.dimension for slope in planned.slopes))
+    points = {slope.dimension: ", ".join(f"{x:g}" for x, _ in slope.points) for slope in planned.slopes}
+    heads = ["figure", *(f"{name}: {points[name]}" for name in dimensions)]
+    yield from table(heads, slope_rows(planned, dimensions))
     for report in reports:
         yield ""
         yield from table(["budget", "limit", "measured", "verdict"], budget_rows(report))
