--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -127,7 +127,7 @@
 def lines_of(reports: list[Report]) -> Iterable[str]:
     planned = next((report for report in reports if report.prediction.figures), reports[0])
     full = full_runs(reports)
-    budgets = {budget.figure: budget.limit for budget in planned.budgets}
+    budgets = {budget.figure: budget.limit for report in reports for budget in report.budgets}
     for report in reports:
         yield f"commit {report.commit}, seed {report.seed}, {report.machine}"
     for run in full:
@@ -157,7 +157,7 @@
     points = {slope.dimension: ", ".join(f"{x:g}" for x, _ in slope.points) for slope in planned.slopes}
     heads = ["figure", *(f"{name}: {points[name]}" for name in dimensions)]
     yield from table(heads, slope_rows(planned, dimensions))
-    for report in reports:
+    for report in (each for each in reports if each.budgets):
         yield ""
         yield from table(["budget", "limit", "measured", "verdict"], budget_rows(report))
 
