Platform log: longest round, longest unread time, ends unheard and tasks held, each second

Change: the pace of the process stands first in the line, attempts by machine are a line of their own, a caller closed as silent is named.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -55,6 +55,7 @@
         self._first: set[int] = set()
         self._left: list[int] = []  # ready in the last round, and left to this one
         self._look_ns = self._before_ns = self.now_ns()
+        self._longest_round_ns = self._longest_unread_ns = 0
 
     def now_ns(self) -> int:
         return self.clock.now_ns()
@@ -104,6 +105,13 @@
         """What is read in this round has come since then, if all that was ready before was read."""
         return self._before_ns
 
+    def take_longest_ns(self) -> tuple[int, int]:
+        """Since the last call: the longest round, waiting apart, and the longest that bytes may have lain
+        unread, in nanoseconds."""
+        longest = self._longest_round_ns, self._longest_unread_ns
+        self._longest_round_ns = self._longest_unread_ns = 0
+        return longest
+
     # --- signals and children ---------------------------------------------------------------------------
 
     def on_signal(self, number: int, call: Callable[[], object]) -> None:
@@ -169,6 +177,8 @@
         self._look_ns = now
         self._handle(found, now + ROUND_NS)
         now = self.now_ns()
+        if found:
+            self._longest_unread_ns = max(self._longest_unread_ns, now - self._before_ns)
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if timer.call is None:
@@ -180,6 +190,7 @@
         for _ in range(len(self._soon)):
             call, args = self._soon.popleft()
             self._guard("soon", call, args)
+        self._longest_round_ns = max(self._longest_round_ns, self.now_ns() - self._look_ns)
 
     def _handle(self, found: list[tuple[selectors.SelectorKey, int]], until_ns: int) -> None:
         if self._first or self._left:
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -206,6 +206,10 @@
         """Connections that hold a descriptor."""
         return len(self._conns) + len(self._closing)
 
+    def unheard(self) -> int:
+        """Ends that were told and that no owner said to have heard."""
+        return len(self._unheard)
+
     def pass_tests(self) -> None:
         """From now on tests are answered, those that wait first."""
         self.may_pass = True
@@ -284,7 +288,7 @@
             # What lies unread may be a set-up; but two rounds on, it was read, and there was none in it.
             over = now - since - SILENT_NS
             if over > 2 * SWEEP_NS or (over > 0 and not conn.stream.unread()):
-                self.report.count("owner.silent")
+                self.report.line("owner.silent", peer=conn.peer, after_ms=(now - since) // MS)
                 conn.shut("silent")
         for conn, since in list(self._closing.items()):
             if now - since > SILENT_NS:  # it does not read what it was sent, and holds a descriptor
--- a/ladderhub/platform/report.py
+++ b/ladderhub/platform/report.py
@@ -10,6 +10,7 @@
 import msgspec
 
 S = 1_000_000_000
+BY_MACHINE = "at."  # counts of attempts at one machine begin so
 LINES_MOST = 20  # of one event a second; more are counted in the next second's line
 
 
@@ -44,12 +45,17 @@
         self.line("trouble", where=where, fault=f"{type(fault).__name__}: {fault}"[:300], places=places)
 
     def second(self) -> None:
-        """The line of each second: what was counted since the last one, and the gauges."""
-        row: dict[str, object] = {"at": self._now_ns() // 1_000_000, "event": "second"}
+        """The lines of each second: the gauges and what was counted since the last one; then the attempts by
+        machine, a line of their own, since in a large fleet they are most of it."""
+        at_ms = self._now_ns() // 1_000_000
+        counts, self.counts = self.counts, Counter()
+        row: dict[str, object] = {"at": at_ms, "event": "second"}
         row |= {name: call() for name, call in self.gauges.items()}
-        row["counts"] = dict(sorted(self.counts.items()))
-        self.counts.clear()
+        by_machine = {name: count for name, count in counts.items() if name.startswith(BY_MACHINE)}
+        row["counts"] = {name: counts[name] for name in sorted(counts) if name not in by_machine}
         self._put(row)
+        if by_machine:
+            self._put({"at": at_ms, "event": "machines", "counts": by_machine})
 
     def _put(self, row: dict[str, object]) -> None:
         self._write(msgspec.json.encode(row, enc_hook=repr) + b"\n")
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from typing import NoReturn
 
 from ladderhub import interface as api
@@ -63,15 +64,15 @@
         self.door.on_accepted = self.links.trim
         self.follower.on_caught_up = self.door.pass_tests
         self.tasks.look_at_list = self.follower.look
-        self._until_ns = self._late_ms = self._second_ns = 0
+        self._until_ns = self._late_ms = self._second_ns = self._unread_ms = 0
         self._cpu_s, self._quiet = 0.0, False
         self.failed: OSError | None = None  # why the loop was ended, where that was no stop
+        # First what tells whether the process keeps up, since readers of the log may cut long lines.
+        report.gauges = self._pace_gauges() | report.gauges
         report.gauges |= {
             "machines": lambda: self.links.count,
             "descriptors": lambda: self.links.count + self.door.count() + OWN_DESCRIPTORS,
             "rss_mb": _resident_mb,
-            "cpu_ms": self._cpu_ms,
-            "late_ms": lambda: self._late_ms,
             "timers": loop.pending_timers,
         }
 
@@ -207,6 +208,22 @@
         self._loop.call_at(self._second_ns, self._second)
         self._report.second()
 
+    def _pace_gauges(self) -> dict[str, Callable[[], object]]:
+        """Milliseconds of this second that show whether the process keeps up with what it is told."""
+        return {
+            "late_ms": lambda: self._late_ms,
+            "cpu_ms": self._cpu_ms,
+            "round_ms": self._round_ms,
+            "unread_ms": lambda: self._unread_ms,
+            "unheard": self.door.unheard,
+            "held": lambda: len(self.tasks.module.held),
+        }
+
+    def _round_ms(self) -> int:
+        round_ns, unread_ns = self._loop.take_longest_ns()
+        self._unread_ms = unread_ns // MS
+        return round_ns // MS
+
     def _cpu_ms(self) -> int:
         spent, self._cpu_s = time.process_time() - self._cpu_s, time.process_time()
         return round(spent * 1000)
