--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from ladderhub.decide import Scheduler
 from ladderhub.lab.ports import own_host
@@ -45,6 +45,14 @@
     }  # fmt: skip
 
 
+class Surroundings(Protocol):
+    """What machines and owners need of the bed that they belong to."""
+
+    loop: Loop
+    heard: list[tuple[Machine, Message]]
+    door: tuple[str, int]
+
+
 class MachineConn:
     """A scheduler's connection, as a machine has it."""
 
@@ -76,7 +84,7 @@
 class Machine:
     """A machine whose `script` answers what it hears."""
 
-    def __init__(self, bed: Bed, name: str, script: Script) -> None:
+    def __init__(self, bed: Surroundings, name: str, script: Script) -> None:
         self.bed, self.name, self.script = bed, name, script
         self.heard: list[Message] = []
         self.conns: list[MachineConn] = []
@@ -118,7 +126,7 @@
 class Owner:
     """One connection of an owner."""
 
-    def __init__(self, bed: Bed, polite: bool = True, source: str = "127.0.0.1") -> None:
+    def __init__(self, bed: Surroundings, polite: bool = True, source: str = "127.0.0.1") -> None:
         self.reader, self.polite = LineReader(), polite
         self.got: list[Message] = []
         self.closed = False
--- /dev/null
+++ b/tests/platform/test_crowd.py
@@ -0,0 +1,116 @@
+"""A crowd of set-ups at once, on a real process and on a bed where each decision takes its time."""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ladderhub import interface as api
+from ladderhub.signalling import Kind, Message
+from tests.platform.bed import MS, S, Bed, Owner, release, stand, yes
+from tests.platform.process_bed import ProcessBed
+
+DECISION_NS = 10 * MS  # what one placement is made to take on the bed
+
+
+def slow_down(bed: Bed) -> None:
+    """Let each placement take as long as on a slow machine: the bed's clock moves by it."""
+    module = bed.module()
+    handle = module.handle
+
+    def slow(now_ns: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.TaskAsked):
+            bed.clock.advance(DECISION_NS)
+        return handle(now_ns, event)
+
+    module.handle = slow  # type: ignore[method-assign]
+
+
+def answers(owner: Owner) -> list[Message]:
+    return owner.said(Kind.ANSWER) + owner.said(Kind.RELEASE)
+
+
+@pytest.fixture
+def process_beds(tmp_path: Path) -> Iterator[Any]:
+    made: list[ProcessBed] = []
+
+    def make(*scripts: Any) -> ProcessBed:
+        made.append(ProcessBed(tmp_path, *scripts))
+        return made[-1]
+
+    yield make
+    for bed in made:
+        bed.close()
+
+
+def test_an_end_does_not_wait_behind_a_crowd_of_set_ups(beds: Any) -> None:
+    bed = beds(*[yes] * 8)
+    owners = [Owner(bed) for _ in range(4)]
+    asked = stand(bed, owners[0])
+    slow_down(bed)
+    for owner in owners:
+        owner.say(*[bed.setup(left=8000, cores=0.01, memory=0.01) for _ in range(60)])
+    machine = next(each for each in bed.machines if each.got(Kind.SETUP))
+    machine.conns[0].say(release(asked.id, 16))
+    begun_ns = bed.clock.now_ns()
+    bed.run(lambda: any(each.id == asked.id for each in owners[0].said(Kind.RELEASE)))
+    assert bed.clock.now_ns() - begun_ns < S  # what has stood is released within 1 s of its end
+    bed.run(lambda: sum(len(answers(owner)) for owner in owners) == 4 * 60 + 2)
+
+
+def test_a_caller_is_not_closed_as_silent_while_its_set_up_waits_to_be_read(beds: Any) -> None:
+    bed = beds(*[yes] * 8)
+    slow_down(bed)
+    crowd, late = Owner(bed), Owner(bed)
+    crowd.say(*[bed.setup(left=8000, cores=0.01, memory=0.01) for _ in range(400)])
+    bed.run(lambda: crowd.said(Kind.ANSWER))
+    late.say(bed.setup(left=8000))
+    bed.run(lambda: answers(late) or late.closed)
+    assert not late.closed and len(answers(late)) == 1
+
+
+def test_a_dial_that_came_up_is_not_timed_out_by_a_late_look(beds: Any) -> None:
+    bed = beds(*[yes] * 60)
+    slow_down(bed)
+    owner = Owner(bed)
+    owner.say(*[bed.setup(left=8000, cores=0.01, memory=0.01) for _ in range(60)])
+    bed.run(lambda: len(answers(owner)) == 60)
+    assert not [row for row in bed.logged if row["event"] == "machine.unreached"]
+
+
+def test_a_real_process_tells_an_end_before_it_has_placed_a_crowd(process_beds: Any) -> None:
+    bed = process_beds(*[yes] * 100)
+    owners = [bed.owner() for _ in range(4)]
+    asked = bed.setup()
+    owners[0].say(asked)
+    bed.run(lambda: owners[0].said(Kind.ANSWER))
+    machine = next(each for each in bed.machines if each.got(Kind.SETUP))
+    os.kill(bed.child.pid, signal.SIGSTOP)  # so that all of it lies there at once
+    for owner in owners:
+        owner.say(*[bed.setup() for _ in range(100)])
+    machine.conns[0].say(release(asked.id, 16))
+    os.kill(bed.child.pid, signal.SIGCONT)
+    bed.run(lambda: any(each.id == asked.id for each in owners[0].said(Kind.RELEASE)))
+    os.kill(bed.child.pid, signal.SIGSTOP)
+    for _ in range(50):
+        bed.loop.turn(MS)
+    dialled = sum(len(each.conns) for each in bed.machines)
+    os.kill(bed.child.pid, signal.SIGCONT)
+    assert dialled <= 100  # a quarter of the crowd: it would be nearly all, were it placed first
+
+
+def test_a_real_process_answers_each_set_up_of_a_crowd(process_beds: Any) -> None:
+    bed = process_beds(*[yes] * 400)
+    owners = [bed.owner() for _ in range(16)]
+    asked = {owner: [bed.setup() for _ in range(100)] for owner in owners}
+    for owner, setups in asked.items():
+        owner.say(*setups)
+    bed.run(lambda: all(owner.closed or len(answers(owner)) >= 100 for owner in owners))
+    for owner, setups in asked.items():
+        assert sorted(each.id for each in answers(owner)) == sorted(each.id for each in setups)
+    assert not any(owner.closed for owner in owners)
