A caller is not closed as silent before what it sent has been read

Cause: OwnerDoor._sweep took two rounds past the limit for proof that a connection had been read; in a process that is behind it had not. Change: what lies there is read before the caller is judged.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -156,6 +156,10 @@
     def _write(self, message: Message) -> None:
         self.stream.write(encode_line(message))
 
+    def silent_since_ns(self, now: int) -> int:
+        """Since when it has said nothing whole; now, where nothing is missing."""
+        return self.since_ns if self.trust is Trust.NONE else self.partial_ns or now
+
     def idle(self) -> bool:
         """Nothing is open on it, and nothing has come that was not read yet: a set-up counts as taken once it
         was written, and closing over it would lose it."""
@@ -284,12 +288,13 @@
         self.loop.call_later(SWEEP_NS, self._sweep)
         now = self.loop.now_ns()
         for conn in list(self._conns):
-            since = conn.since_ns if conn.trust is Trust.NONE else conn.partial_ns or now
-            # What lies unread may be a set-up; but two rounds on, it was read, and there was none in it.
-            over = now - since - SILENT_NS
-            if over > 2 * SWEEP_NS or (over > 0 and not conn.stream.unread()):
-                self.report.line("owner.silent", peer=conn.peer, after_ms=(now - since) // MS)
-                conn.shut("silent")
+            if conn.silent_since_ns(now) < now - SILENT_NS:
+                # What lies unread may be a set-up, and the silence ours.
+                conn.look()
+                since = conn.silent_since_ns(now)
+                if conn.alive and since < now - SILENT_NS:
+                    self.report.line("owner.silent", peer=conn.peer, after_ms=(now - since) // MS)
+                    conn.shut("silent")
         for conn, since in list(self._closing.items()):
             if now - since > SILENT_NS:  # it does not read what it was sent, and holds a descriptor
                 conn.stream.abort(BufferError("the peer does not read"))
