A dial that is up is not timed out because the loop is late

Seen: machine.unreached with a time-out, hundreds in a crowd, for machines that had accepted; their tasks went elsewhere and made the crowd larger. Cause: timers run after 10 ms of reading, so the time-out of a dial ran while its coming up lay among what was ready and left to the next round. Change: Loop.call_when_read; the time-out is judged after what is ready on its descriptor by then was handled. Evidence: test_a_dial_that_came_up_is_not_timed_out_by_a_late_look failed before, passes with this.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -54,6 +54,7 @@
         self._wake: tuple[int, int] | None = None
         self._first: set[int] = set()
         self._left: list[int] = []  # ready in the last round, and left to this one
+        self._judged: list[tuple[int, Callable[..., object], tuple[Any, ...]]] = []
         self._look_ns = self._before_ns = self.now_ns()
         self._longest_round_ns = self._longest_unread_ns = 0
 
@@ -74,6 +75,12 @@
     def call_soon(self, call: Callable[..., object], *args: Any) -> None:
         self._soon.append((call, args))
 
+    def call_when_read(self, fd: int, call: Callable[..., object], *args: Any) -> None:
+        """Call once all that is ready on this descriptor by now has been handled.
+
+        Whoever judges a peer by a span that is over asks this first: the lateness may be the loop's own."""
+        self._judged.append((fd, call, args))
+
     def _revoked(self) -> None:
         self._dead += 1
         if self._dead > 1000 and self._dead * 2 > len(self._timers):
@@ -165,7 +172,8 @@
         """One round: wait for what is ready, at most so long, and handle what of it fits into a round; then
         timers that are due, then what was put off."""
         wait = most_wait_ns
-        if self._soon or self._left:
+        judged, self._judged = self._judged, []
+        if self._soon or self._left or judged:
             wait = 0
         elif self._timers:
             wait = min(wait, max(0, self._timers[0][0] - self.now_ns()))
@@ -176,6 +184,11 @@
             self._before_ns = now if now - asleep > WOKEN_NS else self._look_ns
         self._look_ns = now
         self._handle(found, now + ROUND_NS)
+        for fd, call, args in judged:
+            if fd in self._left:
+                self._judged.append((fd, call, args))
+            else:
+                self._guard("span", call, args)
         now = self.now_ns()
         if found:
             self._longest_unread_ns = max(self._longest_unread_ns, now - self._before_ns)
--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -241,6 +241,11 @@
         if not self._out and self.on_drained is not None:
             self.on_drained()
 
+    def _not_up(self) -> None:
+        """The time to come up is over."""
+        if not self.connected:
+            self.abort(TimeoutError("connect"))
+
     def _finish_connect(self) -> None:
         code = self._socket().getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
@@ -298,7 +303,7 @@
     stream.on_connected = on_connected
     if code not in (0, errno.EINPROGRESS):
         loop.call_soon(stream.abort, OSError(code, "connect"))
-    stream._timer = loop.call_later(timeout_ns, stream.abort, TimeoutError("connect"))
+    stream._timer = loop.call_later(timeout_ns, loop.call_when_read, sock.fileno(), stream._not_up)
     return stream
 
 
