Ends and answers no longer wait behind a crowd of set-ups

Cause: a set-up was placed as it was read, at 1 to 5 ms each; OwnerConn.look, asked before each attempt, read up to 1 MiB of the same owner and placed all of that within it, so that one callback placed a whole crowd while nothing else was read, and the process's own lateness then failed dials and made the crowd larger. Change: reading a set-up only takes it; it is placed in slices of 5 ms a round, callers in turn, those first whose time is nearly over (pure queue in intake.py); past 4,096 waiting ones are refused.

--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -14,14 +14,18 @@
 from ladderhub import interface as api
 from ladderhub.board import Board
 from ladderhub.decide import Scheduler
+from ladderhub.decide.records import ANSWER_MARGIN_NS
 from ladderhub.loop import Loop, Timer
 from ladderhub.platform.conn import Offer
+from ladderhub.platform.intake import Intake
 from ladderhub.platform.links import Links
 from ladderhub.platform.report import Report
 from ladderhub.platform.words import outcome_of, reason_of, topic_of
 from ladderhub.signalling import Cause, Code, Kind, Leg, Message, State, Step
 
 MS = 1_000_000
+PLACING_NS = 5 * MS  # set-ups are placed for so long in a round of the loop; half as long as it reads
+INTAKE_MOST = 4096  # set-ups that may wait to be placed
 
 
 class OwnerLine(Protocol):
@@ -55,7 +59,9 @@
 class Task:
     """One set-up of an owner, from its arrival until its last attempt has ended."""
 
-    __slots__ = ("asked", "backstop", "leg", "line", "number", "offer", "sent", "until_ns", "withdrawing")
+    __slots__ = (
+        "asked", "backstop", "leg", "line", "number", "offer", "queued", "sent", "until_ns", "withdrawing",
+    )  # fmt: skip
 
     def __init__(self, number: int, asked: Asked, line: OwnerLine, until_ns: int) -> None:
         self.number, self.asked, self.line, self.until_ns = number, asked, line, until_ns
@@ -64,6 +70,11 @@
         self.sent = 0
         self.backstop: Timer | None = None
         self.withdrawing = False  # the module has not heard yet that no answer is owed
+        self.queued = False  # the module has not heard of it yet
+
+    def waits(self) -> bool:
+        """Whether it is still to be placed."""
+        return self.queued and self.leg.state is State.SET_UP
 
 
 class _Timed:
@@ -94,6 +105,8 @@
         self._tell = Board(loop.now_ns, self._fault).add(self._timed, self)
         self._by_number: dict[int, Task] = {}
         self._by_id: dict[str, Task] = {}  # open and standing
+        self._intake: Intake[Task] = Intake(ANSWER_MARGIN_NS, INTAKE_MOST)
+        self._placing = False  # a slice of placements is due
         self._sending: Offer | None = None  # the one whose `Send` is being carried out
         self._count = 0
         self.open = 0
@@ -101,6 +114,7 @@
         self.look_at_list: Callable[[], None] = lambda: None  # read what is told of machines
         self.tell_over: Callable[[OwnerLine, Message], None] = lambda line, message: line.put(message)
         report.gauges["module_ms"] = self._timed.take_ms
+        report.gauges["queued"] = lambda: len(self._intake)
         report.gauges["open"] = lambda: self.open
         report.gauges["standing"] = lambda: len(self._by_id) - self.open
         report.gauges["attempts_out"] = lambda: sum(1 for t in self._by_number.values() if t.offer)
@@ -126,7 +140,34 @@
         return task
 
     def place(self, task: Task) -> None:
-        """Have it placed."""
+        """Have it placed in its turn."""
+        if self._intake.full():
+            self._report.count("refused.crowd")
+            self._answer(task, Message(Kind.RELEASE, task.asked.id, Cause.BUSY))
+            return
+        task.queued = True
+        self._intake.add(task.line, task)
+        self._place_soon()
+
+    def _place_soon(self) -> None:
+        if not self._placing:
+            self._placing = True
+            self._loop.call_soon(self._place_some)
+
+    def _place_some(self) -> None:
+        """Place what fits into a slice, one set-up at least."""
+        self._placing = False
+        now = self._loop.now_ns()
+        until_ns = now + PLACING_NS
+        while (task := self._intake.take(now)) is not None:
+            self._place_now(task)
+            now = self._loop.now_ns()
+            if now >= until_ns:
+                self._place_soon()
+                return
+
+    def _place_now(self, task: Task) -> None:
+        task.queued = False
         self._tell(self._asked_event(task))
 
     def adopt(self, line: OwnerLine, asked: Asked) -> None:
@@ -148,7 +189,7 @@
         asked = task.asked
         return api.TaskAsked(
             task=task.number, key=asked.key, klass=asked.klass, service=asked.service, cores=asked.cores,
-            memory=asked.memory, budget_ns=asked.left_ns, tenant=asked.tenant,
+            memory=asked.memory, budget_ns=max(0, task.until_ns - self._loop.now_ns()), tenant=asked.tenant,
         )  # fmt: skip
 
     def give_up(self, task: Task) -> None:
@@ -195,8 +236,12 @@
     def answer_now(self) -> None:
         """The process is about to end: each set-up that waits gets its answer, by the module's word."""
         for task in [each for each in self._by_id.values() if each.leg.state is State.SET_UP]:
-            self._tell(api.AnswerDue(task.number))
-            self._no_answer(task)
+            if task.queued:
+                task.until_ns = self._loop.now_ns()  # no attempt may begin for it
+                self._place_now(task)
+            if task.leg.state is State.SET_UP:
+                self._tell(api.AnswerDue(task.number))
+                self._no_answer(task)
 
     def _no_answer(self, task: Task) -> None:
         """The module let the deadline pass, which only a fault of its own can bring about."""
