A set-up is charged only the time for which its own connection lay unread

Callers saw: under a lasting backlog fresh set-ups were refused as if out of time. Change: the time is kept for each descriptor, from when it was first found ready.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -53,9 +53,9 @@
         self._signals: dict[int, Callable[[], object]] = {}
         self._wake: tuple[int, int] | None = None
         self._first: set[int] = set()
-        self._left: list[int] = []  # ready in the last round, and left to this one
+        self._ready_since: dict[int, int] = {}  # descriptors to handle: what waits there came since then
         self._judged: list[tuple[int, Callable[..., object], tuple[Any, ...]]] = []
-        self._look_ns = self._before_ns = self.now_ns()
+        self._look_ns = self.now_ns()
         self._longest_round_ns = self._longest_unread_ns = 0
 
     def now_ns(self) -> int:
@@ -108,9 +108,9 @@
         else:
             self._selector.register(fd, events, call)
 
-    def unseen_since_ns(self) -> int:
-        """What is read in this round has come since then, if all that was ready before was read."""
-        return self._before_ns
+    def unseen_since_ns(self, fd: int) -> int:
+        """What is read now from this descriptor has come since then, if all before that had been read."""
+        return self._ready_since.get(fd, self._look_ns)
 
     def take_longest_ns(self) -> tuple[int, int]:
         """Since the last call: the longest round, waiting apart, and the longest that bytes may have lain
@@ -173,25 +173,23 @@
         timers that are due, then what was put off."""
         wait = most_wait_ns
         judged, self._judged = self._judged, []
-        if self._soon or self._left or judged:
+        if self._soon or self._ready_since or judged:
             wait = 0
         elif self._timers:
             wait = min(wait, max(0, self._timers[0][0] - self.now_ns()))
         asleep = self.now_ns()
         found = self._selector.select(wait / 1e9)
         now = self.now_ns()
-        if not self._left:  # what ends a wait has only just come
-            self._before_ns = now if now - asleep > WOKEN_NS else self._look_ns
+        # What ends a wait has only just come.
+        since_ns = now if now - asleep > WOKEN_NS else self._look_ns
         self._look_ns = now
-        self._handle(found, now + ROUND_NS)
+        self._handle(found, since_ns, now + ROUND_NS)
         for fd, call, args in judged:
-            if fd in self._left:
+            if fd in self._ready_since:
                 self._judged.append((fd, call, args))
             else:
                 self._guard("span", call, args)
         now = self.now_ns()
-        if found:
-            self._longest_unread_ns = max(self._longest_unread_ns, now - self._before_ns)
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if timer.call is None:
@@ -205,20 +203,23 @@
             self._guard("soon", call, args)
         self._longest_round_ns = max(self._longest_round_ns, self.now_ns() - self._look_ns)
 
-    def _handle(self, found: list[tuple[selectors.SelectorKey, int]], until_ns: int) -> None:
-        if self._first or self._left:
+    def _handle(self, found: list[tuple[selectors.SelectorKey, int]], since_ns: int, until_ns: int) -> None:
+        left = self._ready_since
+        if self._first or left:
             ready = {key.fd: (key, events) for key, events in found}
             early = [fd for fd in ready if fd in self._first]
-            ranks = dict.fromkeys([*early, *self._left, *ready])
+            ranks = dict.fromkeys([*early, *left, *ready])
             found = [ready[fd] for fd in ranks if fd in ready]
-        self._left = []
-        for at, (key, events) in enumerate(found, 1):
+        self._ready_since = {key.fd: left.get(key.fd, since_ns) for key, _ in found}
+        for key, events in found:
             # A callback earlier in this round may have closed or replaced what stands here.
             current = self._selector.get_map().get(key.fd)
             if current is not None and current.data == key.data:
                 self._guard("descriptor", key.data, (events,))
-            if at < len(found) and self.now_ns() >= until_ns:
-                self._left = [key.fd for key, _ in found[at:]]
+            now = self.now_ns()
+            unread_ns = now - self._ready_since.pop(key.fd)
+            self._longest_unread_ns = max(self._longest_unread_ns, unread_ns)
+            if now >= until_ns:
                 return
 
     def _guard(self, where: str, call: Callable[..., object], args: tuple[Any, ...]) -> None:
--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -80,6 +80,10 @@
         except OSError:
             return "?"
 
+    def fileno(self) -> int:
+        """Its descriptor; -1 once it is closed."""
+        return self.sock.fileno()
+
     def _socket(self) -> socket.socket:
         if isinstance(self.sock, _NoSocket):
             raise OSError("no socket")
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -56,7 +56,7 @@
         self.trust = Trust.NONE
         self.partial_ns = 0  # since when a line is unfinished
         # What comes first may have lain there since before the connection was accepted.
-        self._unread_ns = door.loop.unseen_since_ns()
+        self._unread_ns = door.unseen_since_ns()
         self.read_ns = self.since_ns  # what was read last had come by then at the earliest
         self.open: dict[str, Task] = {}
         self._inbox: deque[Message | SignalError] = deque()  # read, and not yet acted on
@@ -67,7 +67,7 @@
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.heard_ns = self.door.loop.now_ns()
-        self.read_ns = self._unread_ns or self.door.loop.unseen_since_ns()
+        self.read_ns = self._unread_ns or self.door.loop.unseen_since_ns(stream.fileno())
         self._unread_ns = self.read_ns if len(data) >= PORTION else 0
         found, end = self.reader.feed(data)
         self._inbox.extend(found)
@@ -201,6 +201,11 @@
         self._listener = Listener(self.loop, address, self._accept)
         self.loop.call_later(SWEEP_NS, self._sweep)
 
+    def unseen_since_ns(self) -> int:
+        """Since when a caller that is accepted now may have waited."""
+        assert self._listener is not None
+        return self.loop.unseen_since_ns(self._listener.sock.fileno())
+
     def address(self) -> Address:
         """Where the door is open."""
         assert self._listener is not None
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -7,6 +7,7 @@
 import socket
 
 from ladderhub.loop import Listener, Loop, ManualClock, Stream
+from ladderhub.loop.core import READ
 from ladderhub.loop.stream import WRITE_MOST, connect
 
 S = 1_000_000_000
@@ -149,3 +150,33 @@
             loop.watch(end.fileno(), 0, print)
             end.close()
     loop.close()
+
+
+def test_what_is_read_in_a_long_backlog_counts_from_when_it_became_ready() -> None:
+    # Guards against a message that is charged the whole time since the backlog began.
+    clock = ManualClock()
+    loop = Loop(clock)
+    pairs = [socket.socketpair() for _ in range(3)]
+    since: list[int] = []
+
+    def burn(_: int) -> None:
+        clock.advance(S // 50)  # longer than a round may take: the others are left to the next one
+
+    def late(fd: int) -> None:
+        since.append(loop.unseen_since_ns(fd))
+        loop.watch(fd, 0, print)
+
+    for _, end in pairs[:2]:
+        loop.watch(end.fileno(), READ, burn)
+    for writer, _ in pairs[:2]:
+        writer.send(b"flood")
+    turns(loop, 20)
+    late_fd, written_ns = pairs[2][1].fileno(), clock.now_ns()
+    loop.watch(late_fd, READ, lambda _: late(late_fd))
+    pairs[2][0].send(b"late")
+    turns(loop, 20)
+    assert len(since) == 1 and written_ns - S // 10 <= since[0] <= clock.now_ns()
+    loop.close()
+    for pair in pairs:
+        for each in pair:
+            each.close()
