--- a/tests/decide/test_waiting.py
+++ b/tests/decide/test_waiting.py
@@ -7,7 +7,7 @@
 from tests.helpers import CLASS, Bed, S, settings
 
 MANY = 6 * LOOKS_MOST
-URGENT = TaskClass(Effect.SAFE, aim_ns=S, deadline_ns=5 * S, priority=1.0)
+URGENT = TaskClass(Effect.SAFE, aim_ns=S, deadline_ns=5 * S, priority=1)
 
 
 def waiting_bed() -> Bed:
