No peer is judged silent or late before what it sent has been read

Change: Conn.look, Link._overdue, _unproven and test, Follower._look read first; a machine is silent only after a test or a dial that it left unanswered for 3 s.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from ladderhub.loop import Loop, Stream, Timer
+from ladderhub.loop.stream import READ_MOST
 from ladderhub.platform.report import Report
 from ladderhub.signalling import BinaryReader, Leg, Message, SignalError
 
@@ -116,6 +117,14 @@
             self.link.report.line("machine.spoilt", machine=self.link.name, why=str(fault))
             stream.abort(fault)
 
+    def look(self) -> None:
+        """Take what has come.
+
+        Danger: a peer is judged by a span that is over, while its word lies here unread, since the process
+        stood still or is behind."""
+        if self.stream is not None:
+            self.stream.read_now(READ_MOST)
+
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
         self.link.closed(self, fault)
 
--- a/ladderhub/platform/follower.py
+++ b/ladderhub/platform/follower.py
@@ -130,6 +130,9 @@
 
     def _look(self) -> None:
         self.loop.call_later(LOOK_NS, self._look)
+        now = self.loop.now_ns()
         for conn in [*self._old, *([self._conn] if self._conn is not None else [])]:
-            if self.loop.now_ns() - conn.heard_ns > SILENT_NS:
-                conn.stream.abort(TimeoutError("silent"))
+            if now - conn.heard_ns > SILENT_NS:
+                conn.stream.read_now(READ_MOST)  # its lines may lie there, and the lateness be ours
+                if now - conn.heard_ns > SILENT_NS:
+                    conn.stream.abort(TimeoutError("silent"))
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -22,6 +22,7 @@
 SILENT_NS = OVER_NS - 2 * TEST_NS
 # A machine without a line is visited when half of that time has passed: enough tries are left to hear it.
 VISIT_NS = SILENT_NS // 2
+ASKED_LEAST_NS = 3 * S  # and it must have had so long to answer a test, also where this process stood still
 CROSSING_NS = 50_000_000  # a close may cross a set-up for so long, by the protocol
 LATE_MOST = 256  # set-ups given up that are remembered for each machine, for an answer that crosses
 NO_ID = "0" * 16
@@ -62,13 +63,14 @@
         self.late: dict[str, None] = {}
         self.unsaid: dict[str, int] = {}  # releases of standing tasks that found no connection
         self.heard_ns: int = links.loop.now_ns()
+        self.asked_ns: int | None = None  # when it was first asked since then whether it lives
         self.missed: bool = False  # a test or a dial came to nothing, and it was not heard since
         self.shut = False  # nothing new is written
         self.gone = False  # not on the list: forgotten once nothing is open
 
     def heard(self) -> None:
         """The machine said something: it is there."""
-        self.heard_ns, self.missed = self.loop.now_ns(), False
+        self.heard_ns, self.asked_ns, self.missed = self.loop.now_ns(), None, False
 
     def move(self, address: Address) -> None:
         """It is elsewhere now: nothing new goes over connections to where it was."""
@@ -133,12 +135,16 @@
 
     def _unproven(self, conn: Conn) -> None:
         """No test passed in the time that a new connection would have had to come up."""
+        conn.look()
+        if conn.proof is None:
+            return
         conn.proof, self.missed = None, True
         if conn.stream is not None:
             conn.stream.abort(TimeoutError("silent"))
 
     def dial(self, why: str) -> Conn:
         self.report.count(f"dial.{why}")
+        self.asked_ns = self.loop.now_ns() if self.asked_ns is None else self.asked_ns
         conn = Conn(self)
         self.conns.append(conn)
         self.links.count += 1
@@ -201,6 +207,11 @@
             self.links.hearer.on_unreached(offer)
 
     def _overdue(self, offer: Offer) -> None:
+        conn = offer.conn
+        if conn is not None:
+            conn.look()
+            if conn.open.get(offer.id) is not offer:
+                return
         written = offer.written
         self.give_up(offer)
         (self.links.hearer.on_overdue if written else self.links.hearer.on_unsent)(offer)
@@ -268,8 +279,11 @@
                 conn.leave()
         if not self.standing:
             return
+        if now - self.heard_ns > 2 * TEST_NS:
+            for conn in list(self.conns):
+                conn.look()
         silent_ns = now - self.heard_ns
-        if silent_ns > SILENT_NS:
+        if silent_ns > SILENT_NS and self.asked_ns is not None and now - self.asked_ns >= ASKED_LEAST_NS:
             self.report.line("machine.silent", machine=self.name, tasks=len(self.standing))
             self.lose("silent")
         elif not self.conns:
@@ -280,7 +294,7 @@
                     self.dial("visit")
             else:
                 self.keep_line()
-        elif silent_ns > 2 * TEST_NS:
+        elif silent_ns > 2 * TEST_NS and self.asked_ns is not None:
             # The connections may be dead where the machine is not, and a new one tells which it is.
             for conn in [each for each in self.conns if each.live() and not each.open]:
                 assert conn.stream is not None
@@ -290,7 +304,12 @@
             if line is None:
                 self.keep_line()
             else:
-                self._put(line, Message(Kind.PING, NO_ID, TEST_ASKED))
+                self._ask(line, now)
+
+    def _ask(self, conn: Conn, now: int) -> None:
+        """Test the machine over this connection."""
+        self.asked_ns = now if self.asked_ns is None else self.asked_ns
+        self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
 
     def lose(self, why: str) -> None:
         """The machine can't hold our tasks any more."""
--- /dev/null
+++ b/tests/platform/test_late.py
@@ -0,0 +1,93 @@
+"""The process stood still or is behind: what peers sent meanwhile lies unread, and no peer is judged by that.
+
+The crossing is forced: the peer's bytes lie in the scheduler's socket as the span is looked at."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ladderhub.platform.follower import SILENT_NS as JOURNAL_SILENT_NS
+from ladderhub.platform.link import SILENT_NS
+from ladderhub.signalling import Kind, Message
+from tests.platform.bed import MS, Owner, S, event, never, stand, yes
+
+
+def test_an_answer_that_lies_unread_as_its_time_runs_out_is_passed_on(beds: Any) -> None:
+    bed = beds(never)
+    owner, asked = Owner(bed), bed.setup(left=1000)
+    owner.say(asked)
+    bed.run(lambda: bed.heard)
+    bed.machines[0].conns[0].say(Message(Kind.ANSWER, asked.id, None, "runs"))
+    (conn,) = bed.service.links.get("m0").conns
+    bed.service.links.get("m0")._overdue(conn.open[asked.id])
+    bed.run(lambda: owner.got)
+    assert [each.kind for each in owner.got] == [Kind.ANSWER]
+    assert bed.machines[0].got(Kind.RELEASE) == []
+
+
+def test_a_test_passed_and_not_read_yet_keeps_its_connection(beds: Any) -> None:
+    bed = beds(yes)
+    owner = Owner(bed)
+    asked = stand(bed, owner)
+    owner.say(Message(Kind.RELEASE, asked.id, 16))
+    bed.run(lambda: owner.said(Kind.RELEASED))
+    bed.machines[0].conns[0].say(Message(Kind.RELEASE, asked.id, 31))
+    bed.run(span_ns=2 * S)
+    bed.machines[0].silent = True  # its word is given by hand
+    owner.say(bed.setup())
+    link = bed.service.links.get("m0")
+    bed.run(lambda: any(conn.proof is not None for conn in link.conns))
+    (conn,) = link.conns
+    bed.run(lambda: bed.machines[0].got(Kind.PING))
+    bed.machines[0].conns[0].say(Message(Kind.PONG, "0" * 16, 1))
+    link._unproven(conn)
+    assert conn.proof is None and link.conns == [conn] and not link.missed
+    bed.run(lambda: len(owner.said(Kind.ANSWER)) == 2)
+
+
+def test_a_machine_is_not_silent_while_its_word_lies_unread(beds: Any) -> None:
+    bed = beds(yes)
+    owner = Owner(bed)
+    stand(bed, owner)
+    bed.machines[0].conns[0].say(Message(Kind.PONG, "0" * 16, 1))
+    bed.clock.advance(SILENT_NS + S)
+    bed.service.links.get("m0").test(bed.clock.now_ns())
+    bed.run(span_ns=S)
+    assert not owner.said(Kind.RELEASE)
+
+
+def test_machines_are_not_silent_because_the_process_stood_still(beds: Any) -> None:
+    # Guards against all tasks told over after a pause in which no machine was asked anything.
+    bed = beds(yes)
+    owner = Owner(bed)
+    stand(bed, owner)
+    bed.clock.advance(SILENT_NS + S)
+    bed.run(span_ns=5 * S)
+    assert not owner.said(Kind.RELEASE)
+
+
+def test_a_machine_that_is_silent_after_a_pause_is_found_out_though_its_connection_is_in_use(
+    beds: Any,
+) -> None:
+    bed = beds(yes)
+    owner = Owner(bed)
+    asked = stand(bed, owner)
+    (machine,) = bed.machines
+    machine.script, machine.silent = never, True
+    owner.say(bed.setup("bill", left=3000))
+    bed.run(lambda: len(machine.got(Kind.SETUP)) == 2)
+    bed.clock.advance(SILENT_NS)
+    bed.run(span_ns=5 * S)
+    assert asked.id in [each.id for each in owner.said(Kind.RELEASE)]
+
+
+def test_a_journal_is_not_silent_while_its_lines_lie_unread(beds: Any) -> None:
+    bed = beds(yes)
+    bed.run(lambda: bed.journal.streams)
+    (stream,) = bed.journal.streams
+    bed.journal.write(json.dumps(event(2, bed.machines[0].row("draining"))).encode() + b"\n")
+    bed.clock.advance(JOURNAL_SILENT_NS + MS)
+    bed.service.follower._look()
+    bed.run()
+    assert bed.journal.streams == [stream] and bed.service.follower.pos == 2
