A log that nobody reads, or that can't be written, holds up no request

Callers saw nothing at all any more. Change: lines leave as the reader takes them, 256 KiB wait at most, the rest is dropped and counted (log_dropped).

--- a/ladderhub/platform/report.py
+++ b/ladderhub/platform/report.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import sys
+import os
+import select
 import traceback
 from collections import Counter
 from collections.abc import Callable
@@ -10,6 +11,8 @@
 import msgspec
 
 S = 1_000_000_000
+STANDARD_ERROR = 2
+KEPT_MOST = 256 * 1024  # bytes of lines that wait for a slow reader
 BY_MACHINE = "at."  # counts of attempts at one machine begin so
 LINES_MOST = 20  # of one event a second; more are counted in the next second's line
 
@@ -21,7 +24,9 @@
         self.counts: Counter[str] = Counter()
         self.gauges: dict[str, Callable[[], object]] = {}
         self._now_ns = now_ns
-        self._write = write or _to_stderr
+        outlet = Outlet(STANDARD_ERROR)
+        self._write = write or outlet.write
+        self.gauges["log_dropped"] = lambda: outlet.dropped
         self._second = -1
         self._lines: Counter[str] = Counter()
 
@@ -61,10 +66,35 @@
         self._write(msgspec.json.encode(row, enc_hook=repr) + b"\n")
 
 
-def _to_stderr(data: bytes) -> None:
-    # A reader of the log that is slow or gone must not hold up or end the scheduler.
-    try:
-        sys.stderr.buffer.write(data)
-        sys.stderr.buffer.flush()
-    except OSError:
-        return
+class Outlet:
+    """Writes lines to a descriptor that is shared with others, and so stays a blocking one.
+
+    A reader that is slow or gone must not hold up or end the scheduler: lines wait for it within a bound, and
+    those beyond are dropped and counted."""
+
+    def __init__(self, fd: int) -> None:
+        self._fd, self._rest = fd, b""
+        self.dropped = 0
+
+    def waiting(self) -> int:
+        """Bytes that have not left yet."""
+        return len(self._rest)
+
+    def write(self, line: bytes) -> None:
+        """Write one line, now or as the reader takes it."""
+        if len(self._rest) + len(line) > KEPT_MOST:
+            self.dropped += 1
+        else:
+            self._rest += line
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what can be written without waiting: a pipe that takes anything takes PIPE_BUF bytes."""
+        try:
+            while self._rest and select.select([], [self._fd], [], 0)[1]:
+                self._rest = self._rest[os.write(self._fd, self._rest[: select.PIPE_BUF]) :]
+        except BlockingIOError:
+            return
+        except OSError:
+            self.dropped += self._rest.count(b"\n")
+            self._rest = b""
--- /dev/null
+++ b/tests/platform/test_log.py
@@ -0,0 +1,86 @@
+"""The log of a process whose reader is slow, or whose file can't be written."""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import json
+import os
+import select
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ladderhub.lab.ports import free_port
+from ladderhub.platform.report import KEPT_MOST, Outlet
+from ladderhub.signalling import Kind, Message, encode_line
+from tests.platform.bed import settings
+from tests.platform.process_bed import ROOT
+
+
+def test_a_log_that_nobody_reads_holds_up_no_request(tmp_path: Path) -> None:
+    port = free_port()
+    file = {"journal": f"127.0.0.1:{free_port()}", "settings": settings(), "known": {"pos": 0, "entries": []}}
+    (tmp_path / "c.json").write_text(json.dumps(file))
+    environment = os.environ | {"PROXY_LISTEN": f"127.0.0.1:{port}", "PROXY_CONFIG": str(tmp_path / "c.json")}
+    reads, writes = os.pipe()
+    fcntl.fcntl(writes, fcntl.F_SETPIPE_SZ, 4096)
+    argv = [sys.executable, "-m", "ladderhub", "platform"]
+    child = subprocess.Popen(argv, cwd=ROOT, env=environment, stderr=writes)
+    assert b"ready" in os.read(reads, 4096)
+    while select.select([], [writes], [], 0)[1]:
+        os.write(writes, b"-" * 4096)  # the pipe is full, and stays so
+    try:
+        bad = encode_line(Message(Kind.SETUP, "b" * 16, None, "x" * 200, {"class": "c" * 300}))
+        for _ in range(10):  # each is told in a line of the log
+            with socket.create_connection(("127.0.0.1", port)) as caller:
+                caller.settimeout(20)
+                caller.sendall(bad)
+                assert json.loads(caller.makefile("rb").readline())["cause"] == 100
+    finally:
+        child.kill()
+        child.wait()
+    os.close(reads)
+    os.close(writes)
+
+
+def test_lines_wait_for_a_slow_reader_within_a_bound_and_leave_whole() -> None:
+    reads, writes = os.pipe()
+    fcntl.fcntl(writes, fcntl.F_SETPIPE_SZ, 4096)
+    outlet = Outlet(writes)
+    lines = [b"%06d" % number + b"-" * 993 + b"\n" for number in range(2 * KEPT_MOST // 1000)]
+    for line in lines:
+        outlet.write(line)
+    assert outlet.dropped > 0
+    got = b""
+    while outlet.waiting():
+        got += os.read(reads, 4096)
+        outlet.flush()
+    got += os.read(reads, 4096)
+    kept = got.splitlines(keepends=True)
+    assert kept == lines[: len(kept)] and len(kept) + outlet.dropped == len(lines)
+    os.close(reads)
+    os.close(writes)
+
+
+@pytest.mark.parametrize("fault", [errno.EIO, errno.ENOSPC, errno.EPIPE, errno.EAGAIN])
+def test_a_log_that_cannot_be_written_is_dropped_and_works_again(
+    monkeypatch: pytest.MonkeyPatch, fault: int
+) -> None:
+    reads, writes = os.pipe()
+    outlet = Outlet(writes)
+
+    def fail(*_: Any) -> int:
+        raise OSError(fault, os.strerror(fault))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", fail)
+        outlet.write(b"one\n")
+    outlet.write(b"two\n")
+    assert os.read(reads, 100) in (b"two\n", b"one\ntwo\n")
+    os.close(reads)
+    os.close(writes)
