Letting a connection go for another looks only until one is found

Seen: at 932 connections, all of the bound, each dial sorted all of them (rounds of 545 ms in a crowd that 400 machines turned away). Change: the same choice, by two passes that end at the first fit. tests/platform: passed.

--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -61,14 +61,14 @@
     def _let_go(self) -> bool:
         # First what is of no use, as no task stands there or there is another line; of the rest the longest
         # up, so that all have turns of the same length.
-        idle = [conn for conn in self._up if conn.idle()]
-        idle.sort(key=lambda conn: conn.link.needs(conn))
-        for conn in idle:
-            if conn.stream is not None and not conn.stream.unread():
-                conn.let_go = True
-                self.report.count("machine.let_go")
-                conn.stream.abort(None)
-                return True
+        for needed in (False, True):
+            for conn in self._up:
+                fit = conn.idle() and conn.link.needs(conn) is needed
+                if fit and conn.stream is not None and not conn.stream.unread():
+                    conn.let_go = True
+                    self.report.count("machine.let_go")
+                    conn.stream.abort(None)
+                    return True
         return False
 
     def came_up(self, conn: Conn) -> None:
