--- a/ladderhub/decide/scheduler.py
+++ b/ladderhub/decide/scheduler.py
@@ -11,10 +11,10 @@
 from ladderhub.decide.picking import Picking
 from ladderhub.decide.records import ANSWER_MARGIN_NS, MS, NEVER_RAN, Attempt, Machine, Task
 from ladderhub.decide.rules import Rules
+from ladderhub.decide.waiting import Waiting
 from ladderhub.decide.warmth import Warmth
 
 HOLD_STEP_NS = 20 * MS  # how often waiting tasks are looked at again
-LOOKS_MOST = 32  # picks in one such look: no event may hold up the loop
 SWEEP_TIMER, TELL_TIMER = 0, 1  # a task's own timer bears its number and two
 
 
@@ -24,14 +24,14 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self.tasks: dict[int, Task] = {}
-        self.held: dict[int, Task] = {}  # those that wait for a machine
         self.warmth = Warmth(settings)
         self.fleet = Fleet(settings)
         self.ledger, self.rules, self.telling = Ledger(settings), Rules(settings), Telling(settings)
         self.estimates = Estimates(settings, self.warmth)
+        self.waiting = Waiting(settings, self.fleet, self.rules)
+        self.held = self.waiting.held
         self.picking = Picking(settings, seed, self.fleet, self.ledger, self.rules, self.estimates)
         self._sweep_set = self._tell_set = False
-        self._looked: set[int] = set()  # waiting tasks that have had their turn in this pass
         self._out: list[api.Action] = []
         self._hear: dict[type, Callable[[int, Any], None]] = {
             api.TaskAsked: self._on_asked, api.AttemptEnded: self._on_ended, api.TaskNote: self._on_news,
@@ -64,7 +64,7 @@
     def _on_settings(self, now: int, event: api.SettingsChanged) -> None:
         """Go on by other settings.  Nothing is forgotten but what follows from settings alone."""
         self.rules.change(now, event.settings)
-        parts: tuple[Any, ...] = (self, self.fleet, self.ledger, self.estimates, self.picking)
+        parts: tuple[Any, ...] = (self, self.fleet, self.ledger, self.estimates, self.picking, self.waiting)
         for part in parts:
             part.settings = event.settings
         self.fleet.forget_derived()
@@ -93,34 +93,11 @@
         else:
             self.held[task.asked.task] = task
 
-    def _sweep(self, now: int) -> None:
-        """Look again at the tasks that wait: the highest class first, the oldest first within it.  A pass
-        over many goes on at the next look, with those that have not had their turn."""
-        classes, vain, looks = self.settings.classes, set(), 0
-        waiting = [task for number, task in self.held.items() if number not in self._looked]
-        # Where one found no machine though none was closed to it in particular, none that asks as much will.
-        nowhere: dict[tuple[int, int], list[tuple[float, float]]] = {}
-        for task in sorted(waiting, key=lambda held: -classes[held.klass].priority):
-            cores, memory, found = task.asked.cores, task.asked.memory, nowhere.setdefault(task.what, [])
-            like = (task.what, task.asked.service, cores, memory, bool(task.struck))
-            if like in vain or any(cores >= least[0] and memory >= least[1] for least in found):
-                continue
-            if looks == LOOKS_MOST:
-                return
-            looks += 1
-            self._looked.add(task.asked.task)
-            self._place(now, task)
-            if task.asked.task in self.held:
-                vain.add(like)
-                if not task.struck and task.maybe_ran is None and not self.rules.full_places(task):
-                    found.append((cores, memory))
-        self._looked.clear()
-
     def _on_timer(self, now: int, event: api.TimerFired) -> None:
         task = self.tasks.get(event.timer - 2)
         if event.timer == SWEEP_TIMER:
             self._sweep_set = False
-            self._sweep(now)
+            self.waiting.sweep(now, self._place)
         elif event.timer == TELL_TIMER:
             self._tell_set = False
             self._out += self.telling.tell()
