While something lies unread, set-ups are placed each 40 ms only; late ones are refused

Set-ups that ran out of time in the queue were failed at the backstop (unanswered) although nothing had run. Change: no slice of placements within 40 ms of the last one while the loop is behind; a set-up that never had its turn gets the module's refusal.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -75,6 +75,10 @@
     def call_soon(self, call: Callable[..., object], *args: Any) -> None:
         self._soon.append((call, args))
 
+    def behind(self) -> bool:
+        """Whether something that was ready is left to the next round."""
+        return bool(self._ready_since)
+
     def call_when_read(self, fd: int, call: Callable[..., object], *args: Any) -> None:
         """Call once all that is ready on this descriptor by now has been handled.
 
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -25,6 +25,7 @@
 
 MS = 1_000_000
 PLACING_NS = 5 * MS  # set-ups are placed for so long in a round of the loop; half as long as it reads
+BEHIND_NS = 40 * MS  # while something lies unread they have a slice only so often
 INTAKE_MOST = 4096  # set-ups that may wait to be placed
 
 
@@ -107,6 +108,7 @@
         self._by_id: dict[str, Task] = {}  # open and standing
         self._intake: Intake[Task] = Intake(ANSWER_MARGIN_NS, INTAKE_MOST)
         self._placing = False  # a slice of placements is due
+        self._placed_ns = 0  # end of the last one
         self._sending: Offer | None = None  # the one whose `Send` is being carried out
         self._count = 0
         self.open = 0
@@ -158,13 +160,16 @@
         """Place what fits into a slice, one set-up at least."""
         self._placing = False
         now = self._loop.now_ns()
+        if self._loop.behind() and now < self._placed_ns + BEHIND_NS:
+            self._place_soon()
+            return
         until_ns = now + PLACING_NS
-        while (task := self._intake.take(now)) is not None:
+        while now < until_ns and (task := self._intake.take(now)) is not None:
             self._place_now(task)
             now = self._loop.now_ns()
-            if now >= until_ns:
-                self._place_soon()
-                return
+        self._placed_ns = now
+        if len(self._intake):
+            self._place_soon()
 
     def _place_now(self, task: Task) -> None:
         task.queued = False
@@ -244,7 +249,10 @@
                 self._no_answer(task)
 
     def _no_answer(self, task: Task) -> None:
-        """The module let the deadline pass, which only a fault of its own can bring about."""
+        """The time is over: a set-up that never had its turn is refused by the module; else the module let
+        the deadline pass, which only a fault of its own can bring about."""
+        if task.waits():
+            self._place_now(task)
         if task.leg.state is State.SET_UP:
             self._report.line("unanswered", task=task.asked.id)
             self._answer(task, Message(Kind.RELEASE, task.asked.id, Cause.BROKEN))
--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -11,24 +11,31 @@
 import pytest
 
 from ladderhub import interface as api
+from ladderhub.decide.records import Machine, Task
 from ladderhub.signalling import Kind, Message
 from tests.platform.bed import MS, S, Bed, Owner, release, stand, yes
 from tests.platform.process_bed import ProcessBed
 
 DECISION_NS = 10 * MS  # what one placement is made to take on the bed
+EVENT_NS = MS  # any event of the module
+READING_NS = 5 * MS  # and one message of a machine
 
 
-def slow_down(bed: Bed) -> None:
-    """Let each placement take as long as on a slow machine: the bed's clock moves by it."""
-    module = bed.module()
-    handle = module.handle
+def slow_down(bed: Bed, pick_ns: int = DECISION_NS) -> None:
+    """Let the module take as long as on a slow machine: the bed's clock moves by it."""
+    module, picking = bed.module(), bed.module().picking
+    handle, pick = module.handle, picking.pick
 
-    def slow(now_ns: int, event: api.Event) -> list[api.Action]:
-        if isinstance(event, api.TaskAsked):
-            bed.clock.advance(DECISION_NS)
+    def slow_event(now_ns: int, event: api.Event) -> list[api.Action]:
+        bed.clock.advance(EVENT_NS)
         return handle(now_ns, event)
 
-    module.handle = slow  # type: ignore[method-assign]
+    def slow(now: int, task: Task) -> Machine | None:
+        bed.clock.advance(pick_ns)
+        return pick(now, task)
+
+    module.handle = slow_event  # type: ignore[method-assign]
+    picking.pick = slow  # type: ignore[method-assign]
 
 
 def answers(owner: Owner) -> list[Message]:
@@ -114,3 +121,44 @@
     for owner, setups in asked.items():
         assert sorted(each.id for each in answers(owner)) == sorted(each.id for each in setups)
     assert not any(owner.closed for owner in owners)
+
+
+def test_an_end_is_read_in_time_where_each_message_takes_long(beds: Any) -> None:
+    # Guards against placements that take their slice while what others sent lies unread for over a second.
+    bed = beds(*[yes] * 80)
+    owners = [Owner(bed) for _ in range(4)]
+    held = [bed.at(machine) for machine in bed.machines]
+    owners[0].say(*held)
+    bed.run(lambda: bed.service.links.count == 80)
+    slow_down(bed, 25 * MS)
+    links = bed.service.links
+    for machine in bed.machines:
+        link = links.get(machine.name)
+        hear = link.hear
+
+        def slow(conn: Any, message: Message, hear: Any = hear) -> None:
+            bed.clock.advance(READING_NS)
+            hear(conn, message)
+
+        link.hear = slow
+    for owner in owners:
+        owner.say(*[bed.setup(left=9000, cores=0.01, memory=0.01) for _ in range(100)])
+    bed.run(lambda: bed.service.tasks.open > 300)
+    for machine, asked in zip(bed.machines, held, strict=True):
+        machine.conns[0].say(release(asked.id, 16))
+    begun_ns = bed.clock.now_ns()
+    ids = {each.id for each in held}
+    bed.run(lambda: ids <= {each.id for owner in owners for each in owner.said(Kind.RELEASE)})
+    assert bed.clock.now_ns() - begun_ns < S
+
+
+def test_set_ups_that_run_out_of_time_together_are_all_refused_in_time(beds: Any) -> None:
+    # Guards against one answer a round where rounds are long: the others were failed at the backstop.
+    bed = beds(*[yes] * 4)
+    slow_down(bed)
+    owners = [Owner(bed) for _ in range(2)]
+    for owner in owners:
+        owner.say(*[bed.setup(left=1000, cores=0.01, memory=0.01) for _ in range(200)])
+    bed.run(lambda: sum(len(answers(owner)) for owner in owners) == 400)
+    assert not [row for row in bed.logged if row["event"] == "unanswered"]
+    assert {each.cause for owner in owners for each in owner.said(Kind.RELEASE)} == {42}
