--- a/ladderhub/platform/early.py
+++ b/ladderhub/platform/early.py
@@ -4,7 +4,7 @@
 
 from itertools import islice
 
-from ladderhub.platform.link import OVER_NS
+from ladderhub.platform.liveness import OVER_NS
 
 EARLY_MOST = 16_384  # ends kept for all machines together; the oldest go first
 
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -9,20 +9,11 @@
 from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform.conn import Conn, Hearer, Offer, refused
+from ladderhub.platform.liveness import TEST_NS, Due, Liveness
 from ladderhub.platform.report import Report
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
 from ladderhub.signalling.table import TEST_ASKED
 
-S = 1_000_000_000
-# A task that is over must be released within 8 s of its end, also where its machine fell silent.  A machine
-# that says nothing is tested each second; it was last heard up to a test before the end, and is given up a
-# test before the time is over.
-OVER_NS = 8 * S
-TEST_NS = 1 * S
-SILENT_NS = OVER_NS - 2 * TEST_NS
-# A machine without a line is visited when half of that time has passed: enough tries are left to hear it.
-VISIT_NS = SILENT_NS // 2
-ASKED_LEAST_NS = 3 * S  # and it must have had so long to answer a test, also where this process stood still
 CROSSING_NS = 50_000_000  # a close may cross a set-up for so long, by the protocol
 LATE_MOST = 256  # set-ups given up that are remembered for each machine, for an answer that crosses
 NO_ID = "0" * 16
@@ -62,15 +53,13 @@
         self.standing: dict[str, Offer] = {}
         self.late: dict[str, None] = {}
         self.unsaid: dict[str, int] = {}  # releases of standing tasks that found no connection
-        self.heard_ns: int = links.loop.now_ns()
-        self.asked_ns: int | None = None  # when it was first asked since then whether it lives
-        self.missed: bool = False  # a test or a dial came to nothing, and it was not heard since
+        self.life = Liveness(links.loop.now_ns())
         self.shut = False  # nothing new is written
         self.gone = False  # not on the list: forgotten once nothing is open
 
     def heard(self) -> None:
         """The machine said something: it is there."""
-        self.heard_ns, self.asked_ns, self.missed = self.loop.now_ns(), None, False
+        self.life.heard(self.loop.now_ns())
 
     def move(self, address: Address) -> None:
         """It is elsewhere now: nothing new goes over connections to where it was."""
@@ -84,8 +73,8 @@
         loop = self.loop
         offer.timer = loop.call_at(offer.until_ns, self._overdue, offer)
         conn = self._unused(offer)
-        quiet = loop.now_ns() - self.heard_ns > TEST_NS
-        if quiet and (self.standing or self.missed):
+        quiet = self.life.quiet_ns(loop.now_ns()) > TEST_NS
+        if quiet and (self.standing or self.life.missed):
             conn = None  # it has not answered a test or a dial: only a new connection tells whether it lives
         if conn is not None and quiet:
             # A test costs the machine less than a new connection, and shows as much before anything has left.
@@ -123,7 +112,7 @@
 
     def _shared(self, offer: Offer) -> Conn | None:
         """A connection, up or coming up, with none but set-ups on it that may be lost with others."""
-        heard = self.loop.now_ns() - self.heard_ns <= TEST_NS
+        heard = self.life.quiet_ns(self.loop.now_ns()) <= TEST_NS
         fit: list[Conn] = []
         for conn in self.conns:
             waits = not conn.live() or conn.proof is not None  # nothing is written yet
@@ -138,13 +127,13 @@
         conn.look()
         if conn.proof is None:
             return
-        conn.proof, self.missed = None, True
+        conn.proof, self.life.missed = None, True
         if conn.stream is not None:
             conn.stream.abort(TimeoutError("silent"))
 
     def dial(self, why: str) -> Conn:
         self.report.count(f"dial.{why}")
-        self.asked_ns = self.loop.now_ns() if self.asked_ns is None else self.asked_ns
+        self.life.asked(self.loop.now_ns())
         conn = Conn(self)
         self.conns.append(conn)
         self.links.count += 1
@@ -247,7 +236,7 @@
         offer.leg.step(Step.HANDED)
         offer.stood = offer.written = True
         if not self.standing:
-            self.heard_ns = self.loop.now_ns()
+            self.life.heard_ns = self.loop.now_ns()
         self.standing[offer.id] = offer
         self.loop.call_soon(self.keep_line)
 
@@ -279,37 +268,33 @@
                 conn.leave()
         if not self.standing:
             return
-        if now - self.heard_ns > 2 * TEST_NS:
+        if self.life.quiet_ns(now) > 2 * TEST_NS:
             for conn in list(self.conns):
                 conn.look()
-        silent_ns = now - self.heard_ns
-        if silent_ns > SILENT_NS and self.asked_ns is not None and now - self.asked_ns >= ASKED_LEAST_NS:
-            self.report.line("machine.silent", machine=self.name, tasks=len(self.standing))
-            self.lose("silent")
-        elif not self.conns:
-            if silent_ns >= VISIT_NS:
-                # Danger: without a visit its ends are told too late, and it would pass for silent.  So the
-                # bound is passed where no other can be let go, but not into what journal and log need.
-                if self.links.make_room() or self.links.spare() > 0:
-                    self.dial("visit")
-            else:
-                self.keep_line()
-        elif silent_ns > 2 * TEST_NS and self.asked_ns is not None:
-            # The connections may be dead where the machine is not, and a new one tells which it is.
-            for conn in [each for each in self.conns if each.live() and not each.open]:
-                assert conn.stream is not None
-                conn.stream.abort(TimeoutError("silent"))
-        elif silent_ns >= TEST_NS // 2:
-            line = self.line()
-            if line is None:
+        match self.life.due(now, bool(self.conns)):
+            case Due.GIVE_UP:
+                self.report.line("machine.silent", machine=self.name, tasks=len(self.standing))
+                self.lose("silent")
+            case Due.RECONNECT if self.conns:
+                for conn in [each for each in self.conns if each.live() and not each.open]:
+                    assert conn.stream is not None
+                    conn.stream.abort(TimeoutError("silent"))
+            case Due.RECONNECT:
+                self._visit(now)
+            case Due.TEST if (line := self.line()) is not None:
+                self.life.asked(now)
+                self._put(line, Message(Kind.PING, NO_ID, TEST_ASKED))
+            case _:
                 self.keep_line()
-            else:
-                self._ask(line, now)
 
-    def _ask(self, conn: Conn, now: int) -> None:
-        """Test the machine over this connection."""
-        self.asked_ns = now if self.asked_ns is None else self.asked_ns
-        self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
+    def _visit(self, now: int) -> None:
+        """Dial a machine with tasks and no connection: it tells on the next one what has ended.
+
+        Danger: without a visit its ends are told too late, and it would pass for silent.  So the bound is
+        passed where no other can be let go, but not into what journal and log need."""
+        self.life.asked(now)
+        if self.links.make_room() or self.links.spare() > 0:
+            self.dial("visit")
 
     def lose(self, why: str) -> None:
         """The machine can't hold our tasks any more."""
@@ -384,7 +369,7 @@
         stream = conn.stream
         up = stream is not None and stream.connected
         if not up:
-            self.missed = True
+            self.life.missed = True
             self.report.line("machine.unreached", machine=self.name, why=repr(fault)[:80])
         elif conn.open:
             self.report.line("machine.closed", machine=self.name, why=repr(fault)[:80], open=len(conn.open))
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -21,7 +21,8 @@
 from ladderhub.loop.stream import Address
 from ladderhub.platform.conn import Conn, Hearer, Offer
 from ladderhub.platform.early import Early
-from ladderhub.platform.link import TEST_NS, Link
+from ladderhub.platform.link import Link
+from ladderhub.platform.liveness import TEST_NS
 from ladderhub.platform.report import Report
 from ladderhub.signalling import Code, Message
 
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -14,7 +14,7 @@
 from ladderhub import interface as api
 from ladderhub.loop import Listener, Loop, Stream
 from ladderhub.loop.stream import Address
-from ladderhub.platform.link import OVER_NS
+from ladderhub.platform.liveness import OVER_NS
 from ladderhub.platform.reading import read_setup
 from ladderhub.platform.report import Report
 from ladderhub.platform.tasks import OwnerLine, Task, Tasks
--- a/tests/platform/test_late.py
+++ b/tests/platform/test_late.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ladderhub.platform.follower import SILENT_NS as JOURNAL_SILENT_NS
-from ladderhub.platform.link import SILENT_NS
+from ladderhub.platform.liveness import SILENT_NS
 from ladderhub.signalling import Kind, Message
 from tests.platform.bed import MS, Owner, S, event, never, stand, yes
 
@@ -42,7 +42,7 @@
     bed.run(lambda: bed.machines[0].got(Kind.PING))
     bed.machines[0].conns[0].say(Message(Kind.PONG, "0" * 16, 1))
     link._unproven(conn)
-    assert conn.proof is None and link.conns == [conn] and not link.missed
+    assert conn.proof is None and link.conns == [conn] and not link.life.missed
     bed.run(lambda: len(owner.said(Kind.ANSWER)) == 2)
 
 
