--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -11,7 +11,7 @@
 
 from ladderhub.decide.scheduler import SWEEP_TIMER
 from ladderhub.interface import TimerFired
-from ladderhub.platform.owners import PORTION
+from ladderhub.platform.ownerconn import PORTION
 from ladderhub.signalling import Kind, Message, encode_line
 from tests.platform.bed import Bed, Owner, never, release, yes
 
