--- a/ladderhub/platform/ownerconn.py
+++ b/ladderhub/platform/ownerconn.py
@@ -9,7 +9,8 @@
 
 from ladderhub.loop import Loop, Stream
 from ladderhub.platform.report import Report
-from ladderhub.platform.tasks import Task, Tasks
+from ladderhub.platform.task import Task
+from ladderhub.platform.tasks import Tasks
 from ladderhub.signalling import Cause, Kind, LineReader, Message, SignalError, encode_line
 from ladderhub.signalling.table import MESSAGE_MOST
 
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -16,7 +16,8 @@
 from ladderhub.platform.ownerconn import OwnerConn, Trust
 from ladderhub.platform.reading import read_setup
 from ladderhub.platform.report import Report
-from ladderhub.platform.tasks import OwnerLine, Tasks
+from ladderhub.platform.task import OwnerLine
+from ladderhub.platform.tasks import Tasks
 from ladderhub.platform.words import Names
 from ladderhub.signalling import Cause, Kind, Message, SignalError, State
 from ladderhub.signalling.table import TEST_FAILED, TEST_PASSED
--- a/ladderhub/platform/reading.py
+++ b/ladderhub/platform/reading.py
@@ -8,7 +8,7 @@
 import math
 
 from ladderhub import interface as api
-from ladderhub.platform.tasks import Asked
+from ladderhub.platform.task import Asked
 from ladderhub.platform.words import Names
 from ladderhub.signalling import Message, SignalError
 
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -8,74 +8,21 @@
 
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from typing import Protocol
 
 from ladderhub import interface as api
 from ladderhub.board import Board
 from ladderhub.decide import Scheduler
 from ladderhub.decide.records import ANSWER_MARGIN_NS
-from ladderhub.loop import Loop, Timer
+from ladderhub.loop import Loop
 from ladderhub.platform.conn import Offer
-from ladderhub.platform.intake import Intake
 from ladderhub.platform.links import Links
+from ladderhub.platform.placing import Placing
 from ladderhub.platform.report import Report
+from ladderhub.platform.task import Asked, OwnerLine, Task
 from ladderhub.platform.words import outcome_of, reason_of, topic_of
-from ladderhub.signalling import Cause, Code, Kind, Leg, Message, State, Step
+from ladderhub.signalling import Cause, Code, Kind, Message, State, Step
 
 MS = 1_000_000
-PLACING_NS = 5 * MS  # set-ups are placed for so long in a round of the loop; half as long as it reads
-BEHIND_NS = 40 * MS  # while something lies unread they have a slice only so often
-INTAKE_MOST = 4096  # set-ups that may wait to be placed
-
-
-class OwnerLine(Protocol):
-    """An owner's connection, as tasks see it."""
-
-    alive: bool
-
-    def put(self, message: Message) -> None: ...
-
-    def look(self) -> None:
-        """Take what has come from the owner and was not read yet: it may have gone, or want no answer."""
-
-
-@dataclass(frozen=True, slots=True)
-class Asked:
-    """A set-up that was read whole and makes sense.  `machine` is where the task stands already, or ''."""
-
-    id: str
-    klass: int
-    klass_name: str
-    tenant: int
-    key: str
-    service: str
-    cores: float
-    memory: float
-    left_ns: int
-    description: str
-    machine: str
-
-
-class Task:
-    """One set-up of an owner, from its arrival until its last attempt has ended."""
-
-    __slots__ = (
-        "asked", "backstop", "leg", "line", "number", "offer", "queued", "sent", "until_ns", "withdrawing",
-    )  # fmt: skip
-
-    def __init__(self, number: int, asked: Asked, line: OwnerLine, until_ns: int) -> None:
-        self.number, self.asked, self.line, self.until_ns = number, asked, line, until_ns
-        self.leg = Leg()  # towards the owner
-        self.offer: Offer | None = None
-        self.sent = 0
-        self.backstop: Timer | None = None
-        self.withdrawing = False  # the module has not heard yet that no answer is owed
-        self.queued = False  # the module has not heard of it yet
-
-    def waits(self) -> bool:
-        """Whether it is still to be placed."""
-        return self.queued and self.leg.state is State.SET_UP
 
 
 class _Timed:
@@ -106,9 +53,7 @@
         self._tell = Board(loop.now_ns, self._fault).add(self._timed, self)
         self._by_number: dict[int, Task] = {}
         self._by_id: dict[str, Task] = {}  # open and standing
-        self._intake: Intake[Task] = Intake(ANSWER_MARGIN_NS, INTAKE_MOST)
-        self._placing = False  # a slice of placements is due
-        self._placed_ns = 0  # end of the last one
+        self._placing = Placing(loop, ANSWER_MARGIN_NS, self._place_now)
         self._sending: Offer | None = None  # the one whose `Send` is being carried out
         self._count = 0
         self.open = 0
@@ -116,7 +61,7 @@
         self.look_at_list: Callable[[], None] = lambda: None  # read what is told of machines
         self.tell_over: Callable[[OwnerLine, Message], None] = lambda line, message: line.put(message)
         report.gauges["module_ms"] = self._timed.take_ms
-        report.gauges["queued"] = lambda: len(self._intake)
+        report.gauges["queued"] = self._placing.waiting
         report.gauges["open"] = lambda: self.open
         report.gauges["standing"] = lambda: len(self._by_id) - self.open
         report.gauges["attempts_out"] = lambda: sum(1 for t in self._by_number.values() if t.offer)
@@ -142,34 +87,11 @@
         return task
 
     def place(self, task: Task) -> None:
-        """Have it placed in its turn."""
-        if self._intake.full():
+        """Have it placed in its turn, or refused where too many wait."""
+        task.queued = self._placing.add(task)
+        if not task.queued:
             self._report.count("refused.crowd")
             self._answer(task, Message(Kind.RELEASE, task.asked.id, Cause.BUSY))
-            return
-        task.queued = True
-        self._intake.add(task.line, task)
-        self._place_soon()
-
-    def _place_soon(self) -> None:
-        if not self._placing:
-            self._placing = True
-            self._loop.call_soon(self._place_some)
-
-    def _place_some(self) -> None:
-        """Place what fits into a slice, one set-up at least."""
-        self._placing = False
-        now = self._loop.now_ns()
-        if self._loop.behind() and now < self._placed_ns + BEHIND_NS:
-            self._place_soon()
-            return
-        until_ns = now + PLACING_NS
-        while now < until_ns and (task := self._intake.take(now)) is not None:
-            self._place_now(task)
-            now = self._loop.now_ns()
-        self._placed_ns = now
-        if len(self._intake):
-            self._place_soon()
 
     def _place_now(self, task: Task) -> None:
         task.queued = False
