The log's outlet asks by poll, which has no bound on descriptors

Seen: four tests of test_log.py failed in a whole run of the suite (933 passed), select refuses descriptors past 1,023, which a worker had reached as ProcessBed left its listeners open. Change: poll, and the bed closes what it opened. Tests of log and crowd: 13 passed.

--- a/ladderhub/platform/report.py
+++ b/ladderhub/platform/report.py
@@ -74,6 +74,8 @@
 
     def __init__(self, fd: int) -> None:
         self._fd, self._rest = fd, b""
+        self._poll = select.poll()
+        self._poll.register(fd, select.POLLOUT)
         self.dropped = 0
 
     def waiting(self) -> int:
@@ -91,7 +93,7 @@
     def flush(self) -> None:
         """Write what can be written without waiting: a pipe that takes anything takes PIPE_BUF bytes."""
         try:
-            while self._rest and select.select([], [self._fd], [], 0)[1]:
+            while self._rest and self._poll.poll(0):
                 self._rest = self._rest[os.write(self._fd, self._rest[: select.PIPE_BUF]) :]
         except BlockingIOError:
             return
--- a/tests/platform/process_bed.py
+++ b/tests/platform/process_bed.py
@@ -41,6 +41,7 @@
         self.child = subprocess.Popen(argv, cwd=ROOT, env=environment, stderr=self._log)
         self.run(lambda: "ready" in self.log())
         self._count = 0
+        self._owners: list[Owner] = []
 
     def log(self) -> str:
         """What the scheduler has written so far."""
@@ -67,11 +68,16 @@
 
     def owner(self) -> Owner:
         """A new connection of an owner."""
-        return Owner(self)
+        self._owners.append(Owner(self))
+        return self._owners[-1]
 
     def close(self) -> None:
         """End the scheduler and everything around it."""
         self.child.kill()
         self.child.wait()
         self._log.close()
+        for machine in self.machines:
+            machine.die()
+        for owner in self._owners:
+            owner.stream.abort()
         self.loop.close()
