A kernel short of memory for a moment ends no connection

Evidence: test_a_kernel_short_of_memory_for_a_moment_ends_no_connection, three of four faults failed before.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -15,6 +15,8 @@
 ACCEPT_MOST = 64
 BACKLOG = 1024  # callers that may wait to be accepted
 ACCEPT_REST_NS = 100_000_000
+# What a call on a good socket may fail with for a moment, as the kernel is busy or short of memory.
+PASSING = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 Address = tuple[str, int]
 
 
@@ -99,11 +101,11 @@
         if not self._out and self.connected:
             try:
                 sent = self._socket().send(data)
-            except BlockingIOError:
-                sent = 0
             except OSError as fault:
-                self.loop.call_soon(self.abort, fault)
-                return
+                if fault.errno not in PASSING:
+                    self.loop.call_soon(self.abort, fault)
+                    return
+                sent = 0
             data = data[sent:]
             if not data:
                 return
@@ -127,10 +129,8 @@
             return b""
         try:
             return self._socket().recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return None
-        except OSError:
-            return b""
+        except OSError as fault:
+            return None if fault.errno in PASSING else b""
 
     def read_now(self, most: int) -> None:
         """Hand over what has come, up to about so many bytes, without waiting for the loop's turn and also
@@ -200,9 +200,9 @@
                 return
             if events & WRITE:
                 self._flush()
-        except (BlockingIOError, InterruptedError):
-            return
         except OSError as fault:
+            if fault.errno in PASSING:
+                return
             self.abort(fault)
         except Exception as fault:  # the fault of one connection's handler ends that connection alone
             self.loop.trouble("connection", fault)
@@ -219,10 +219,9 @@
             else:
                 self.abort(None)
             return len(data)
-        except (BlockingIOError, InterruptedError):
-            return 0
         except OSError as fault:
-            self.abort(fault)
+            if fault.errno not in PASSING:
+                self.abort(fault)
         except Exception as fault:  # the fault of one connection's handler ends that connection alone
             self.loop.trouble("connection", fault)
             self.abort(fault)
@@ -252,8 +251,9 @@
 
     def _finish_connect(self) -> None:
         code = self._socket().getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            raise OSError(code, errno.errorcode.get(code, "connect"))
+        if code:  # it is told once, and final whatever it is
+            self.abort(OSError(code, errno.errorcode.get(code, "connect")))
+            return
         self.connected = True
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import signal
 import socket
+from typing import Any
+
+import pytest
 
 from ladderhub.loop import Listener, Loop, ManualClock, Stream
 from ladderhub.loop.core import READ
@@ -180,3 +184,48 @@
     for pair in pairs:
         for each in pair:
             each.close()
+
+
+class ShortOfMemory(socket.socket):
+    """A socket whose next calls fail as Linux documents for a kernel that is short of memory."""
+
+    fault = errno.ENOBUFS
+    failures = 0
+
+    def _fail(self) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(self.fault, os.strerror(self.fault))
+
+    def send(self, *args: Any) -> int:
+        self._fail()
+        return super().send(*args)
+
+    def recv(self, *args: Any) -> bytes:
+        self._fail()
+        return super().recv(*args)
+
+
+@pytest.mark.parametrize("fault", [errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN])
+def test_a_kernel_short_of_memory_for_a_moment_ends_no_connection(fault: int) -> None:
+    # Guards against requests lost with their connection, which nothing ails.
+    loop = Loop()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        here = socket.create_connection(server.getsockname())
+        there, _ = server.accept()
+    flaky = ShortOfMemory(here.family, here.type, fileno=here.detach())
+    flaky.fault = fault
+    sink = Sink()
+    stream = Stream(loop, flaky, sink)
+    flaky.failures = 3
+    stream.write(b"one")
+    turns(loop, 10)
+    assert there.recv(10) == b"one"
+    flaky.failures = 3
+    there.send(b"two")
+    assert not stream.ended()
+    turns(loop, 10)
+    assert bytes(sink.got) == b"two" and not sink.closed
+    stream.abort()
+    there.close()
+    loop.close()
