The connection for telling an end is chosen without sorting all of them

An end that is not heard is told again each 200 ms, and each time all connections were sorted: with 300 ends and 300 connections some tenth of a second. The greatest is the same.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -40,6 +40,10 @@
         self.told_ns = 0
         self.tried: list[OwnerConn] = []
 
+    def preference(self, conn: OwnerConn) -> tuple[Trust, bool, int]:
+        """How well this connection suits for telling it, the greatest best."""
+        return conn.trust, conn.peer == self.peer, conn.heard_ns
+
 
 class OwnerDoor:
     """Listens for owners.  `most`: connections it may hold."""
@@ -191,8 +195,7 @@
         if line is None or not line.alive:
             useful = [conn for conn in self._conns if conn.trust is not Trust.NONE]
             others = [conn for conn in useful if conn not in each.tried] or useful
-            others.sort(key=lambda conn: (conn.trust, conn.peer == each.peer, conn.heard_ns))
-            line = others[-1] if others else None
+            line = max(others, key=each.preference) if others else None
             self.report.count("over.elsewhere" if line is not None else "over.kept")
         each.told_ns = self.loop.now_ns()
         if line is not None:
