Placements give way to reading only where something has lain unread for 150 ms

Change: the age of what lies unread decides, past 150 ms a slice each 60 ms. Tests of crowd and loop: 19 passed.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -75,9 +75,9 @@
     def call_soon(self, call: Callable[..., object], *args: Any) -> None:
         self._soon.append((call, args))
 
-    def behind(self) -> bool:
-        """Whether something that was ready is left to the next round."""
-        return bool(self._ready_since)
+    def unread_ns(self) -> int:
+        """For how long the oldest of what is left to the next round may have waited; 0 where nothing is."""
+        return self.now_ns() - min(self._ready_since.values()) if self._ready_since else 0
 
     def call_when_read(self, fd: int, call: Callable[..., object], *args: Any) -> None:
         """Call once all that is ready on this descriptor by now has been handled.
--- a/ladderhub/platform/placing.py
+++ b/ladderhub/platform/placing.py
@@ -10,7 +10,9 @@
 
 MS = 1_000_000
 SLICE_NS = 5 * MS  # half as long as a round of the loop reads
-BEHIND_NS = 40 * MS  # while something lies unread there is a slice only so often
+# What lies unread may be an end, which is owed within 1 s: past this age there is a slice only so often.
+UNREAD_MOST_NS = 150 * MS
+BEHIND_NS = 60 * MS
 WAITING_MOST = 4096  # set-ups that may wait to be placed
 
 
@@ -46,7 +48,7 @@
         """Place what fits into a slice, one set-up at least."""
         self._due = False
         now = self._loop.now_ns()
-        if self._loop.behind() and now < self._ended_ns + BEHIND_NS:
+        if now < self._ended_ns + BEHIND_NS and self._loop.unread_ns() > UNREAD_MOST_NS:
             self._soon()
             return
         until_ns = now + SLICE_NS
