The log's test ends its process whatever fails, and asks by poll

A failure before its try block had left a process behind; select refuses descriptors past 1,023 in a long test run.

--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -31,10 +31,12 @@
     fcntl.fcntl(writes, fcntl.F_SETPIPE_SZ, 4096)
     argv = [sys.executable, "-m", "ladderhub", "platform"]
     child = subprocess.Popen(argv, cwd=ROOT, env=environment, stderr=writes)
-    assert b"ready" in os.read(reads, 4096)
-    while select.select([], [writes], [], 0)[1]:
-        os.write(writes, b"-" * 4096)  # the pipe is full, and stays so
     try:
+        assert b"ready" in os.read(reads, 4096)
+        space = select.poll()
+        space.register(writes, select.POLLOUT)
+        while space.poll(0):
+            os.write(writes, b"-" * 4096)  # the pipe is full, and stays so
         bad = encode_line(Message(Kind.SETUP, "b" * 16, None, "x" * 200, {"class": "c" * 300}))
         for _ in range(10):  # each is told in a line of the log
             with socket.create_connection(("127.0.0.1", port)) as caller:
