A node's reply that lies unread as its time runs out is the reply

Change: what has come is read before the time is judged. Evidence: tests/server/test_node_replies.py, both failed before (None for the reply, UNREACHABLE for REFUSED).

--- a/ladderhub/server/nodelinks.py
+++ b/ladderhub/server/nodelinks.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import partial
 
 from ladderhub.loop import Loop, Stream, Timer
-from ladderhub.loop.stream import Address
+from ladderhub.loop.stream import READ_MOST, Address
 from ladderhub.pbs.batch import Reply, ReplyParser, Request, encode_request
 from ladderhub.pbs.dis import DisError
 from ladderhub.server.offer import Offer, Result
@@ -86,6 +85,10 @@
         self._count.messages_out += len(messages)
         self.stream.write(b"".join(messages))
 
+    def look(self) -> None:
+        """Take what has come: a reply may lie there unread, since this process stood still or is behind."""
+        self.stream.read_now(READ_MOST)
+
     def leave(self) -> None:
         self._left = True
         self.stream.abort()
@@ -124,6 +127,8 @@
         self._end(self.steps.broke(text))
 
     def time_over(self) -> None:
+        if self._wire is not None:
+            self._wire.look()
         self._end(self.steps.broke("no answer in time", timed_out=True))
 
     def call_off(self) -> None:
@@ -155,7 +160,7 @@
     ) -> None:
         self._request = request
         self._done: Callable[[Reply | None], None] | None = done
-        self._timer: Timer = links.loop.call_later(timeout_ns, partial(self._end, None))
+        self._timer: Timer = links.loop.call_later(timeout_ns, self.time_over)
         self._wire = links.take(node, self)
 
     def connected(self) -> None:
@@ -168,6 +173,11 @@
     def broke(self, text: str) -> None:
         self._end(None)
 
+    def time_over(self) -> None:
+        if self._wire is not None:
+            self._wire.look()
+        self._end(None)
+
     def _end(self, reply: Reply | None) -> None:
         self._timer.cancel()
         if self._wire is not None:
--- /dev/null
+++ b/tests/server/test_node_replies.py
@@ -0,0 +1,79 @@
+"""Replies of nodes that lie unread as their time runs out, since this process stood still or is behind."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from ladderhub.interface import Outcome
+from ladderhub.loop import Loop, ManualClock
+from ladderhub.pbs import names as n
+from ladderhub.pbs.batch import Reply, Request, encode_reply
+from ladderhub.server.nodelinks import NodeLinks, Question
+from ladderhub.server.offer import Result
+from ladderhub.usage.traffic import TrafficCount
+
+S = 1_000_000_000
+
+
+class Node:
+    """A node that says what a test tells it to."""
+
+    def __init__(self) -> None:
+        self.loop = Loop(ManualClock())
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.links = NodeLinks(self.loop, S, TrafficCount())
+        self.links.place("n1", self._server.getsockname())
+
+    def say(self, conn: socket.socket, reply: Reply) -> None:
+        conn.sendall(encode_reply(reply))
+
+    def accept(self) -> socket.socket:
+        """The connection, once its request has come."""
+        conn, _ = self._server.accept()
+        conn.settimeout(20)
+        while not self._sent(conn):
+            self.loop.turn(1_000_000)
+        return conn
+
+    @staticmethod
+    def _sent(conn: socket.socket) -> bool:
+        conn.setblocking(False)
+        try:
+            return bool(conn.recv(65536))
+        except BlockingIOError:
+            return False
+        finally:
+            conn.settimeout(20)
+
+    def close(self) -> None:
+        self.links.close()
+        self._server.close()
+        self.loop.close()
+
+
+@pytest.fixture
+def node() -> Iterator[Node]:
+    made = Node()
+    yield made
+    made.close()
+
+
+def test_a_reply_that_lies_unread_as_its_time_runs_out_is_the_reply(node: Node) -> None:
+    replies: list[Reply | None] = []
+    question = Question(node.links, "n1", Request(n.STATUS_JOB, "u", "1.n0"), S, replies.append)
+    with node.accept() as conn:
+        node.say(conn, Reply(0))
+        question.time_over()
+    assert [None if reply is None else reply.code for reply in replies] == [0]
+
+
+def test_a_refusal_that_lies_unread_as_the_offer_s_time_runs_out_is_the_outcome(node: Node) -> None:
+    results: list[Result] = []
+    call = node.links.offer("n1", Request(n.QUEUE_JOB, "u", "1.n0"), b"", S, results.append)
+    with node.accept() as conn:
+        node.say(conn, Reply(15001, n.R_TEXT, text="CORES no room"))
+        call.time_over()
+    assert [result.outcome for result in results] == [Outcome.REFUSED]
