--- a/ladderhub/peers/carrier.py
+++ b/ladderhub/peers/carrier.py
@@ -125,7 +125,7 @@
         elif isinstance(action, WakeAt):
             if self._tick_timer is not None:
                 self._tick_timer.cancel()
-            self._tick_timer = self.loop.call_at(action.at_ns, self._tell_view, Tick())
+            self._tick_timer = self.loop.call_at(action.at_ns, self.when_read, self._tick)
         elif isinstance(action, LeasesHeld):
             if self.on_leases is not None:
                 self.on_leases(action)
@@ -133,6 +133,18 @@
             self._members_changed = True
             self._on_change(action)
 
+    def when_read(self, call: Callable[[], None]) -> None:
+        """Call once the datagrams that have come by now were heard: peers are judged by what they answered,
+        not by when this process got round to it."""
+        self.loop.call_when_read(self.datagrams.sock.fileno(), self._if_open, call)
+
+    def _if_open(self, call: Callable[[], None]) -> None:
+        if self.datagrams.sock.fileno() >= 0:
+            call()
+
+    def _tick(self) -> None:
+        self._tell_view(Tick())
+
     def after(self, event: Event) -> None:
         if self._members_changed:
             self._members_changed = False
--- a/ladderhub/peers/revisions.py
+++ b/ladderhub/peers/revisions.py
@@ -84,7 +84,7 @@
         if isinstance(action, WakeAt):
             if self._tick_timer is not None:
                 self._tick_timer.cancel()
-            self._tick_timer = self._peers.loop.call_at(action.at_ns, self._tell, Tick())
+            self._tick_timer = self._peers.loop.call_at(action.at_ns, self._peers.when_read, self._tick)
         elif isinstance(action, Store):
             self._unkept = action.record
             self._store()
@@ -93,6 +93,9 @@
         elif not isinstance(action, Send):
             self._waiting.append(action)
 
+    def _tick(self) -> None:
+        self._tell(Tick())
+
     def after(self, event: Event) -> None:
         return
 
