--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,204 @@
+"""A drawn play of faults around one real scheduler process, judged by what its owners and machines saw.
+
+`python -m tests.platform.soak FIRST LAST` plays these seeds and tells what it found.  What happens, and in
+which order, follows from the seed; when it meets the process does not: a seed is a family of plays."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ladderhub.loop import Listener
+from ladderhub.signalling import Kind, Message
+from tests.platform.bed import MS, Machine, MachineConn, Owner, release
+from tests.platform.process_bed import ProcessBed
+
+MACHINES, OWNERS = 12, 5
+STEPS = 260  # drawn operations; some ten milliseconds apart
+BURST_MOST, CROWD = 12, 250
+FULL, ERROR, CUT, DONE = 34, 47, 41, 16
+
+
+@dataclass
+class Record:
+    """What became of one set-up."""
+
+    id: str
+    unsafe: bool
+    withdrawn: bool = False  # its owner cancelled it or closed: no answer is owed
+    accepted: list[str] = field(default_factory=list)  # machines that said yes
+    ended: bool = False  # its machine told its end
+
+
+class Play:
+    """One play: draw, carry out, end the process, judge."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.draw = random.Random(seed)
+        self.modes = {f"m{at}": "yes" for at in range(MACHINES)}
+        self.records: dict[str, Record] = {}
+        self.standing: dict[str, tuple[Machine, MachineConn]] = {}
+        self.bed = ProcessBed(folder, *[self._hear] * MACHINES)
+        self.owners = [self.bed.owner() for _ in range(OWNERS)]
+        self.gone: list[Owner] = []
+        self.open: dict[Owner, list[str]] = {owner: [] for owner in self.owners}
+
+    # --- machines -----------------------------------------------------------------------------------------
+
+    def _hear(self, conn: MachineConn, message: Message) -> None:
+        machine = conn.machine
+        if message.kind is Kind.SETUP:
+            mode = self.modes[machine.name]
+            if mode == "yes":
+                self.records[message.id].accepted.append(machine.name)
+                self.standing[message.id] = (machine, conn)
+                conn.say(Message(Kind.ANSWER, message.id, None, f"runs {message.id}"))
+            elif mode in ("full", "errs"):
+                conn.say(release(message.id, FULL if mode == "full" else ERROR, "no_cores"))
+        elif message.kind is Kind.RELEASE and self.standing.pop(message.id, None) is not None:
+            conn.say(release(message.id, 31))
+
+    def _end_task(self) -> None:
+        if not self.standing:
+            return
+        id = self.draw.choice(sorted(self.standing))
+        machine, conn = self.standing.pop(id)
+        if conn not in machine.conns:
+            if not machine.conns:
+                self.standing[id] = (machine, conn)  # it will be told on the next connection
+                return
+            conn = machine.conns[-1]
+        conn.say(release(id, DONE))
+        self.records[id].ended = True
+
+    def _die(self, machine: Machine) -> None:
+        """The process of a machine dies and is back a little later, with none of its tasks."""
+        address = machine.address
+        machine.die()
+        for id, (where, _) in list(self.standing.items()):
+            if where is machine:
+                del self.standing[id]
+        self._turn(self.draw.randrange(1, 60))
+        machine.listener = Listener(self.bed.loop, address, machine._accept)
+
+    # --- owners -------------------------------------------------------------------------------------------
+
+    def _ask(self, owner: Owner, count: int) -> None:
+        setups = []
+        for _ in range(count):
+            setup = self.bed.setup(self.draw.choice((300, 1000, 3000)))
+            unsafe = self.draw.random() < 0.3
+            setup.fields["class"] = "bill" if unsafe else "web"
+            self.records[setup.id] = Record(setup.id, unsafe)
+            self.open[owner].append(setup.id)
+            setups.append(setup)
+        owner.say(*setups)
+
+    def _cancel(self, owner: Owner) -> None:
+        if self.open[owner]:
+            id = self.draw.choice(self.open[owner])
+            self.records[id].withdrawn = True
+            owner.say(Message(Kind.RELEASE, id, DONE))
+
+    def _leave(self, owner: Owner) -> None:
+        owner.stream.abort()
+        for id in self.open[owner]:
+            self.records[id].withdrawn = True
+        self.gone.append(owner)
+        self.owners.remove(owner)
+        self.owners.append(self.bed.owner())
+        self.open[self.owners[-1]] = []
+
+    # --- the play -----------------------------------------------------------------------------------------
+
+    def _turn(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.bed.loop.turn(MS)
+
+    def _pause(self) -> None:
+        os.kill(self.bed.child.pid, signal.SIGSTOP)
+        self._turn(self.draw.randrange(1, 150))
+        os.kill(self.bed.child.pid, signal.SIGCONT)
+
+    def _step(self) -> None:
+        owner, machine = self.draw.choice(self.owners), self.draw.choice(self.bed.machines)
+        what = self.draw.random()
+        if what < 0.45:
+            self._ask(owner, self.draw.randrange(1, BURST_MOST))
+        elif what < 0.65:
+            self._end_task()
+        elif what < 0.75:
+            self.modes[machine.name] = self.draw.choice(("yes", "yes", "yes", "full", "errs", "mute"))
+        elif what < 0.82:
+            self._cancel(owner)
+        elif what < 0.86 and machine.conns:
+            self.draw.choice(machine.conns).stream.abort()
+        elif what < 0.89:
+            self._leave(owner)
+        elif what < 0.91:
+            self._die(machine)
+        elif what < 0.93:
+            self._pause()
+        elif what < 0.94:
+            self._ask(owner, CROWD)
+        self._turn(self.draw.randrange(1, 12))
+
+    def run(self) -> None:
+        """Play all steps; then SIGTERM, with set-ups that go on for a while, until the process has ended."""
+        for _ in range(STEPS):
+            self._step()
+        for name in self.modes:
+            self.modes[name] = "yes"
+        self._turn(50)
+        self.bed.child.send_signal(signal.SIGTERM)
+        for _ in range(10):
+            self._ask(self.draw.choice(self.owners), 3)
+            self._turn(20)
+        self.bed.run(lambda: self.bed.child.poll() is not None)
+        self._turn(50)
+
+    def faults(self) -> list[str]:
+        """What the rules forbid and was seen."""
+        found = []
+        if self.bed.child.returncode != 0:
+            found.append(f"ended with status {self.bed.child.returncode}")
+        answered: Counter[str] = Counter()
+        released: Counter[str] = Counter()
+        for owner in [*self.owners, *self.gone]:
+            answered.update(message.id for message in owner.said(Kind.ANSWER))
+            released.update(message.id for message in owner.said(Kind.RELEASE))
+        for record in self.records.values():
+            if answered[record.id] > 1:
+                found.append(f"{record.id}: {answered[record.id]} answers")
+            if not record.withdrawn and not answered[record.id] and not released[record.id]:
+                found.append(f"{record.id}: no answer")
+            if record.ended and answered[record.id] and not record.withdrawn and not released[record.id]:
+                found.append(f"{record.id}: its end was not told")
+            if record.unsafe and len(record.accepted) > 1:
+                found.append(f"{record.id}: ran at {record.accepted}")
+        own_faults = ('"trouble"', '"unanswered"')
+        found += [line for line in self.bed.log().splitlines() if any(each in line for each in own_faults)]
+        return found
+
+
+def play(seed: int) -> tuple[list[str], int]:
+    """The faults that were found with this seed, and how many set-ups were asked for."""
+    with tempfile.TemporaryDirectory() as folder:
+        each = Play(Path(folder), seed)
+        try:
+            each.run()
+            return each.faults(), len(each.records)
+        finally:
+            each.bed.close()
+
+
+if __name__ == "__main__":
+    for number in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
+        faults, count = play(number)
+        print(f"seed {number}: {count} set-ups, {len(faults)} faults {faults[:4]}", flush=True)
