Callers who come in a crowd are accepted for 10 ms a round at most

Cause: Listener._accept_some, bounded in number alone. Change: a round accepts for 10 ms; as the door closes all that came are taken, as before. Evidence: test_callers_who_come_in_a_crowd_hold_up_nobody_for_longer_than_a_round accepted 30 where 2 are meant, before.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -12,7 +12,8 @@
 READ_MOST = 256 * 1024
 WRITE_HIGH = 256 * 1024  # above this the reader of requests is paused: back-pressure
 WRITE_MOST = 16 * 1024 * 1024  # above this the peer does not read: the connection is given up
-ACCEPT_MOST = 64
+ACCEPT_MOST = 64  # callers each round, or as many as come within
+ACCEPT_NS = 10_000_000
 BACKLOG = 1024  # callers that may wait to be accepted
 ACCEPT_REST_NS = 100_000_000
 # What a call on a good socket may fail with for a moment, as the kernel is busy or short of memory.
@@ -337,7 +338,10 @@
 
     def _accept_some(self) -> bool:
         """Accept a round of callers; whether there may be more."""
+        until_ns = self.loop.now_ns() + ACCEPT_NS
         for _each in range(ACCEPT_MOST):
+            if self.loop.now_ns() >= until_ns:
+                return True
             try:
                 sock, _address = self.sock.accept()
             except ConnectionAbortedError:
@@ -358,7 +362,7 @@
 
     def accept_waiting(self) -> None:
         """Accept all that connected so far: closing over them would reset what they have sent."""
-        for _ in range(BACKLOG // ACCEPT_MOST):
+        for _ in range(BACKLOG):
             if self.sock.fileno() < 0 or not self._accept_some():
                 return
 
--- /dev/null
+++ b/tests/platform/test_placing.py
@@ -0,0 +1,66 @@
+"""The share of a busy process that goes to placing what waits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ladderhub.platform.placing import Placing
+
+MS = 1_000_000
+S = 1_000 * MS
+
+
+class BusyLoop:
+    """A loop whose rounds are long, and in which something always lies unread."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.calls: list[Callable[[], object]] = []
+
+    def now_ns(self) -> int:
+        return self.now
+
+    def unread_ns(self) -> int:
+        return S
+
+    def call_soon(self, call: Callable[[], object]) -> None:
+        self.calls.append(call)
+
+    def turn(self, span_ns: int) -> None:
+        self.now += span_ns
+        calls, self.calls = self.calls, []
+        for call in calls:
+            call()
+
+
+class Waiting:
+    def __init__(self, number: int) -> None:
+        self.line, self.until_ns, self.queued = number % 3, 100 * S, True
+
+    def waits(self) -> bool:
+        return self.queued
+
+
+def placed_in_a_second(round_ns: int, place_ns: int) -> int:
+    loop: Any = BusyLoop()
+    placed: list[Waiting] = []
+
+    def place(each: Any) -> None:
+        loop.now += place_ns
+        each.queued = False
+        placed.append(each)
+
+    placing = Placing(loop, 0, place)
+    for number in range(1000):
+        each: Any = Waiting(number)
+        assert placing.add(each)
+    while loop.now < S:
+        loop.turn(round_ns)
+    return len(placed)
+
+
+def test_while_something_lies_unread_reading_has_the_greater_part_and_placing_its_turns() -> None:
+    # Guards against either starving the other.
+    assert 10 <= placed_in_a_second(10 * MS, 10 * MS) <= 25
+    assert placed_in_a_second(200 * MS, 10 * MS) >= 5
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -229,3 +229,28 @@
     stream.abort()
     there.close()
     loop.close()
+
+
+def test_callers_who_come_in_a_crowd_hold_up_nobody_for_longer_than_a_round() -> None:
+    # Guards against a round that takes as long as it takes to accept all who wait.
+    clock = ManualClock()
+    loop = Loop(clock)
+    accepted: list[socket.socket] = []
+
+    def accept(sock: socket.socket) -> None:
+        clock.advance(S // 200)
+        accepted.append(sock)
+
+    listener = Listener(loop, ("127.0.0.1", 0), accept)
+    callers = [socket.create_connection(listener.address) for _ in range(30)]
+    loop.turn(2_000_000)
+    assert 0 < len(accepted) <= 2
+    turns(loop)
+    assert len(accepted) == 30
+    more = [socket.create_connection(listener.address) for _ in range(30)]
+    listener.accept_waiting()  # as it closes it takes all that came, however long that is
+    assert len(accepted) == 60
+    listener.close()
+    loop.close()
+    for sock in (*callers, *more, *accepted):
+        sock.close()
