--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -150,12 +150,16 @@
         self._turn(self.draw.randrange(1, 12))
 
     def run(self) -> None:
-        """Play all steps; then SIGTERM, with set-ups that go on for a while, until the process has ended."""
+        """Play all steps, then end the process."""
         for _ in range(STEPS):
             self._step()
         for name in self.modes:
             self.modes[name] = "yes"
         self._turn(50)
+        self.terminate()
+
+    def terminate(self) -> None:
+        """SIGTERM, with set-ups that go on for a while, until the process has ended."""
         self.bed.child.send_signal(signal.SIGTERM)
         for _ in range(10):
             self._ask(self.draw.choice(self.owners), 3)
