What came before a reset is handed over before its connection closes

Seen by callers: an end, an answer or a cancellation that was sent whole just before a connection was reset never had an effect; ends of tasks were not told.

Cause: on Linux what had come before a reset can still be read after it. A failed send (write, flush), a failed shutdown (finish) and an error told by a dial closed the connection at once, and what the kernel still held was dropped. It takes a round in which something is written between the poll and the read, so it grows with load.

Change: Stream.fail sends nothing more, hands over what has come in portions of one a round, then closes. A moment's want of kernel memory does not end it. A connection that is failing takes no new set-ups (Stream.sendable).

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -12,6 +12,8 @@
 READ_MOST = 256 * 1024
 WRITE_HIGH = 256 * 1024  # above this the reader of requests is paused: back-pressure
 WRITE_MOST = 16 * 1024 * 1024  # above this the peer does not read: the connection is given up
+REST_MOST = 16 * 1024 * 1024  # of a broken connection: beyond what any kernel holds unread
+REST_LEAST = 64 * 1024  # what each try to read it counts for, so that the tries end
 ACCEPT_MOST = 64  # callers each round, or as many as come within
 ACCEPT_NS = 10_000_000
 BACKLOG = 1024  # callers that may wait to be accepted
@@ -69,7 +71,8 @@
         self.on_drained: Callable[[], None] | None = None  # called each time all that was written has left
         self._out: list[bytes] = []
         self._out_size = 0
-        self._paused = self._closing = self._finishing = False
+        self._paused = self._closing = self._finishing = self._failing = False
+        self._fault: BaseException | None = None
         self._timer: Timer | None = None
         if isinstance(sock, socket.socket):
             sock.setblocking(False)
@@ -97,14 +100,14 @@
     def write(self, data: bytes) -> None:
         """Queue bytes; they leave as the peer takes them.  A peer that takes nothing is cut off in the
         end."""
-        if self.closed or self._closing or self._finishing or not data:
+        if self.closed or self._closing or self._finishing or self._failing or not data:
             return
         if not self._out and self.connected:
             try:
                 sent = self._socket().send(data)
             except OSError as fault:
                 if fault.errno not in PASSING:
-                    self.loop.call_soon(self.abort, fault)
+                    self.fail(fault)
                     return
                 sent = 0
             data = data[sent:]
@@ -113,9 +116,14 @@
         self._out.append(data)
         self._out_size += len(data)
         if self._out_size > WRITE_MOST:
-            self.loop.call_soon(self.abort, BufferError("the peer does not read"))
+            self.fail(BufferError("the peer does not read"))
         self._watch()
 
+    def sendable(self) -> bool:
+        """Whether what is written now can still reach the peer, as far as is known."""
+        ending = self.closed or self._closing or self._finishing or self._failing
+        return self.connected and not ending
+
     def unread(self) -> bool:
         """Whether bytes of the peer wait here that no callback has been given yet."""
         return bool(self._peek())
@@ -170,10 +178,42 @@
             try:
                 self._socket().shutdown(socket.SHUT_WR)
             except OSError as fault:
-                self.loop.call_soon(self.abort, fault)
+                self.fail(fault)
+
+    def fail(self, fault: BaseException | None) -> None:
+        """Send nothing more and drop what was not sent, hand over all that has come so far, then close.
+
+        Danger: a peer may send its last words and reset.  Whoever closes as a write fails drops them unread,
+        though the kernel still has them.  The handler is not called from here."""
+        if self.closed or self._failing:
+            return
+        self._failing, self._fault = True, fault
+        self._out.clear()
+        self._out_size = 0
+        self._watch()
+        self.loop.call_soon(self._read_rest, REST_MOST)
+
+    def _read_rest(self, most: int) -> None:
+        """A portion each round, so that nobody else waits for long."""
+        if self.closed:
+            return
+        if self._closing or most <= 0 or self._exhausted():
+            self.abort(self._fault)
+            return
+        taken = self._read()
+        self.loop.call_soon(self._read_rest, most - max(taken, REST_LEAST))
+
+    def _exhausted(self) -> bool:
+        """Whether nothing that has come is left to read."""
+        try:
+            return not self._socket().recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError as fault:
+            return fault.errno not in PASSING
 
     def abort(self, fault: BaseException | None = None) -> None:
-        """Close now; what was not sent is dropped."""
+        """Close now; what was not sent, and what was not read, is dropped."""
         if self.closed:
             return
         self.closed = True
@@ -183,16 +223,20 @@
         self.sock.close()
         self._out.clear()
         self._out_size = 0
-        self.handler.on_closed(self, fault)
+        self.handler.on_closed(self, self._fault or fault)
 
     # --- what the loop does -----------------------------------------------------------------------------
 
     def _watch(self) -> None:
         if self.closed:
             return
+        self.loop.watch(self.sock.fileno(), self._wanted_events(), self._ready, self._first)
+
+    def _wanted_events(self) -> int:
+        if self._failing:
+            return 0
         reading = self.connected and not self._paused and not self._closing and not self.backed_up()
-        events = (READ if reading else 0) | (WRITE if self._out or not self.connected else 0)
-        self.loop.watch(self.sock.fileno(), events, self._ready, self._first)
+        return (READ if reading else 0) | (WRITE if self._out or not self.connected else 0)
 
     def _ready(self, events: int) -> None:
         try:
@@ -204,11 +248,12 @@
         except OSError as fault:
             if fault.errno in PASSING:
                 return
-            self.abort(fault)
+            self.fail(fault)
+            return
         except Exception as fault:  # the fault of one connection's handler ends that connection alone
             self.loop.trouble("connection", fault)
             self.abort(fault)
-        if events & READ and not self.closed:
+        if events & READ and not self.closed and not self._failing:
             self._read()
 
     def _read(self) -> int:
@@ -253,7 +298,7 @@
     def _finish_connect(self) -> None:
         code = self._socket().getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:  # it is told once, and final whatever it is
-            self.abort(OSError(code, errno.errorcode.get(code, "connect")))
+            self.fail(OSError(code, errno.errorcode.get(code, "connect")))
             return
         self.connected = True
         if self._timer is not None:
--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -129,9 +129,7 @@
         self.link.closed(self, fault)
 
     def live(self) -> bool:
-        return (
-            self.stream is not None and self.stream.connected and not self.stream.closed and not self.leaving
-        )
+        return self.stream is not None and self.stream.sendable() and not self.leaving
 
     def writable(self) -> bool:
         """Whether a set-up may be written on it now.
--- a/tests/test_stream_reset.py
+++ b/tests/test_stream_reset.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import socket
 import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 import pytest
 
@@ -127,6 +130,35 @@
     assert bytes(connection.sink.got) == LAST_WORDS and len(connection.sink.closed) == 1
 
 
+class ShortOfMemory(socket.socket):
+    """A socket whose reads fail for a moment with ENOMEM, as its kernel has no memory to spare."""
+
+    failures = 0
+
+    def recv(self, *args: Any) -> bytes:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+        return super().recv(*args)
+
+
+@pytest.mark.parametrize("failures", [1, 2, 5])
+def test_a_kernel_short_of_memory_for_a_moment_loses_nothing_of_a_broken_connection(
+    connection: Connection, failures: int
+) -> None:
+    sock = connection.stream.sock
+    assert isinstance(sock, socket.socket)
+    short = ShortOfMemory(sock.family, sock.type, fileno=sock.detach())
+    connection.stream.sock = short
+
+    def write() -> None:
+        short.failures = failures
+        connection.stream.write(b"test")
+
+    connection.reset_then(write)
+    assert bytes(connection.sink.got) == LAST_WORDS and len(connection.sink.closed) == 1
+
+
 def test_a_peer_that_resets_as_the_connection_comes_up_is_heard() -> None:
     # Guards against ends lost that a machine tells on accepting, before it resets.
     loop, sink = Loop(), Sink()
