A connection that is left is read to the last before its time runs out

Seen by callers: an end told on a connection that is being let go was dropped where the process was behind for a second, and its owner not told.

Cause: a connection that is left is read for a second more and then closed, also over what lay unread there; same class as the mend before it.

Change: it ends through Stream.fail, which hands over what has come. Evidence: test_reset.py -k runs_out_of_time failed before, passes now.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -147,7 +147,7 @@
         if self.stream is not None and not self.leaving and not self.stream.closed:
             self.leaving = True
             self.stream.finish()
-            self.link.loop.call_later(LEAVE_NS, self.stream.abort, None)
+            self.link.loop.call_later(LEAVE_NS, self.stream.fail, None)
 
 
 def refused(fault: BaseException | None) -> bool:
