An end that is read before the answer of its own task is told behind the answer

Seen by callers: the answer, and never the end, of a task that ended some milliseconds after it began.

Cause: a machine answers on the connection of the set-up and, when that is reset, tells the end on another one. The order in which two connections are read is nothing to rely on: an end read first was of no standing task, was kept for tasks about to be handed over, and never looked for again when the answer came.

Change: an end of a task whose set-up is out on another connection is kept with that attempt and told behind its answer. Attempts whose connection broke are remembered like those given up, so that an end of theirs is not taken for one of a later attempt at the same machine.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+from dataclasses import dataclass
 from typing import Protocol
 
 from ladderhub.loop import Loop, Stream, Timer
@@ -14,6 +15,14 @@
 CARRIED_MOST = 256  # tasks whose set-ups a connection remembers
 
 
+@dataclass(frozen=True)
+class End:
+    """How a machine ended a task that stood: the cause and the note of its release."""
+
+    cause: int | None
+    note: str | None
+
+
 class Offer:
     """One set-up to one machine, from the module's `Send` to its end."""
 
@@ -29,6 +38,7 @@
         self.timer: Timer | None = None
         self.conn: Conn | None = None
         self.written = self.stood = False
+        self.early_end: End | None = None  # told on another connection, before the answer was read
 
 
 class Hearer(Protocol):
--- a/ladderhub/platform/early.py
+++ b/ladderhub/platform/early.py
@@ -1,28 +1,37 @@
-"""Ends that a machine tells before the task is handed over to this scheduler."""
+"""Ends that are told before the task is handed over to this scheduler."""
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from itertools import islice
+from typing import Generic, TypeVar
 
 from ladderhub.platform.liveness import OVER_NS
 
-EARLY_MOST = 16_384  # ends kept for all machines together; the oldest go first
+EARLY_MOST = 16_384  # ends kept in all; the oldest go first
 
+Key = TypeVar("Key", bound=Hashable)
+Ending = TypeVar("Ending")
 
-class Early:
-    """Releases of tasks that nobody here looks after, by machine and task, while their owners may be told."""
+
+class Early(Generic[Key, Ending]):
+    """Ends of tasks that nobody here looks after, while their owners may be told."""
 
     def __init__(self) -> None:
-        self._ends: dict[tuple[str, str], tuple[int, int | None, str | None]] = {}
+        self._ends: dict[Key, tuple[int, Ending]] = {}
 
-    def add(self, now: int, machine: str, id: str, cause: int | None, note: str | None) -> None:
+    def add(self, now_ns: int, key: Key, ending: Ending) -> None:
+        """Keep it for as long as an end may still be told."""
         # Two of the oldest may go for each that comes, so that it empties by itself.
-        for key, (at, _, _) in list(islice(self._ends.items(), 2)):
-            if now - at > OVER_NS or len(self._ends) >= EARLY_MOST:
-                del self._ends[key]
-        self._ends[machine, id] = (now, cause, note)
-
-    def take(self, now: int, machine: str, id: str) -> tuple[int | None, str | None] | None:
-        """Cause and note, where its end was told."""
-        at, cause, note = self._ends.pop((machine, id), (now - OVER_NS, None, None))
-        return (cause, note) if now - at < OVER_NS else None
+        for old, (at_ns, _) in list(islice(self._ends.items(), 2)):
+            if now_ns - at_ns > OVER_NS or len(self._ends) >= EARLY_MOST:
+                del self._ends[old]
+        self._ends[key] = (now_ns, ending)
+
+    def take(self, now_ns: int, key: Key) -> Ending | None:
+        """The end that was told of this task, if one was."""
+        kept = self._ends.pop(key, None)
+        if kept is None:
+            return None
+        at_ns, ending = kept
+        return ending if now_ns - at_ns < OVER_NS else None
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -8,7 +8,7 @@
 
 from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address, connect
-from ladderhub.platform.conn import Conn, Hearer, Offer, refused
+from ladderhub.platform.conn import Conn, End, Hearer, Offer, refused
 from ladderhub.platform.liveness import TEST_NS, Due, Liveness
 from ladderhub.platform.report import Report
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
@@ -40,7 +40,7 @@
 
     def forget(self, link: Link) -> None: ...
 
-    def on_early(self, machine: str, message: Message) -> None: ...
+    def on_early(self, machine: str, id: str, end: End) -> None: ...
 
 
 class Link:
@@ -214,14 +214,18 @@
             self.release(offer, Cause.NORMAL)
             return
         offer.leg.step(Step.RELEASE)
-        self.late[offer.id] = None
-        if len(self.late) > LATE_MOST:
-            del self.late[next(iter(self.late))]
+        self._remember_late(offer)
         if offer.conn is not None:
             offer.conn.clean = False
             if offer.conn.live():
                 self._put(offer.conn, Message(Kind.RELEASE, offer.id, Cause.NORMAL))
 
+    def _remember_late(self, offer: Offer) -> None:
+        """What the machine still says of this attempt must not be taken for a word on a later one."""
+        self.late[offer.id] = None
+        if len(self.late) > LATE_MOST:
+            del self.late[next(iter(self.late))]
+
     def unsend(self) -> None:
         """Set-ups that wait for a connection do not leave any more."""
         for conn in self.conns:
@@ -326,15 +330,18 @@
                 offer.stood = True
                 self.standing[offer.id] = offer
                 hearer.on_answer(offer, message.description)
+                if offer.early_end is not None:
+                    self.hear_end(offer.id, offer.early_end)
         elif message.kind is Kind.RELEASE:
+            end = End(message.cause, message.values.get(Code.NOTE))
             if offer is not None and offer.written:
                 self._end(offer)
                 offer.leg.step(Step.RELEASE)
-                hearer.on_release(offer, message.cause, message.values.get(Code.NOTE))
+                hearer.on_release(offer, end.cause, end.note)
             elif message.id in self.standing:
-                self.hear_end(message.id, message.cause, message.values.get(Code.NOTE))
+                self.hear_end(message.id, end)
             elif message.id not in self.late:
-                self.links.on_early(self.name, message)
+                self._hear_early(message.id, end)
         elif message.kind is Kind.NOTE:
             offer = self.standing.get(message.id) or offer
             if offer is not None:
@@ -348,12 +355,23 @@
         elif message.kind is Kind.PING:
             self._put(conn, Message(Kind.PONG, message.id, 1))
 
-    def hear_end(self, id: str, cause: int | None, note: str | None) -> None:
+    def hear_end(self, id: str, end: End) -> None:
         """A task that stood here has ended."""
         offer = self.standing.pop(id, None)
         if offer is not None:
             offer.leg.step(Step.RELEASE)
-            self.links.hearer.on_release(offer, cause, note)
+            self.links.hearer.on_release(offer, end.cause, end.note)
+
+    def _hear_early(self, id: str, end: End) -> None:
+        """An end of a task that does not stand yet: its answer lies unread on another connection, or it is
+        about to be handed over."""
+        for conn in self.conns:
+            offer = conn.open.get(id)
+            if offer is not None and offer.written:
+                offer.early_end = end
+                self.report.count("machine.early_end")
+                return
+        self.links.on_early(self.name, id, end)
 
     def _hear_stray(self, conn: Conn, message: Message) -> None:
         """An answer that no open set-up waits for: one given up must not stand; others are not ours."""
@@ -386,6 +404,7 @@
                 self.links.hearer.on_unreached(offer)
             else:
                 offer.leg.step(Step.RELEASE)
+                self._remember_late(offer)
                 self.links.hearer.on_broken(offer, repr(fault)[:80])
         if not up and refused(fault) and self.standing and not self.conns:
             # Nobody listens there: the process is dead, and its tasks with it.
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -19,12 +19,11 @@
 
 from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address
-from ladderhub.platform.conn import Conn, Hearer, Offer
+from ladderhub.platform.conn import Conn, End, Hearer, Offer
 from ladderhub.platform.early import Early
 from ladderhub.platform.link import Link
 from ladderhub.platform.liveness import TEST_NS
 from ladderhub.platform.report import Report
-from ladderhub.signalling import Code, Message
 
 TEST_PARTS = 10  # the tests of a second are spread over it, so that they hold up nothing
 
@@ -44,7 +43,7 @@
         self.most, self.spare = most, spare
         self.count = 0
         self._links: dict[str, Link] = {}
-        self._early = Early()
+        self._early: Early[tuple[str, str], End] = Early()
         self._up: dict[Conn, None] = {}  # connections by the time they came up, oldest first
         self._testing: list[Link] = []  # of this second, those still to be tested
         self._part = self._portion = 0
@@ -133,16 +132,15 @@
             self.loop.call_soon(self.hearer.on_broken, offer, "not on the list")
         else:
             link.hold(offer)
-            early = self._early.take(self.loop.now_ns(), offer.machine, offer.id)
+            early = self._early.take(self.loop.now_ns(), (offer.machine, offer.id))
             if early is not None:
                 # Danger: its end crossed the handing over, and its machine need not tell it twice.
                 self.report.count("adopted.over")
-                self.loop.call_soon(link.hear_end, offer.id, *early)
+                self.loop.call_soon(link.hear_end, offer.id, early)
 
-    def on_early(self, machine: str, message: Message) -> None:
+    def on_early(self, machine: str, id: str, end: End) -> None:
         """An end of a task that nobody here looks after; it may be about to be handed over."""
-        note = message.values.get(Code.NOTE)
-        self._early.add(self.loop.now_ns(), machine, message.id, message.cause, note)
+        self._early.add(self.loop.now_ns(), (machine, id), end)
 
     def give_up(self, offer: Offer) -> None:
         """See `Link.give_up`; nothing is left to do where the machine is forgotten."""
--- a/tests/platform/test_reset.py
+++ b/tests/platform/test_reset.py
@@ -131,6 +131,25 @@
     assert offer.stood and not released(owner, asked)
 
 
+def test_an_end_of_an_attempt_that_broke_does_not_end_the_next_one_at_the_same_machine(beds: Any) -> None:
+    bed = beds(never)
+    owner = Owner(bed)
+    asked = bed.setup("web", left=3000)
+    owner.say(asked, bed.setup("web", left=3000))
+    bed.run(lambda: len(bed.machines[0].got(Kind.SETUP)) == 2)
+    first = next(conn for conn in bed.machines[0].conns if asked.id in [each.id for each in conn.heard])
+    other = next(conn for conn in bed.machines[0].conns if conn is not first)
+    reset(first)  # its answer is lost with it, and the task is asked for again
+    bed.run(lambda: len([each for each in bed.machines[0].got(Kind.SETUP) if each.id == asked.id]) == 2)
+    other.say(release(asked.id, DONE))
+    bed.run()
+    second = next(conn for conn in bed.machines[0].conns if asked.id in [each.id for each in conn.heard])
+    second.say(Message(Kind.ANSWER, asked.id, None, "runs"))
+    bed.run(lambda: owner.said(Kind.ANSWER))
+    bed.run()
+    assert not released(owner, asked)
+
+
 def test_an_end_behind_a_message_that_can_not_be_used_is_told(beds: Any) -> None:
     # Guards against whole messages dropped since one before them was spoilt.
     bed = beds(yes)
