Whole messages behind one that can't be used are heard before its connection closes

Seen by callers: an end that a machine told behind an answer without a description, or a note without a figure, was not passed on.

Cause: the first message that could not be used ended the handling of all that had been read with it, and what lay unread was dropped with the connection. The framing is intact there.

Change: each message is heard by itself; the connection then fails through Stream.fail, so that what is still unread is heard too. Where the framing is broken it closes at once, as before.

Evidence: test_reset.py -k can_not_be_used failed before, passes now.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -117,15 +117,25 @@
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.link.heard()
         self.used_ns = self.link.loop.now_ns()
-        messages, fault = self.reader.feed(data)
+        messages, unreadable = self.reader.feed(data)
+        for message in messages:
+            self._hear(message)
+        if unreadable is not None:
+            self._spoilt(unreadable)
+            stream.abort(unreadable)
+
+    def _hear(self, message: Message) -> None:
+        """Danger: one that can't be used ends the connection, but behind it may lie whole ones that concern
+        other tasks, and their machine may not say them again soon."""
         try:
-            for message in messages:
-                self.link.hear(self, message)
-        except SignalError as wrong:
-            fault = wrong
-        if fault is not None:
-            self.link.report.line("machine.spoilt", machine=self.link.name, why=str(fault))
-            stream.abort(fault)
+            self.link.hear(self, message)
+        except SignalError as fault:
+            self._spoilt(fault)
+            assert self.stream is not None
+            self.stream.fail(fault)
+
+    def _spoilt(self, fault: SignalError) -> None:
+        self.link.report.line("machine.spoilt", machine=self.link.name, why=str(fault))
 
     def look(self) -> None:
         """Take what has come.
