A test of the stop reads to the end instead of for 25 rounds

Change: the process must still have stopped within the 500 ms with nothing unsent; then the owner reads until its connection has ended. What is checked is the same.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -107,8 +107,9 @@
     assert not stopped(bed)
     owner.stream.pause(False)
     bed.run(span_ns=500 * MS)
-    assert stopped(bed) and stopped(bed)[0]["unsent"] == 0 and not owner.reader.pending()
-    assert owner.said(Kind.PONG) and owner.closed
+    assert stopped(bed) and stopped(bed)[0]["unsent"] == 0
+    bed.run(lambda: owner.closed)  # megabytes wait in the kernel, of which a round reads a portion
+    assert owner.said(Kind.PONG) and not owner.reader.pending()
 
 
 def test_a_second_signal_and_a_reload_between_do_not_end_it_sooner(
