A cut that a reset swallowed is said again until its machine confirms it

Seen by callers: a task that its owner had ended went on at its machine.

Cause: the release that cuts a standing task was written once. Where the connection was reset before the machine read it, or the write itself found the reset, nobody said it again: only releases that found no connection at all were kept.

Change: what a machine was told to end is kept until it says that the task is over (cuts.py), and said again on another connection once the one that it went over has ended.

Evidence: test_reset.py -k reset_under_the_cut failed before, passes now; a cut that was confirmed is not said again.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -9,6 +9,7 @@
 from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform.conn import Conn, End, Hearer, Offer, refused
+from ladderhub.platform.cuts import Cuts
 from ladderhub.platform.liveness import TEST_NS, Due, Liveness
 from ladderhub.platform.report import Report
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
@@ -52,7 +53,7 @@
         self.conns: list[Conn] = []
         self.standing: dict[str, Offer] = {}
         self.late: dict[str, None] = {}
-        self.unsaid: dict[str, int] = {}  # releases of standing tasks that found no connection
+        self.cuts = Cuts()
         self.life = Liveness(links.loop.now_ns())
         self.shut = False  # nothing new is written
         self.gone = False  # not on the list: forgotten once nothing is open
@@ -145,9 +146,7 @@
 
     def _connected(self, conn: Conn) -> None:
         self.links.came_up(conn)
-        for id, cause in self.unsaid.items():
-            self._put(conn, Message(Kind.RELEASE, id, cause))
-        self.unsaid.clear()
+        self._say_cuts(conn)
         if self.standing:
             # A machine that was dialled again may have nothing to say, and would count as silent.
             self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
@@ -247,11 +246,15 @@
     def release(self, offer: Offer, cause: int) -> None:
         """Cut a task that stands; its release by the machine still comes."""
         conn = offer.conn if offer.conn is not None and offer.conn.live() else self.line()
+        self.cuts.add(offer.id, cause)
         if conn is None:
-            self.unsaid[offer.id] = cause
             self.keep_line()
         else:
-            self._put(conn, Message(Kind.RELEASE, offer.id, cause))
+            self._say_cuts(conn)
+
+    def _say_cuts(self, conn: Conn) -> None:
+        for id, cause in self.cuts.take_unsaid(conn):
+            self._put(conn, Message(Kind.RELEASE, id, cause))
 
     def needs(self, conn: Conn) -> bool:
         return bool(self.standing) and self.conns == [conn]
@@ -303,7 +306,7 @@
     def lose(self, why: str) -> None:
         """The machine can't hold our tasks any more."""
         lost, self.standing = list(self.standing.values()), {}
-        self.unsaid.clear()
+        self.cuts.clear()
         for offer in lost:
             offer.leg.step(Step.RELEASE)
             self.links.hearer.on_broken(offer, why)
@@ -357,6 +360,7 @@
 
     def hear_end(self, id: str, end: End) -> None:
         """A task that stood here has ended."""
+        self.cuts.confirmed(id)
         offer = self.standing.pop(id, None)
         if offer is not None:
             offer.leg.step(Step.RELEASE)
@@ -409,6 +413,9 @@
         if not up and refused(fault) and self.standing and not self.conns:
             # Nobody listens there: the process is dead, and its tasks with it.
             self.lose("refused")
+        self.cuts.lost(conn)
+        if (line := self.line()) is not None:
+            self._say_cuts(line)
         if up and not conn.let_go:
             self.keep_line()
         if self.gone:
