What an owner says of standing tasks holds on a connection that is about to be closed

Seen by callers: a task that its owner ended behind a set-up that could not be used went on, and one handed over there was told as failed while it ran.

Cause: of what is read while a turned-away connection lingers, set-ups were failed and all else dropped. No connection owns a standing task, so its end, that a release was heard and its handing over hold there as well.

--- a/ladderhub/platform/ownerconn.py
+++ b/ladderhub/platform/ownerconn.py
@@ -8,6 +8,7 @@
 
 from ladderhub.loop import Loop, Stream
 from ladderhub.platform.eviction import Trust
+from ladderhub.platform.reading import is_handover
 from ladderhub.platform.report import Report
 from ladderhub.platform.task import Task
 from ladderhub.platform.tasks import Tasks
@@ -89,7 +90,7 @@
         while self._inbox:
             each = self._inbox.popleft()
             if not self.alive:
-                self._fail(each)
+                self._take_last(each)
             elif isinstance(each, SignalError):
                 self.turn_away(each)
             else:
@@ -113,9 +114,14 @@
                 self.door.tasks.give_up(twin)
         self.shut("turned away", CROSSING_NS)
 
-    def _fail(self, each: Message | SignalError) -> None:
-        """What is read on a connection that is about to be closed."""
-        if isinstance(each, SignalError) or each.kind is Kind.SETUP:
+    def _take_last(self, each: Message | SignalError) -> None:
+        """What is read on a connection that is about to be closed: new set-ups fail, but what it says of
+        tasks that stand holds, as no connection owns these."""
+        if isinstance(each, SignalError):
+            self._write(Message(Kind.RELEASE, each.id, Cause.INVALID))
+        elif each.kind in (Kind.RELEASE, Kind.RELEASED) or is_handover(each):
+            self.door.hear(self, each)
+        elif each.kind is Kind.SETUP:
             self._write(Message(Kind.RELEASE, each.id, Cause.INVALID))
 
     def shut(self, why: str, linger_ns: int = 0) -> None:
--- a/ladderhub/platform/reading.py
+++ b/ladderhub/platform/reading.py
@@ -10,7 +10,7 @@
 from ladderhub import interface as api
 from ladderhub.platform.task import Asked
 from ladderhub.platform.words import Names
-from ladderhub.signalling import Message, SignalError
+from ladderhub.signalling import Kind, Message, SignalError
 
 MS = 1_000_000
 
@@ -47,6 +47,11 @@
     )  # fmt: skip
 
 
+def is_handover(message: Message) -> bool:
+    """Whether it names a task that a machine holds already."""
+    return message.kind is Kind.SETUP and "at" in _parts(str(message.fields.get("extras", "")))
+
+
 def _parts(text: str) -> dict[str, str]:
     return {name: value for name, _, value in (part.partition(":") for part in text.split(";"))}
 
--- a/tests/platform/test_reset.py
+++ b/tests/platform/test_reset.py
@@ -224,3 +224,16 @@
     owner.say(unusable, Message(Kind.RELEASE, asked.id, NORMAL))
     bed.run()
     assert heard_the_cut(bed.machines[0], asked)
+
+
+def test_a_task_handed_over_behind_a_set_up_that_is_turned_away_is_looked_after(beds: Any) -> None:
+    bed = beds(yes)
+    owner, other = Owner(bed), Owner(bed)
+    stand(bed, other)  # whoever carried a task is told of ends elsewhere
+    unusable, asked = bed.setup(), bed.at(bed.machines[0])
+    unusable.fields["class"] = "nobody's"
+    owner.say(unusable, asked)
+    bed.run(span_ns=100 * MS)
+    assert owner.closed and not released(owner, asked)
+    bed.machines[0].conns[-1].say(release(asked.id, DONE))
+    bed.run(lambda: released(other, asked))
