An owner's end that is read before its task is handed over ends the task

Seen by callers: a task that its owner ended just after a scheduler's start went on.

Change: ends of unknown tasks are kept for as long as an end may be told, as those of machines are, and the task is ended as it is handed over.

Evidence: test_reset.py -k before_the_handing_over failed before, passes now.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -13,11 +13,12 @@
 from ladderhub.loop import Listener, Loop
 from ladderhub.loop.stream import Address
 from ladderhub.platform.liveness import OVER_NS
+from ladderhub.platform.early import Early
 from ladderhub.platform.eviction import EvictionOrder, Trust
 from ladderhub.platform.ownerconn import OwnerConn
 from ladderhub.platform.reading import read_setup
 from ladderhub.platform.report import Report
-from ladderhub.platform.task import OwnerLine
+from ladderhub.platform.task import Asked, OwnerLine
 from ladderhub.platform.tasks import Tasks
 from ladderhub.platform.words import Names
 from ladderhub.signalling import Cause, Kind, Message, SignalError, State
@@ -66,6 +67,7 @@
         self.settling = False  # and no set-up comes any more that would be owed an answer of the module
         tasks.tell_over = self.tell_over
         self._unheard: dict[str, _Unheard] = {}
+        self._early: Early[str, int] = Early()  # causes by task
         report.gauges["owners"] = self.count
 
     def start(self, address: Address) -> None:
@@ -250,7 +252,7 @@
             else:
                 conn.put(Message(Kind.RELEASE, message.id, Cause.PROTOCOL))
         elif asked.machine:
-            self.tasks.adopt(conn, asked)
+            self._adopt(conn, asked)
         elif self.settling or message.fields.get("idem"):
             # The second: no parameter of the machines' encoding is published for this key, and without it
             # they would not know a repeat.  Nothing ran, so its owner may come again.
@@ -266,13 +268,23 @@
             conn.open[message.id] = task
             self.tasks.place(task)
 
+    def _adopt(self, conn: OwnerConn, asked: Asked) -> None:
+        task = self.tasks.adopt(conn, asked)
+        # Danger: its end may have come on another connection, and been read before.
+        cause = self._early.take(self.loop.now_ns(), asked.id)
+        if cause is not None:
+            self.report.count("adopted.ended")
+            self.tasks.end_standing(task, cause)
+
     def _release(self, conn: OwnerConn, message: Message) -> None:
+        cause = message.cause if message.cause is not None else Cause.NORMAL
         task = self.tasks.find(message.id)
         if task is None:
+            self._early.add(self.loop.now_ns(), message.id, cause)
             return
         if task.leg.state is State.STANDS:
             conn.trust = max(conn.trust, Trust.TESTED)
-            self.tasks.end_standing(task, message.cause if message.cause is not None else Cause.NORMAL)
+            self.tasks.end_standing(task, cause)
             conn.put(Message(Kind.RELEASED, message.id))
         elif conn.open.get(message.id) is task:
             del conn.open[message.id]
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -97,7 +97,7 @@
         task.queued = False
         self._tell(self._asked_event(task))
 
-    def adopt(self, line: OwnerLine, asked: Asked) -> None:
+    def adopt(self, line: OwnerLine, asked: Asked) -> Task:
         """A task that stands already and is now this scheduler's to look after."""
         task = self._new(line, asked)
         task.leg.step(Step.HANDED)
@@ -105,6 +105,7 @@
         self._tell(api.TaskOpen(self._asked_event(task), asked.machine))
         self._report.count("adopted")
         self._links.hold(offer)
+        return task
 
     def _new(self, line: OwnerLine, asked: Asked) -> Task:
         task = Task(self._count, asked, line, self._loop.now_ns() + asked.left_ns)
