What machines have said is read before the process looks whether it may end

Seen by callers: with a planned restart, an end that its machine told while the process was behind was not told to its owner.

Cause: the last look counts what owners wrote and nobody read, not what machines did; their connections were closed first, over unread ends. The comment that a machine would not tell again was wrong, too: it does, on the next connection that is opened, which is the successor's.

Change: connections to machines are read before each look. Evidence: test_stop.py -k may_end_is_told failed before, passes now.

--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -106,6 +106,11 @@
         """Connections with bytes that their machine has not taken yet."""
         return sum(conn.stream is not None and conn.stream.unsent() for conn in self._up)
 
+    def look(self) -> None:
+        """Take what machines have said so far."""
+        for conn in list(self._up):
+            conn.look()
+
     def close(self) -> None:
         """Nothing more is said to machines, or heard of them."""
         for conn in list(self._up):
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -186,6 +186,8 @@
         now = self._loop.now_ns()
         if now >= self._until_ns:
             self.tasks.answer_now()
+        # An end that lies unread now could not be told once the owners' connections are closed.
+        self.links.look()
         owed = {"answers": self.tasks.open} | self.door.owes() | {"to_machines": self.links.unsent()}
         if now < self._until_ns + STOP_EARLY_NS // 2 and (any(owed.values()) or not self._quiet):
             # One look more after the last answer: closing over what its owner says to it would reset it.
@@ -193,7 +195,7 @@
             self._loop.call_later(LOOK_NS, self._look_settled)
             return
         # Machines first: an end that is heard after the owners' connections are closed could not be told, and
-        # the machine would not tell it again.
+        # its machine tells it again only on the next connection that is opened.
         self.links.close()
         self.door.close()
         self._report.line("stopped", **owed)
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -72,6 +72,22 @@
     assert stopped(bed) and stopped(bed)[0]["ends"] == 0
 
 
+def test_an_end_unread_as_the_process_looks_whether_it_may_end_is_told(beds: Any) -> None:
+    # Guards against ends closed over at the last look, as the process was behind.
+    bed = beds(yes)
+    owner = Owner(bed)
+    asked = stand(bed, owner)
+    bed.service.stop()
+    bed.run(span_ns=STILL_COMING_NS - 20 * MS)
+    bed.machines[0].conns[0].say(release(asked.id, 16))
+    bed.service._quiet = True  # the look before found that nothing was owed
+    bed.service._look_settled()
+    assert not stopped(bed)
+    bed.run(lambda: owner.said(Kind.RELEASE))
+    bed.run(span_ns=200 * MS)
+    assert stopped(bed)
+
+
 @pytest.mark.parametrize("klass", ["web", "bill"])
 def test_what_is_open_when_time_is_up_is_answered_before_sigkill_may_come(beds: Any, klass: str) -> None:
     # The bound follows from the settings: the longest deadline, taken as 3 s where it is longer.
