The log says why a set-up was left to the backstop; the soak keeps what both ends saw

Change: the line now has for how long the set-up's time was over, when the module held it to be over, and the state of its attempt. With SOAK_KEEP a play with faults leaves its log and what owners and machines heard.

--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -177,10 +177,20 @@
         if task.waits():
             self._place_now(task)
         if task.leg.state is State.SET_UP:
-            self._report.line("unanswered", task=task.asked.id)
+            self._report_unanswered(task)
             self._answer(task, Message(Kind.RELEASE, task.asked.id, Cause.BROKEN))
             self._withdraw(task)
 
+    def _report_unanswered(self, task: Task) -> None:
+        """Log what tells why the module did not answer by itself: `over_ms` since the task's time was over,
+        `due_ms` until the module holds it to be, the state of its attempt."""
+        now, known, offer = self._loop.now_ns(), self.module.tasks.get(task.number), task.offer
+        self._report.line(
+            "unanswered", task=task.asked.id, over_ms=(now - task.until_ns) // MS,
+            due_ms=None if known is None else (known.deadline_ns - now) // MS, sent=task.sent,
+            placed=known is not None and known.placed, written=offer is not None and offer.written,
+        )  # fmt: skip
+
     def _answer(self, task: Task, message: Message) -> None:
         line = task.line
         self._settle(task, Step.ANSWER if message.kind is Kind.ANSWER else Step.RELEASE)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -167,6 +168,19 @@
         self.bed.run(lambda: self.bed.child.poll() is not None)
         self._turn(50)
 
+    def keep(self, folder: Path, found: list[str]) -> None:
+        """Write the log of the process, and what owners and machines heard, in the order of each."""
+        folder.mkdir(parents=True)
+        (folder / "faults").write_text("\n".join(found) + "\n")
+        (folder / "log").write_text(self.bed.log())
+        heard = [f"{machine.name} {message.kind.name} {message.id}" for machine, message in self.bed.heard]
+        (folder / "machines").write_text("\n".join(heard) + "\n")
+        owners = enumerate([*self.owners, *self.gone])
+        got = [f"{at} {m.kind.name} {m.id} {m.cause}" for at, owner in owners for m in owner.got]
+        (folder / "owners").write_text("\n".join(got) + "\n")
+        told = [f"{each}" for each in self.records.values()]
+        (folder / "records").write_text("\n".join(told) + "\n")
+
     def faults(self) -> list[str]:
         """What the rules forbid and was seen."""
         found = []
@@ -195,14 +209,28 @@
     """The faults that were found with this seed, and how many set-ups were asked for."""
     with tempfile.TemporaryDirectory() as folder:
         each = Play(Path(folder), seed)
-        try:
-            each.run()
-            return each.faults(), len(each.records)
-        finally:
-            each.bed.close()
+        return judged(each, seed)
+
+
+def judged(each: Play, seed: int) -> tuple[list[str], int]:
+    """Play it to the end: the faults that were found, and how many set-ups were asked for.  With faults, and
+    SOAK_KEEP set to a folder, the log and what both ends saw are kept there."""
+    try:
+        each.run()
+        found = each.faults()
+        if found and "SOAK_KEEP" in os.environ:
+            each.keep(Path(os.environ["SOAK_KEEP"]) / f"{type(each).__name__}-{seed}-{os.getpid()}", found)
+        return found, len(each.records)
+    finally:
+        each.bed.close()
+
+
+def main(play: Callable[[int], tuple[list[str], int]]) -> None:
+    """Play the seeds that the command names, the first and the last."""
+    for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
+        found, count = play(seed)
+        print(f"seed {seed}: {count} set-ups, {len(found)} faults {found[:4]}", flush=True)
 
 
 if __name__ == "__main__":
-    for number in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
-        faults, count = play(number)
-        print(f"seed {number}: {count} set-ups, {len(faults)} faults {faults[:4]}", flush=True)
+    main(play)
--- a/tests/platform/soak_resets.py
+++ b/tests/platform/soak_resets.py
@@ -9,12 +9,11 @@
 import signal
 import socket
 import struct
-import sys
 import tempfile
 from pathlib import Path
 
 from tests.platform.bed import MachineConn
-from tests.platform.soak import Play
+from tests.platform.soak import Play, judged, main
 
 STEPS = 40
 ENDS_PAUSED, ENDS_RUNNING = 15, 30
@@ -70,15 +69,8 @@
 def play(seed: int) -> tuple[list[str], int]:
     """The faults that were found with this seed, and how many set-ups were asked for."""
     with tempfile.TemporaryDirectory() as folder:
-        each = ResetPlay(Path(folder), seed)
-        try:
-            each.run()
-            return each.faults(), len(each.records)
-        finally:
-            each.bed.close()
+        return judged(ResetPlay(Path(folder), seed), seed)
 
 
 if __name__ == "__main__":
-    for number in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
-        faults, count = play(number)
-        print(f"seed {number}: {count} set-ups, {len(faults)} faults {faults[:4]}", flush=True)
+    main(play)
