A set-up's budget counts from the moment in which the module hears of it

Cause: the budget was reckoned at one look at the clock and the module heard of the set-up at another. A pause between the two (the soak's SIGSTOP, up to 150 ms) makes the module's deadline later by it: over_ms 14, due_ms 44, so 58 ms. Past the margin of 40 ms the backstop comes first.

Change: an event with a span is made as it is handled, from the one look at the clock that the module gets too.

Evidence: test_waited.py -k clock_that_moves failed before, passes now.

--- a/ladderhub/board.py
+++ b/ladderhub/board.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 
@@ -27,6 +28,16 @@
         """All that this event called for has been handed on."""
 
 
+@dataclass(frozen=True, slots=True)
+class AtHandling:
+    """An event with a span that counts from the moment in which it is handled; `make` is given that moment.
+
+    Danger: between two looks at the clock the process may stand still, and the decider would take a span
+    measured at the first for one that begins at the second."""
+
+    make: Callable[[int], Any]
+
+
 class Board:
     """Deciders and their carriers.  `add` gives the call by which a decider hears of an event."""
 
@@ -61,6 +72,8 @@
                 decider, carrier, event = self._events.popleft()
                 try:
                     now = self._now_ns()
+                    if isinstance(event, AtHandling):
+                        event = event.make(now)
                     for action in decider.handle(now, event):
                         carrier.carry(now, action)
                     carrier.after(event)
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 
 from ladderhub import interface as api
-from ladderhub.board import Board
+from ladderhub.board import AtHandling, Board
 from ladderhub.decide import Scheduler
 from ladderhub.decide.records import ANSWER_MARGIN_NS
 from ladderhub.loop import Loop
@@ -95,14 +95,14 @@
 
     def _place_now(self, task: Task) -> None:
         task.queued = False
-        self._tell(self._asked_event(task))
+        self._tell(AtHandling(lambda now: self._asked_event(task, now)))
 
     def adopt(self, line: OwnerLine, asked: Asked) -> Task:
         """A task that stands already and is now this scheduler's to look after."""
         task = self._new(line, asked)
         task.leg.step(Step.HANDED)
         task.offer = offer = self._offer(task, asked.machine, task.until_ns)
-        self._tell(api.TaskOpen(self._asked_event(task), asked.machine))
+        self._tell(AtHandling(lambda now: api.TaskOpen(self._asked_event(task, now), asked.machine)))
         self._report.count("adopted")
         self._links.hold(offer)
         return task
@@ -113,11 +113,11 @@
         self._by_number[task.number] = self._by_id[asked.id] = task
         return task
 
-    def _asked_event(self, task: Task) -> api.TaskAsked:
+    def _asked_event(self, task: Task, now: int) -> api.TaskAsked:
         asked = task.asked
         return api.TaskAsked(
             task=task.number, key=asked.key, klass=asked.klass, service=asked.service, cores=asked.cores,
-            memory=asked.memory, budget_ns=max(0, task.until_ns - self._loop.now_ns()), tenant=asked.tenant,
+            memory=asked.memory, budget_ns=max(0, task.until_ns - now), tenant=asked.tenant,
         )  # fmt: skip
 
     def give_up(self, task: Task) -> None:
