A first set-up is charged the wait for its connection's accept only if it came meanwhile

Seen by callers: a connection opened ahead and first used some time later had its first set-up refused at once, or with less time than it had: 2 s of rest took 2 s off.

Cause: what comes first was taken to have lain there since the connection was accepted, whenever it came.

Change: that holds only where bytes lie there as the connection is accepted.

Evidence: test_waited.py -k first_set_up failed before, passes now.

--- a/ladderhub/platform/ownerconn.py
+++ b/ladderhub/platform/ownerconn.py
@@ -56,8 +56,7 @@
         self.since_ns = self.heard_ns = door.loop.now_ns()
         self.trust = Trust.NONE
         self.partial_ns = 0  # since when a line is unfinished
-        # What comes first may have lain there since before the connection was accepted.
-        self._unread_ns = door.unseen_since_ns()
+        self._unread_ns = 0  # where bytes lie unread, since when they may
         self.read_ns = self.since_ns  # what was read last had come by then at the earliest
         self.open: dict[str, Task] = {}
         self._inbox: deque[Message | SignalError] = deque()  # read, and not yet acted on
@@ -65,6 +64,8 @@
         self.reader = LineReader()
         self.stream = Stream(door.loop, sock, self, read_most=PORTION)
         self.peer = self.stream.peer().rpartition(":")[0]
+        if self.stream.unread():
+            self._unread_ns = door.unseen_since_ns()  # they came while it waited to be accepted
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         self.heard_ns = self.door.loop.now_ns()
