Time for which the process stood still within a wait is charged to what came meanwhile

Seen by callers: after a pause of the process, or with no processor for a while, set-ups were answered after their time, and machines were told deadlines beyond what the client had left: 2,989 of 3,000 ms a second after the set-up was written.

Cause: whatever ends a wait was taken to have only just come. But a pause within the wait shows only in that it lasts longer than it was to last; the wait that a stop signal interrupts may also end without a look. And a look without a wait that took over 0.2 ms, for want of a processor, was taken for a wait, so that the round before it was not charged.

Change: what a look finds that ended late has been there since the end of its wait; what a look without a wait finds, since the look before; after a round of over 10 ms the next look does not wait.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -19,6 +19,7 @@
 # descriptors that come first.
 ROUND_NS = 10_000_000
 WOKEN_NS = 200_000  # a look that took longer than this waited
+OVERSLEPT_NS = 5_000_000  # beyond the end of its wait a process stood still, or had no processor
 Trouble = Callable[[str, BaseException], None]
 
 
@@ -55,8 +56,8 @@
         self._first: set[int] = set()
         self._ready_since: dict[int, int] = {}  # descriptors to handle: what waits there came since then
         self._judged: list[tuple[int, Callable[..., object], tuple[Any, ...]]] = []
-        self._look_ns = self.now_ns()
-        self._longest_round_ns = self._longest_unread_ns = 0
+        self._look_ns = self.now_ns()  # all that came before has been seen
+        self._round_ns = self._longest_round_ns = self._longest_unread_ns = 0
 
     def now_ns(self) -> int:
         return self.clock.now_ns()
@@ -177,17 +178,14 @@
         timers that are due, then what was put off."""
         wait = most_wait_ns
         judged, self._judged = self._judged, []
-        if self._soon or self._ready_since or judged:
-            wait = 0
+        if self._soon or self._ready_since or judged or self._round_ns > ROUND_NS:
+            wait = 0  # after a long round a look comes first, as what came meanwhile ends no wait
         elif self._timers:
             wait = min(wait, max(0, self._timers[0][0] - self.now_ns()))
         asleep = self.now_ns()
         found = self._selector.select(wait / 1e9)
-        now = self.now_ns()
-        # What ends a wait has only just come.
-        since_ns = now if now - asleep > WOKEN_NS else self._look_ns
-        self._look_ns = now
-        self._handle(found, since_ns, now + ROUND_NS)
+        now = begun = self.now_ns()
+        self._handle(found, self._looked(asleep, wait, now), now + ROUND_NS)
         for fd, call, args in judged:
             if fd in self._ready_since:
                 self._judged.append((fd, call, args))
@@ -205,7 +203,22 @@
         for _ in range(len(self._soon)):
             call, args = self._soon.popleft()
             self._guard("soon", call, args)
-        self._longest_round_ns = max(self._longest_round_ns, self.now_ns() - self._look_ns)
+        self._round_ns = self.now_ns() - begun
+        self._longest_round_ns = max(self._longest_round_ns, self._round_ns)
+
+    def _looked(self, asleep: int, wait: int, now: int) -> int:
+        """A look that was to wait so long at most has ended: since when may what it found have been there?
+
+        Danger: the process may stand still within the look, which only what goes beyond the wait shows, and a
+        wait that is over may end without a look at the end."""
+        before_ns, self._look_ns = self._look_ns, now
+        if wait == 0:
+            self._look_ns = asleep
+            return before_ns
+        if now - asleep - wait > OVERSLEPT_NS:
+            self._look_ns = asleep + wait
+            return asleep + wait
+        return now if now - asleep > WOKEN_NS else before_ns  # what ends a wait has only just come
 
     def _handle(self, found: list[tuple[selectors.SelectorKey, int]], since_ns: int, until_ns: int) -> None:
         left = self._ready_since
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -4,8 +4,10 @@
 
 import errno
 import os
+import selectors
 import signal
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -186,6 +188,79 @@
             each.close()
 
 
+class StoppedSelector(selectors.DefaultSelector):
+    """The process stands still within one look, which begins with nothing ready."""
+
+    def __init__(self, clock: ManualClock, span_ns: int, stopped: Callable[[], object]) -> None:
+        super().__init__()
+        self.clock, self.span_ns, self.stopped = clock, span_ns, stopped
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if self.span_ns:
+            self.stopped()
+            self.clock.advance(self.span_ns)
+            self.span_ns = 0
+            return self.found()
+        return super().select(timeout)
+
+    def found(self) -> list[tuple[selectors.SelectorKey, int]]:
+        return super().select(0)
+
+
+class InterruptedSelector(StoppedSelector):
+    """As the wait is over by then, it ends without a look."""
+
+    def found(self) -> list[tuple[selectors.SelectorKey, int]]:
+        return []
+
+
+@pytest.mark.parametrize("selector", [StoppedSelector, InterruptedSelector])
+@pytest.mark.parametrize("wait_ns", [0, S // 100, S // 10])
+def test_what_came_while_the_process_stood_still_counts_from_the_end_of_its_wait(
+    selector: type[StoppedSelector], wait_ns: int
+) -> None:
+    # Guards against requests that are not charged for a pause within the loop's wait.
+    clock = ManualClock()
+    loop = Loop(clock)
+    writer, reader = socket.socketpair()
+    begun_ns = clock.now_ns()
+    loop._selector.close()
+    loop._selector = selector(clock, S, lambda: writer.send(b"waits"))
+    since: list[int] = []
+    loop.watch(reader.fileno(), READ, lambda _: since.append(loop.unseen_since_ns(reader.fileno())))
+    for _ in range(2):
+        loop.turn(wait_ns)
+    assert since and begun_ns <= since[0] <= begun_ns + wait_ns
+    loop.close()
+    writer.close()
+    reader.close()
+
+
+def test_what_came_in_a_long_round_counts_from_its_begin_though_the_next_look_takes_long() -> None:
+    # Guards against a look that waited for a processor, taken for one that waited for bytes.
+    clock = ManualClock()
+    loop = Loop(clock)
+    writer, reader = socket.socketpair()
+    loop._selector.close()
+    loop._selector = selector = StoppedSelector(clock, 0, lambda: None)
+    since: list[int] = []
+    loop.watch(reader.fileno(), READ, lambda _: since.append(loop.unseen_since_ns(reader.fileno())))
+
+    def long_round() -> None:
+        clock.advance(S // 4)
+        writer.send(b"waits")
+        selector.span_ns = S // 1000
+
+    loop.call_later(0, long_round)
+    begun_ns = clock.now_ns()
+    for _ in range(2):
+        loop.turn(S // 10)
+    assert since == [begun_ns]
+    loop.close()
+    writer.close()
+    reader.close()
+
+
 class ShortOfMemory(socket.socket):
     """A socket whose next calls fail as Linux documents for a kernel that is short of memory."""
 
