Each caller is charged how long it waited to be accepted

Shown on a real process: a thousand callers and a pause of 700 ms, 936 of 1,000 answered over half a second after their time, which counts as lost, and as many attempts told a deadline up to 827 ms beyond what the client had left.

Cause: a caller was charged since the listener was last found ready. That holds for the first 64; in each later round of accepts it is the round before, though these callers had come as early. At 0.2 of a core some 300 to 450 a second are accepted, so a thousand wait for over 2 s.

Change: the accept queue is first in, first out, so a caller beyond those that had come by a look has come after it. Listener has a module of its own.

--- a/ladderhub/loop/__init__.py
+++ b/ladderhub/loop/__init__.py
@@ -6,7 +6,8 @@
 
 from ladderhub.loop.clock import Clock, ManualClock, SteadyClock
 from ladderhub.loop.core import Loop, Timer
-from ladderhub.loop.stream import Handler, Listener, Stream, parse_address
+from ladderhub.loop.listener import Listener
+from ladderhub.loop.stream import Handler, Stream, parse_address
 
 __all__ = [
     "Clock",
--- a/ladderhub/loop/http.py
+++ b/ladderhub/loop/http.py
@@ -8,7 +8,8 @@
 import httptools
 
 from ladderhub.loop.core import Loop
-from ladderhub.loop.stream import Address, Listener, Stream
+from ladderhub.loop.listener import Listener
+from ladderhub.loop.stream import Address, Stream
 
 HEAD_MOST = 16 * 1024
 Page = Callable[[], tuple[int, str, bytes]]
--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -1,4 +1,4 @@
-"""Byte streams over TCP with bounded buffers, listeners, and connects with a time-out."""
+"""Byte streams over TCP with bounded buffers, and connects with a time-out."""
 
 from __future__ import annotations
 
@@ -14,10 +14,6 @@
 WRITE_MOST = 16 * 1024 * 1024  # above this the peer does not read: the connection is given up
 REST_MOST = 16 * 1024 * 1024  # of a broken connection: beyond what any kernel holds unread
 REST_LEAST = 64 * 1024  # what each try to read it counts for, so that the tries end
-ACCEPT_MOST = 64  # callers each round, or as many as come within
-ACCEPT_NS = 10_000_000
-BACKLOG = 1024  # callers that may wait to be accepted
-ACCEPT_REST_NS = 100_000_000
 # What a call on a good socket may fail with for a moment, as the kernel is busy or short of memory.
 PASSING = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 Address = tuple[str, int]
@@ -355,63 +351,3 @@
         loop.call_soon(stream.abort, OSError(code, "connect"))
     stream._timer = loop.call_later(timeout_ns, loop.call_when_read, sock.fileno(), stream._not_up)
     return stream
-
-
-class Listener:
-    """Accepts connections, a bounded number each round.  Out of descriptors it rests instead of spinning."""
-
-    def __init__(self, loop: Loop, address: Address, accept: Callable[[socket.socket], object]) -> None:
-        self.loop, self._accept = loop, accept
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self.sock.bind(address)
-            self.sock.listen(BACKLOG)
-        except OSError:
-            self.sock.close()
-            raise
-        self.sock.setblocking(False)
-        self.address: Address = self.sock.getsockname()
-        self._open()
-
-    def _open(self) -> None:
-        if self.sock.fileno() >= 0:
-            self.loop.watch(self.sock.fileno(), READ, self._ready)
-
-    def _ready(self, _: int) -> None:
-        self._accept_some()
-
-    def _accept_some(self) -> bool:
-        """Accept a round of callers; whether there may be more."""
-        until_ns = self.loop.now_ns() + ACCEPT_NS
-        for _each in range(ACCEPT_MOST):
-            if self.loop.now_ns() >= until_ns:
-                return True
-            try:
-                sock, _address = self.sock.accept()
-            except ConnectionAbortedError:
-                continue
-            except BlockingIOError:
-                return False
-            except OSError as fault:
-                self.loop.trouble("accept", fault)
-                self.loop.watch(self.sock.fileno(), 0, self._ready)
-                self.loop.call_later(ACCEPT_REST_NS, self._open)
-                return False
-            try:
-                self._accept(sock)
-            except Exception as fault:
-                self.loop.trouble("accept", fault)
-                sock.close()
-        return True
-
-    def accept_waiting(self) -> None:
-        """Accept all that connected so far: closing over them would reset what they have sent."""
-        for _ in range(BACKLOG):
-            if self.sock.fileno() < 0 or not self._accept_some():
-                return
-
-    def close(self) -> None:
-        if self.sock.fileno() >= 0:
-            self.loop.watch(self.sock.fileno(), 0, self._ready)
-            self.sock.close()
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -76,9 +76,9 @@
         self.loop.call_later(SWEEP_NS, self._sweep)
 
     def unseen_since_ns(self) -> int:
-        """Since when a caller that is accepted now may have waited."""
+        """Since when the caller that is being accepted may have waited."""
         assert self._listener is not None
-        return self.loop.unseen_since_ns(self._listener.sock.fileno())
+        return self._listener.waited_since_ns
 
     def address(self) -> Address:
         """Where the door is open."""
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -15,7 +15,8 @@
 from ladderhub import interface as api
 from ladderhub.decide import Scheduler
 from ladderhub.loop import Loop
-from ladderhub.loop.stream import ACCEPT_MOST, Address
+from ladderhub.loop.listener import ACCEPT_MOST
+from ladderhub.loop.stream import Address
 from ladderhub.platform.config import OWN_DESCRIPTORS, Config, ConfigError, address_of, load
 from ladderhub.platform.follower import Follower
 from ladderhub.platform.links import Links
