A stop or a start is not ended by the signals that come with it

Cause: as the interpreter ends it gives handled signals back their default action, so a SIGHUP or second SIGTERM in that moment kills the process, which looks like a crash. The same holds before the handlers are there, while modules are loaded.

Evidence: test_process.py -k signals, two tests, failed before with status -1, pass now.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -137,6 +137,12 @@
         self._signals[number] = call
         signal.signal(number, lambda *_: None)
 
+    def ignore_signals(self) -> None:
+        """From now on the signals that were handled are ignored, also while the interpreter ends: it would
+        give them back the action that ends the process."""
+        for number in self._signals:
+            signal.signal(number, signal.SIG_IGN)
+
     def _read_signals(self, _: int) -> None:
         assert self._wake is not None
         try:
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -251,6 +251,7 @@
     loop.on_signal(signal.SIGTERM, lambda: service[0].stop())
     loop.on_signal(signal.SIGINT, lambda: service[0].stop())
     loop.on_signal(signal.SIGHUP, lambda: service[0].reload())
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
     try:
         config = load(os.environ)
         service.append(Service(loop, config, report))
@@ -264,6 +265,7 @@
     gc.collect()
     gc.freeze()
     loop.run()
+    loop.ignore_signals()
     if service[0].failed is not None:
         print(f"ladderhub: PROXY_LISTEN: {service[0].failed}", file=sys.stderr)
         sys.exit(1)
--- a/tests/platform/process_bed.py
+++ b/tests/platform/process_bed.py
@@ -6,8 +6,9 @@
 import os
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 from ladderhub.lab.ports import free_port
 from ladderhub.loop import Loop
@@ -21,32 +22,56 @@
 class ProcessBed:
     """One scheduler process with its machines; `door` is where its owners connect."""
 
-    def __init__(self, folder: Path, *scripts: Script, sockets: int = 1024) -> None:
+    def __init__(
+        self, folder: Path, *scripts: Script, sockets: int = 1024,
+        journal: Callable[[ProcessBed], str] | None = None,
+    ) -> None:  # fmt: skip
+        """`journal` starts a journal service and gives its address; without it there is none to reach."""
         self.loop = Loop()
         self.heard: list[tuple[Machine, Message]] = []  # by all machines, in order
         self.machines = [Machine(self, f"m{at}", script) for at, script in enumerate(scripts)]
         self.door = ("127.0.0.1", free_port())
-        path = folder / "config.json"
+        self.config_path = folder / "config.json"
         known = event(1, *(machine.row() for machine in self.machines), full=True)
         file = {
-            "journal": f"127.0.0.1:{free_port()}", "settings": settings(), "seed": "0a",
-            "limits": {"sockets": sockets}, "known": {"pos": 1, "entries": [known]},
+            "journal": journal(self) if journal is not None else f"127.0.0.1:{free_port()}",
+            "settings": settings(), "seed": "0a", "limits": {"sockets": sockets},
+            "known": {"pos": 1, "entries": [known]},
         }  # fmt: skip
-        path.write_text(json.dumps(file))
+        self.config_path.write_text(json.dumps(file))
+        self._folder = folder
+        self._logs: list[IO[str]] = []
+        self.children: list[subprocess.Popen[bytes]] = []
+        self._count = 0
+        self.owners: list[Owner] = []
+        self.start()
+        self.run(self.ready)
+
+    def start(self) -> None:
+        """Start a process; beside one that serves, it waits for the address."""
         environment = os.environ | {
-            "PROXY_NAME": "n0", "PROXY_LISTEN": ":".join(map(str, self.door)), "PROXY_CONFIG": str(path),
+            "PROXY_NAME": "n0", "PROXY_LISTEN": ":".join(map(str, self.door)),
+            "PROXY_CONFIG": str(self.config_path),
         }  # fmt: skip
         argv = [sys.executable, "-m", "ladderhub", "platform"]
-        self._log = (folder / "log").open("w+")
-        self.child = subprocess.Popen(argv, cwd=ROOT, env=environment, stderr=self._log)
-        self.run(lambda: "ready" in self.log())
-        self._count = 0
-        self.owners: list[Owner] = []
+        self._logs.append((self._folder / f"log-{len(self._logs)}").open("w+"))
+        self.children.append(subprocess.Popen(argv, cwd=ROOT, env=environment, stderr=self._logs[-1]))
+
+    @property
+    def child(self) -> subprocess.Popen[bytes]:
+        """The process that serves: the first that has not ended, or the last."""
+        return next((each for each in self.children if each.poll() is None), self.children[-1])
+
+    def ready(self) -> bool:
+        """Whether the process that was started last serves."""
+        self._logs[-1].seek(0)
+        return '"ready"' in self._logs[-1].read()
 
     def log(self) -> str:
-        """What the scheduler has written so far."""
-        self._log.seek(0)
-        return self._log.read()
+        """What the processes have written so far, one behind the other."""
+        for log in self._logs:
+            log.seek(0)
+        return "".join(log.read() for log in self._logs)
 
     def run(self, until: Any) -> None:
         """Turn the test's own loop until something is so."""
@@ -73,9 +98,11 @@
 
     def close(self) -> None:
         """End the scheduler and everything around it."""
-        self.child.kill()
-        self.child.wait()
-        self._log.close()
+        for child in self.children:
+            child.kill()
+            child.wait()
+        for log in self._logs:
+            log.close()
         for machine in self.machines:
             machine.die()
         for owner in self.owners:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -17,12 +17,13 @@
 
 from ladderhub.loop import Listener, Stream
 from ladderhub.signalling import Kind, Message
-from tests.platform.bed import MS, Machine, MachineConn, Owner, release
+from tests.platform.bed import MS, S, Machine, MachineConn, Owner, release
 from tests.platform.process_bed import ProcessBed
 
 MACHINES, OWNERS = 12, 5
 STEPS = 260  # drawn operations; some ten milliseconds apart
 BURST_MOST, CROWD = 12, 250
+CUT_NS = S  # by then a machine must have been told of a task that its owner ended
 CROSSING_NS = 50 * MS  # a set-up may cross the close of its connection for so long, by the protocol
 FULL, ERROR, CUT, DONE = 34, 47, 41, 16
 
@@ -35,6 +36,7 @@
     unsafe: bool
     left_ms: int = 0
     withdrawn: bool = False  # its owner cancelled it, closed or sent it again: no answer is owed
+    cancelled_ns: int = 0
     accepted: list[str] = field(default_factory=list)  # machines that said yes
     ended: bool = False  # its machine told its end
 
@@ -58,10 +60,11 @@
         now = self.bed.loop.now_ns()
         self.asked_ns.update((setup.id, now) for setup in setups)
 
-    def crossed(self) -> list[str]:
+    def crossed(self, withdrawn: Callable[[str], bool]) -> list[str]:
         """Set-ups that crossed the close of a connection with none open on it: these are sent again, once."""
         told = {message.id for message in self.got}
-        open_ = {id: at_ns for id, at_ns in self.asked_ns.items() if id not in told}
+        waits = [id for id in self.asked_ns if id not in told and not withdrawn(id)]
+        open_ = {id: self.asked_ns[id] for id in waits}
         if not self.closed or any(at_ns < self.closed_ns - CROSSING_NS for at_ns in open_.values()):
             return []
         return list(open_)
@@ -72,14 +75,19 @@
 
     def __init__(self, folder: Path, seed: int) -> None:
         self.draw = random.Random(seed)
+        self.terminated_ns = 0
+        self.trace: list[str] = []
         self.modes = {f"m{at}": "yes" for at in range(MACHINES)}
         self.records: dict[str, Record] = {}
         self.standing: dict[str, tuple[Machine, MachineConn]] = {}
-        self.bed = ProcessBed(folder, *[self._hear] * MACHINES)
+        self.bed = self.make_bed(folder)
         self.owners = [SoakOwner(self.bed) for _ in range(OWNERS)]
         self.gone: list[SoakOwner] = []
         self.open: dict[SoakOwner, list[str]] = {owner: [] for owner in self.owners}
 
+    def make_bed(self, folder: Path) -> ProcessBed:
+        return ProcessBed(folder, *[self._hear] * MACHINES)
+
     # --- machines -----------------------------------------------------------------------------------------
 
     def _hear(self, conn: MachineConn, message: Message) -> None:
@@ -105,6 +113,9 @@
                 self.standing[id] = (machine, conn)  # it will be told on the next connection
                 return
             conn = machine.conns[-1]
+        self._tell_end(machine, conn, id)
+
+    def _tell_end(self, machine: Machine, conn: MachineConn, id: str) -> None:
         conn.say(release(id, DONE))
         self.records[id].ended = True
 
@@ -137,9 +148,10 @@
         return setup
 
     def _cancel(self, owner: SoakOwner) -> None:
-        if self.open[owner]:
+        if self.open[owner] and not owner.closed:
             id = self.draw.choice(self.open[owner])
             self.records[id].withdrawn = True
+            self.records[id].cancelled_ns = self.bed.loop.now_ns()
             owner.say(Message(Kind.RELEASE, id, DONE))
 
     def _leave(self, owner: SoakOwner) -> None:
@@ -151,22 +163,29 @@
     def _come_again(self, owner: SoakOwner) -> SoakOwner:
         """A new connection in place of one that has ended: one that says nothing for a while is closed."""
         again = SoakOwner(self.bed)
-        self.gone.append(owner)
-        self.owners.remove(owner)
-        self.owners.append(again)
+        if owner in self.owners:
+            self.gone.append(owner)
+            self.owners.remove(owner)
+            self.owners.append(again)
+        else:
+            self.gone.append(again)
         self.open[again] = []
         return again
 
     def _send_again(self) -> None:
         """Set-ups that crossed the close of their connection go over new ones, under new ids."""
-        for owner in [each for each in self.owners if each.crossed()]:
-            crossed = [self.records[id] for id in owner.crossed()]
+        ended = [owner for owner in [*self.owners, *self.gone] if owner.closed and owner.asked_ns]
+        for owner in ended:
+            crossed = [self.records[id] for id in owner.crossed(lambda id: self.records[id].withdrawn)]
+            owner.asked_ns.clear()
+            if not crossed:
+                continue
             for record in crossed:
                 record.withdrawn = True
-            owner.asked_ns.clear()
-            if self.bed.child.poll() is not None:
+            try:
+                again = self._come_again(owner)
+            except ConnectionRefusedError:
                 continue  # nobody is there to take them
-            again = self._come_again(owner)
             setups = [self._setup(record.unsafe, record.left_ms) for record in crossed]
             self.open[again] += [setup.id for setup in setups]
             again.ask(setups)
@@ -179,9 +198,12 @@
             self._send_again()
 
     def _pause(self) -> None:
-        os.kill(self.bed.child.pid, signal.SIGSTOP)
+        child = self.bed.child
+        self.note("pause")
+        child.send_signal(signal.SIGSTOP)
         self._turn(self.draw.randrange(1, 150))
-        os.kill(self.bed.child.pid, signal.SIGCONT)
+        child.send_signal(signal.SIGCONT)
+        self.note("goes on")
 
     def _step(self) -> None:
         owner, machine = self.draw.choice(self.owners), self.draw.choice(self.bed.machines)
@@ -217,6 +239,8 @@
 
     def terminate(self) -> None:
         """SIGTERM, with set-ups that go on for a while, until the process has ended."""
+        self.terminated_ns = self.bed.loop.now_ns()
+        self.note("SIGTERM")
         self.bed.child.send_signal(signal.SIGTERM)
         for _ in range(10):
             self._ask(self.draw.choice(self.owners), 3)
@@ -236,12 +260,34 @@
         (folder / "owners").write_text("\n".join(got) + "\n")
         told = [f"{each}" for each in self.records.values()]
         (folder / "records").write_text("\n".join(told) + "\n")
+        (folder / "asked").write_text("".join(self._asked_rows()))
+        (folder / "trace").write_text("\n".join(self.trace) + "\n")
+
+    def note(self, text: str) -> None:
+        """Keep what was done, with the time in milliseconds as the log has it."""
+        self.trace.append(f"{self.bed.loop.now_ns() // MS} {text}")
+
+    def _asked_rows(self) -> list[str]:
+        """When each set-up was written and its connection ended, in milliseconds after SIGTERM."""
+        rows = []
+        for at, owner in enumerate([*self.owners, *self.gone]):
+            closed_ms = (owner.closed_ns - self.terminated_ns) / MS if owner.closed else None
+            for id, asked_ns in owner.asked_ns.items():
+                rows.append(f"{at} {id} asked {(asked_ns - self.terminated_ns) / MS} closed {closed_ms}\n")
+        return rows
+
+    def _left_standing(self, record: Record) -> bool:
+        """Whether its machine was not told in time that its owner ended it."""
+        in_time = 0 < record.cancelled_ns < self.terminated_ns - CUT_NS
+        return in_time and len(record.accepted) == 1 and record.id in self.standing
+
+    def statuses(self) -> list[int | None]:
+        """With which the process ended."""
+        return [self.bed.child.returncode]
 
     def faults(self) -> list[str]:
         """What the rules forbid and was seen."""
-        found = []
-        if self.bed.child.returncode != 0:
-            found.append(f"ended with status {self.bed.child.returncode}")
+        found = [f"ended with status {status}" for status in self.statuses() if status != 0]
         answered: Counter[str] = Counter()
         released: Counter[str] = Counter()
         for owner in [*self.owners, *self.gone]:
@@ -254,6 +300,8 @@
                 found.append(f"{record.id}: no answer")
             if record.ended and answered[record.id] and not record.withdrawn and not released[record.id]:
                 found.append(f"{record.id}: its end was not told")
+            if answered[record.id] and self._left_standing(record):
+                found.append(f"{record.id}: its owner ended it, and it stands")
             if record.unsafe and len(record.accepted) > 1:
                 found.append(f"{record.id}: ran at {record.accepted}")
         own_faults = ('"trouble"', '"unanswered"')
--- /dev/null
+++ b/tests/platform/soak_journal.py
@@ -0,0 +1,82 @@
+"""A journal service for soaks: it keeps its events, serves `tail N`, and can break off or fall silent."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ladderhub.lab.ports import own_host
+from ladderhub.loop import Listener, Loop, Stream
+from tests.platform.bed import S, event
+
+TOLD_LATE_NS = 4 * S  # an event counts as told so long after a break of the service at the latest
+
+
+class SoakJournal:
+    """Events are kept from the second on; the first is in the scheduler's configuration."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.events: list[bytes] = []
+        self.broken_since_ns: int | None = None
+        self._tails: list[Stream] = []
+        self._asked: dict[Stream, bytes] = {}
+        self.listeners = [Listener(loop, (own_host(), 0), self._accept) for _ in range(2)]
+        self.addresses = [":".join(map(str, listener.address)) for listener in self.listeners]
+        loop.call_later(S, self._second)
+
+    def _accept(self, sock: Any) -> None:
+        self._asked[Stream(self.loop, sock, self)] = b""
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        self._asked[stream] += data
+        if self.broken_since_ns is None and self._asked[stream].endswith(b"\n"):
+            self._serve(stream)
+
+    def _serve(self, stream: Stream) -> None:
+        last = int(self._asked[stream].split()[-1])
+        self._tails.append(stream)
+        for line in self.events[max(0, last - 1) :]:
+            stream.write(line)
+
+    def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+        self._asked.pop(stream, None)
+        if stream in self._tails:
+            self._tails.remove(stream)
+
+    def _second(self) -> None:
+        self.loop.call_later(S, self._second)
+        self._write(b"%d\n" % (len(self.events) + 1))
+
+    def _write(self, line: bytes) -> None:
+        if self.broken_since_ns is None:
+            for stream in list(self._tails):
+                stream.write(line)
+
+    def tell(self, row: dict[str, Any]) -> int:
+        """Add an event; the time by which it counts as told."""
+        self.events.append(json.dumps(event(len(self.events) + 2, row)).encode() + b"\n")
+        self._write(self.events[-1])
+        now = self.loop.now_ns()
+        return now if self.broken_since_ns is None else max(now, self.broken_since_ns + TOLD_LATE_NS)
+
+    def fail(self, resets: bool) -> None:
+        """Fall silent; with `resets`, break off the connections too."""
+        self.broken_since_ns = self.loop.now_ns()
+        for stream in list(self._asked) if resets else []:
+            stream.abort()
+
+    def recover(self) -> None:
+        """Serve again: whoever is connected gets what it missed."""
+        self.broken_since_ns = None
+        for stream, asked in list(self._asked.items()):
+            if stream in self._tails:
+                stream.abort()  # what it was told is not known any more: it asks again
+            elif asked.endswith(b"\n"):
+                self._serve(stream)
+
+    def close(self) -> None:
+        for listener in self.listeners:
+            listener.close()
+        for stream in list(self._asked):
+            stream.abort()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -111,3 +111,46 @@
     child.send_signal(signal.SIGTERM)
     assert "stopped" in events and child.wait(20) == 0
     child.stderr.close()
+
+
+def test_signals_until_the_last_moment_of_a_stop_end_no_process_by_a_signal(tmp_path: Path) -> None:
+    # Guards against a stop that counts as a crash: the interpreter resets its handlers as it ends.
+    child, _ = start(tmp_path)
+    assert child.stderr is not None
+    while "ready" not in child.stderr.readline():
+        pass
+    child.send_signal(signal.SIGTERM)
+    while "stopped" not in child.stderr.readline():
+        pass
+    while child.poll() is None:
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            child.send_signal(number)
+    assert child.returncode == 0
+
+
+SLOW_IMPORT = """
+import os, sys, time
+
+class SlowFinder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "msgspec":
+            open(os.environ["IMPORTS"], "w").close()
+            while not os.path.exists(os.environ["GOES_ON"]):
+                time.sleep(0.001)
+
+sys.meta_path.insert(0, SlowFinder())
+"""
+
+
+def test_signals_while_a_process_starts_are_kept_until_it_can_act_on_them(tmp_path: Path) -> None:
+    # Guards against a start that a new configuration ends, as it comes while modules are loaded.
+    (tmp_path / "sitecustomize.py").write_text(SLOW_IMPORT)
+    imports, goes_on = tmp_path / "imports", tmp_path / "goes_on"
+    child, _ = start(tmp_path, PYTHONPATH=str(tmp_path), IMPORTS=str(imports), GOES_ON=str(goes_on))
+    while not imports.exists():
+        assert child.poll() is None
+    child.send_signal(signal.SIGHUP)
+    child.send_signal(signal.SIGTERM)
+    goes_on.touch()
+    _, log = child.communicate(timeout=60)
+    assert child.returncode == 0 and '"stopped"' in log
