Daemons end with status 0 whatever signals come as they start or stop

Seen: directory, node and scheduler daemon ended with status -15 where a second SIGTERM came as the interpreter ended, and for a moment after they had logged that they were ready.

Change: handlers first, and signals are ignored from the end of the loop on.

--- a/ladderhub/cli/daemons.py
+++ b/ladderhub/cli/daemons.py
@@ -35,6 +35,9 @@
     processor = ProcessorTime()
     log = set_up_log(settings.file.log.format, settings.file.log.level, processor)
     loop = AccountedLoop(processor)
+    # The loop keeps signals until it runs, by when there is a daemon.
+    loop.on_signal(signal.SIGTERM, lambda: daemon.shut())
+    loop.on_signal(signal.SIGINT, lambda: daemon.shut())
     try:
         daemon = Daemon(loop, settings, log)
         count = daemon.metrics
@@ -63,9 +66,8 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     daemon.on_end = loop.stop
-    loop.on_signal(signal.SIGTERM, daemon.shut)
-    loop.on_signal(signal.SIGINT, daemon.shut)
     loop.run()
+    loop.ignore_signals()
 
 
 @click.command("platform")
@@ -118,7 +120,6 @@
     except (ResourceError, OSError, ValueError) as fault:
         click.echo(f"ladderhub: cannot start: {fault}", err=True)
         sys.exit(1)
-    log.info("ready", node=name, address=agent.advertise)
 
     def end() -> None:
         agent.send_away()
@@ -126,7 +127,9 @@
 
     loop.on_signal(signal.SIGTERM, end)
     loop.on_signal(signal.SIGINT, end)
+    log.info("ready", node=name, address=agent.advertise)
     loop.run()
+    loop.ignore_signals()
     agent.close()
 
 
@@ -153,12 +156,13 @@
     except OSError as fault:
         click.echo(f"ladderhub: cannot start: {fault}", err=True)
         sys.exit(1)
-    log.info("ready", address="{}:{}".format(*service.address))
     loop.on_signal(signal.SIGTERM, loop.stop)
     loop.on_signal(signal.SIGINT, loop.stop)
     if stats is not None:
         loop.on_signal(signal.SIGUSR1, lambda: _write_whole(stats, msgspec.json.encode(service.stats())))
+    log.info("ready", address="{}:{}".format(*service.address))
     loop.run()
+    loop.ignore_signals()
     if stats is not None:
         _write_whole(stats, msgspec.json.encode(service.stats()))
 
