A stop closes each owner's connection only right after a look at what lies there

A set-up that came between the last look and the close was closed over, and lost where it had lain there for over the 50 ms that a set-up may cross a close.

Change: each connection is looked at as it is closed; where something lies there the stop waits for another look. Nothing is read between the two closes, so their order matters to no end.

Evidence: test_stop.py -k written_after_the_last_look failed before, passes now.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -127,7 +127,17 @@
             "unread": sum(conn.stream.unread() for conn in conns),
         }
 
+    def close_read(self) -> bool:
+        """Close the connections on which nothing lies unread; whether these were all.
+
+        Danger: a set-up may come between a look at all of them and the close, and would be lost with it."""
+        for conn in list(self._conns):
+            if conn.idle():
+                conn.shut("stopping")
+        return not self._conns
+
     def close(self) -> None:
+        """Close all of them, over whatever is open."""
         for conn in [*self._conns, *self._closing]:
             conn.shut("stopping")
             conn.stream.close()
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -190,15 +190,17 @@
         # An end that lies unread now could not be told once the owners' connections are closed.
         self.links.look()
         owed = {"answers": self.tasks.open} | self.door.owes() | {"to_machines": self.links.unsent()}
-        if now < self._until_ns + STOP_EARLY_NS // 2 and (any(owed.values()) or not self._quiet):
+        latest_ns = self._until_ns + STOP_EARLY_NS // 2
+        if now < latest_ns and (any(owed.values()) or not self._quiet):
             # One look more after the last answer: closing over what its owner says to it would reset it.
             self._quiet = not any(owed.values())
             self._loop.call_later(LOOK_NS, self._look_settled)
             return
-        # Machines first: an end that is heard after the owners' connections are closed could not be told, and
-        # its machine tells it again only on the next connection that is opened.
-        self.links.close()
+        if now < latest_ns and not self.door.close_read():
+            self._loop.call_later(LOOK_NS, self._look_settled)
+            return
         self.door.close()
+        self.links.close()
         self._report.line("stopped", **owed)
         self._loop.stop()
 
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -88,6 +88,31 @@
     assert stopped(bed)
 
 
+def test_a_set_up_written_after_the_last_look_and_before_the_close_is_answered(
+    beds: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against closing over a set-up that came while connections to machines were being closed.
+    bed = beds(yes)
+    owner, other = Owner(bed), Owner(bed)
+    asked = bed.setup()
+    bed.service.stop()
+    bed.run(span_ns=STILL_COMING_NS - 20 * MS)
+    bed.service.door.settle()
+    bed.service._quiet = True  # the look before found that nothing was owed
+
+    def ask_late() -> int:
+        owner.say(asked)
+        return 0
+
+    monkeypatch.setattr(bed.service.links, "unsent", ask_late)
+    bed.service._look_settled()
+    monkeypatch.undo()
+    bed.run(lambda: owner.said(Kind.RELEASE))
+    assert owner.said(Kind.RELEASE)[0].cause in HARMLESS
+    bed.run(span_ns=200 * MS)
+    assert stopped(bed) and owner.closed and other.closed
+
+
 @pytest.mark.parametrize("klass", ["web", "bill"])
 def test_what_is_open_when_time_is_up_is_answered_before_sigkill_may_come(beds: Any, klass: str) -> None:
     # The bound follows from the settings: the longest deadline, taken as 3 s where it is longer.
