--- a/tests/platform/soak_service.py
+++ b/tests/platform/soak_service.py
@@ -18,7 +18,7 @@
 from tests.platform.bed import MS, Machine, MachineConn, release
 from tests.platform.process_bed import ProcessBed
 from tests.platform.soak import DONE, MACHINES, Play, SoakOwner, judged, main
-from tests.platform.soak_journal import SoakJournal
+from tests.platform.soak_journal import TOLD_LATE_NS, SoakJournal
 from tests.platform.soak_resets import reset
 
 STEPS = 120
@@ -27,6 +27,7 @@
 CROWD_MOST = 200  # callers that connect at once
 DRAIN_GRACE_NS = 500 * MS  # of the settings
 SLACK_NS = 50 * MS  # of each time limit
+CONNECTING_NS = 200 * MS  # to the journal service, with a refusal between
 STILL_COMING_MS = 700  # after SIGTERM new connections come for 0.2 to 0.4 s, set-ups on open ones go on
 KILL_MS = STILL_COMING_MS + 3000  # SIGKILL comes no sooner: the longest deadline counts as 3 s at most
 RESTART_ROUNDS = 400
@@ -100,10 +101,20 @@
         if self.journal.broken_since_ns is None:
             self.journal.fail(resets=self.more.random() < 0.5)
             self.note("journal fails")
+            self._forgive_untold()
         else:
             self.note("journal recovers")
             self.journal.recover()
 
+    def _forgive_untold(self) -> None:
+        """What was told a moment before a break, as a process was connecting anew, is told by the break's own
+        rule: no later than 4 s after it began."""
+        now = self.bed.loop.now_ns()
+        allowed_ns = DRAIN_GRACE_NS + SLACK_NS
+        for name, until_ns in self.forbidden_ns.items():
+            if now - CONNECTING_NS < until_ns - allowed_ns <= now:
+                self.forbidden_ns[name] = now + TOLD_LATE_NS + allowed_ns
+
     # --- signals ------------------------------------------------------------------------------------------
 
     def _reload(self) -> None:
