Test callers share the system's range of ports with each other

Cause: test callers bind 127.0.0.1 with a port that is free for all destinations, and the kernel remembers each for a minute: 41,529 such were counted just then, in a range of 28,232 ports. With none left to spare, the port that a test's listener gave up was given to a caller at once. Nothing of the product is concerned.

Change: callers' ports need be free for their destination alone (IP_BIND_ADDRESS_NO_PORT); the test's listener is on the process's own loopback address, as others are.

--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -22,6 +22,7 @@
 START_NS = 1_700_000_000 * S
 HARMLESS = (34, 42, 102)  # causes that promise that nothing ran
 CLASSES = [("web", "read_like", 9000), ("bill", "non_idempotent", 3000)]
+IP_BIND_ADDRESS_NO_PORT = 24  # of Linux; Python names it from 3.12 on
 Script = Callable[["MachineConn", Message], None]
 
 
@@ -123,6 +124,16 @@
     """Say nothing to anything."""
 
 
+def connect_from(source: str, door: tuple[str, int]) -> socket.socket:
+    """A connection from this address.  Its port need not be free for all destinations: callers by the thousand,
+    which the kernel remembers for a minute, would use up the range."""
+    sock = socket.socket()
+    sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+    sock.bind((source, 0))
+    sock.connect(door)
+    return sock
+
+
 class Owner:
     """One connection of an owner."""
 
@@ -130,8 +141,7 @@
         self.reader, self.polite = LineReader(), polite
         self.got: list[Message] = []
         self.closed = False
-        sock = socket.create_connection(bed.door, source_address=(source, 0))
-        self.stream = Stream(bed.loop, sock, self)
+        self.stream = Stream(bed.loop, connect_from(source, bed.door), self)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         found, fault = self.reader.feed(data)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from ladderhub.lab.ports import free_port
+from ladderhub.lab.ports import free_port, own_host
 from ladderhub.signalling import Kind, Message, encode_line
 from tests.platform.bed import HARMLESS
 from tests.platform.bed import Owner, S
@@ -101,7 +101,7 @@
     # Guards against a restart that dies of the process before it, which has not quite ended.
     with socket.socket() as holder:
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(("127.0.0.1", 0))
+        holder.bind((own_host(), 0))  # no caller of other tests is given this address and port
         holder.listen()
         child, _ = start(tmp_path, PROXY_LISTEN=":".join(map(str, holder.getsockname())))
         assert child.stderr is not None
