--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -125,8 +125,8 @@
 
 
 def connect_from(source: str, door: tuple[str, int]) -> socket.socket:
-    """A connection from this address.  Its port need not be free for all destinations: callers by the thousand,
-    which the kernel remembers for a minute, would use up the range."""
+    """A connection from this address.  Its port need not be free for all destinations: callers by the
+    thousand, which the kernel remembers for a minute, would use up the range."""
     sock = socket.socket()
     sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
     sock.bind((source, 0))
--- a/tests/platform/test_waited.py
+++ b/tests/platform/test_waited.py
@@ -80,6 +80,21 @@
     assert not [row for row in bed.logged if row["event"] == "unanswered"]
 
 
+def test_a_clock_that_moves_as_a_set_up_is_taken_makes_its_time_no_longer(beds: Any) -> None:
+    bed = beds(never)
+    tasks = bed.service.tasks
+    take = tasks.take
+
+    def take_slowly(*args: Any) -> Any:
+        bed.clock.advance(400 * MS)
+        return take(*args)
+
+    tasks.take = take_slowly
+    Owner(bed).say(bed.setup("bill", left=2000))
+    bed.run(lambda: passed_on_ms(bed))
+    assert max(passed_on_ms(bed)) <= 2000 - 400 + SLACK_MS
+
+
 @pytest.fixture
 def process_beds(tmp_path: Path) -> Iterator[Any]:
     made: list[ProcessBed] = []
