A set-up's time ends by when it may have come, at one look at the clock

A pause between the reckoning of what a set-up had waited and the moment in which its end was set made its time longer by the pause.

Change: the end is the moment since when the set-up may have been there plus what its owner gave it. Evidence: test_waited.py -k moves_as_a_set_up_is_taken failed before (1,999 ms passed on of 1,600 left), passes now.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -7,7 +7,6 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import replace
 
 from ladderhub import interface as api
 from ladderhub.loop import Listener, Loop
@@ -272,8 +271,7 @@
             self.report.count("setups")
             # Danger: the owner counts from when it sent, not from when a busy scheduler read it.  Harm: of a
             # set-up that came late in the time between two looks a little is taken too much.
-            lain_ns = self.loop.now_ns() - conn.read_ns
-            task = self.tasks.take(conn, replace(asked, left_ns=max(1, asked.left_ns - lain_ns)))
+            task = self.tasks.take(conn, asked, conn.read_ns + asked.left_ns)
             # Danger: the owner may go while its task is being placed, and its close must find the task.
             conn.open[message.id] = task
             self.tasks.place(task)
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -78,9 +78,10 @@
     def find(self, id: str) -> Task | None:
         return self._by_id.get(id)
 
-    def take(self, line: OwnerLine, asked: Asked) -> Task:
-        """Take a set-up; its answer is owed from here on.  `place` is due once its line knows of it."""
-        task = self._new(line, asked)
+    def take(self, line: OwnerLine, asked: Asked, until_ns: int) -> Task:
+        """Take a set-up; its answer is owed from here on, until `until_ns`.  `place` is due once its line
+        knows of it."""
+        task = self._new(line, asked, until_ns)
         task.leg.step(Step.SETUP)
         self.open += 1
         task.backstop = self._loop.call_at(task.until_ns, self._no_answer, task)
@@ -99,7 +100,7 @@
 
     def adopt(self, line: OwnerLine, asked: Asked) -> Task:
         """A task that stands already and is now this scheduler's to look after."""
-        task = self._new(line, asked)
+        task = self._new(line, asked, self._loop.now_ns())  # nobody waits for it
         task.leg.step(Step.HANDED)
         task.offer = offer = self._offer(task, asked.machine, task.until_ns)
         self._tell(AtHandling(lambda now: api.TaskOpen(self._asked_event(task, now), asked.machine)))
@@ -107,8 +108,8 @@
         self._links.hold(offer)
         return task
 
-    def _new(self, line: OwnerLine, asked: Asked) -> Task:
-        task = Task(self._count, asked, line, self._loop.now_ns() + asked.left_ns)
+    def _new(self, line: OwnerLine, asked: Asked, until_ns: int) -> Task:
+        task = Task(self._count, asked, line, until_ns)
         self._count += 1
         self._by_number[task.number] = self._by_id[asked.id] = task
         return task
