--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -15,7 +15,7 @@
 REST_MOST = 16 * 1024 * 1024  # of a broken connection: beyond what any kernel holds unread
 REST_LEAST = 64 * 1024  # what each try to read it counts for, so that the tries end
 # What a call on a good socket may fail with for a moment, as the kernel is busy or short of memory.
-PASSING = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
+TRANSIENT_ERRNOS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 Address = tuple[str, int]
 
 
@@ -102,7 +102,7 @@
             try:
                 sent = self._socket().send(data)
             except OSError as fault:
-                if fault.errno not in PASSING:
+                if fault.errno not in TRANSIENT_ERRNOS:
                     self.fail(fault)
                     return
                 sent = 0
@@ -135,7 +135,7 @@
         try:
             return self._socket().recv(1, socket.MSG_PEEK)
         except OSError as fault:
-            return None if fault.errno in PASSING else b""
+            return None if fault.errno in TRANSIENT_ERRNOS else b""
 
     def read_now(self, most: int) -> None:
         """Hand over what has come, up to about so many bytes, without waiting for the loop's turn and also
@@ -206,7 +206,7 @@
         except BlockingIOError:
             return True
         except OSError as fault:
-            return fault.errno not in PASSING
+            return fault.errno not in TRANSIENT_ERRNOS
 
     def abort(self, fault: BaseException | None = None) -> None:
         """Close now; what was not sent, and what was not read, is dropped."""
@@ -242,7 +242,7 @@
             if events & WRITE:
                 self._flush()
         except OSError as fault:
-            if fault.errno in PASSING:
+            if fault.errno in TRANSIENT_ERRNOS:
                 return
             self.fail(fault)
             return
@@ -262,7 +262,7 @@
                 self.abort(None)
             return len(data)
         except OSError as fault:
-            if fault.errno not in PASSING:
+            if fault.errno not in TRANSIENT_ERRNOS:
                 self.abort(fault)
         except Exception as fault:  # the fault of one connection's handler ends that connection alone
             self.loop.trouble("connection", fault)
--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -41,7 +41,7 @@
         self.early_end: End | None = None  # told on another connection, before the answer was read
 
 
-class Hearer(Protocol):
+class OfferListener(Protocol):
     """Who hears of offers; each offer's end is told once."""
 
     def may_leave(self, offer: Offer) -> bool:
@@ -68,7 +68,7 @@
         """Its time is over; it was given up at the machine."""
 
 
-class Hub(Protocol):
+class ConnOwner(Protocol):
     """The machine's side, to which a connection belongs."""
 
     loop: Loop
@@ -89,7 +89,7 @@
 class Conn:
     """One connection to a machine."""
 
-    def __init__(self, link: Hub) -> None:
+    def __init__(self, link: ConnOwner) -> None:
         self.link = link
         self.reader = BinaryReader()
         self.open: dict[str, Offer] = {}  # set-ups without an answer, by task
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -3,47 +3,20 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from typing import Protocol
 
-from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address, connect
-from ladderhub.platform.conn import Conn, End, Hearer, Offer, refused
+from ladderhub.platform import carrying
+from ladderhub.platform.conn import Conn, End, Offer, refused
 from ladderhub.platform.cuts import Cuts
 from ladderhub.platform.liveness import TEST_NS, Due, Liveness
-from ladderhub.platform.report import Report
+from ladderhub.platform.pool import Pool
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
 from ladderhub.signalling.table import TEST_ASKED
 
-CROSSING_NS = 50_000_000  # a close may cross a set-up for so long, by the protocol
 LATE_MOST = 256  # set-ups given up that are remembered for each machine, for an answer that crosses
 NO_ID = "0" * 16
 
 
-class Pool(Protocol):
-    """The connections to all machines, as one machine's link sees them."""
-
-    loop: Loop
-    report: Report
-    hearer: Hearer
-    connect_ns: int
-    idle_ns: int
-    most: Callable[[], int]
-    spare: Callable[[], int]
-    share: bool
-    count: int
-
-    def make_room(self) -> bool: ...
-
-    def came_up(self, conn: Conn) -> None: ...
-
-    def ended(self, conn: Conn) -> None: ...
-
-    def forget(self, link: Link) -> None: ...
-
-    def on_early(self, machine: str, id: str, end: End) -> None: ...
-
-
 class Link:
     """All that goes to one machine."""
 
@@ -73,8 +46,9 @@
     def send(self, offer: Offer) -> None:
         loop = self.loop
         offer.timer = loop.call_at(offer.until_ns, self._overdue, offer)
-        conn = self._unused(offer)
-        quiet = self.life.quiet_ns(loop.now_ns()) > TEST_NS
+        now = loop.now_ns()
+        conn = carrying.unused(self.conns, offer, now, self.links.idle_ns)
+        quiet = self.life.quiet_ns(now) > TEST_NS
         if quiet and (self.standing or self.life.missed):
             conn = None  # it has not answered a test or a dial: only a new connection tells whether it lives
         if conn is not None and quiet:
@@ -82,47 +56,19 @@
             conn.proof = loop.call_later(self.links.connect_ns, self._unproven, conn)
             self._put(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
         if conn is None and self.links.share and offer.repeatable:
-            conn = self._shared(offer)
+            conn = carrying.shared(self.conns, offer, heard=not quiet)
         if conn is None and self.links.make_room():
             conn = self.dial("setup")
         if conn is None:
-            fit = [each for each in self.conns if each.live() and each.may_carry(offer)]
-            live = [each for each in fit if not each.reader.pending()]
-            if not live:
-                self.report.line("machine.no_descriptor", machine=self.name)
-                loop.call_soon(self._unreached, offer)
-                return
-            conn = min(live, key=lambda each: len(each.open))
+            conn = carrying.crowded(self.conns, offer)
+        if conn is None:
+            self.report.line("machine.no_descriptor", machine=self.name)
+            loop.call_soon(self._unreached, offer)
+            return
         offer.conn = conn
         conn.open[offer.id] = offer
         self._write_waiting(conn, offer)
 
-    def _unused(self, offer: Offer) -> Conn | None:
-        # Danger: the machine closes a connection left idle, and what is written across that may have run.
-        for conn in reversed(self.conns):
-            fit = conn.clean and conn.idle() and conn.proof is None and conn.may_carry(offer)
-            fit = fit and not self._stale(conn)
-            if fit and conn.stream is not None and not conn.stream.ended():
-                return conn
-        return None
-
-    def _stale(self, conn: Conn) -> bool:
-        """Left unused for nearly as long as the machine leaves one open."""
-        idle_ns = self.links.idle_ns
-        return self.loop.now_ns() - conn.used_ns >= max(idle_ns - CROSSING_NS, idle_ns // 2)
-
-    def _shared(self, offer: Offer) -> Conn | None:
-        """A connection, up or coming up, with none but set-ups on it that may be lost with others."""
-        heard = self.life.quiet_ns(self.loop.now_ns()) <= TEST_NS
-        fit: list[Conn] = []
-        for conn in self.conns:
-            waits = not conn.live() or conn.proof is not None  # nothing is written yet
-            fresh = conn.clean and not conn.leaving and conn.may_carry(offer)
-            usable = fresh and not conn.reader.pending() and (waits or heard)
-            if usable and conn.open and all(other.repeatable for other in conn.open.values()):
-                fit.append(conn)
-        return min(fit, key=lambda conn: len(conn.open)) if fit else None
-
     def _unproven(self, conn: Conn) -> None:
         """No test passed in the time that a new connection would have had to come up."""
         conn.look()
@@ -159,7 +105,7 @@
                 return
             # What is heard when it is asked for may end it, or others, or write them.
             waits = conn.open.get(offer.id) is offer and not offer.written
-            if waits and self.links.hearer.may_leave(offer) and conn.writable():
+            if waits and self.links.listener.may_leave(offer) and conn.writable():
                 self._write(conn, offer)
 
     def _write(self, conn: Conn, offer: Offer) -> None:
@@ -168,7 +114,7 @@
         left_ms = (offer.until_ns - self.loop.now_ns()) // 1_000_000
         if self.shut or left_ms <= 0:
             self._end(offer)
-            self.links.hearer.on_unsent(offer)
+            self.links.listener.on_unsent(offer)
             return
         offer.setup.values[Code.WAIT] = str(left_ms)
         offer.leg.step(Step.SETUP)
@@ -192,7 +138,7 @@
     def _unreached(self, offer: Offer) -> None:
         if offer.leg.state is State.IDLE and offer.timer is not None and offer.timer.call is not None:
             self._end(offer)
-            self.links.hearer.on_unreached(offer)
+            self.links.listener.on_unreached(offer)
 
     def _overdue(self, offer: Offer) -> None:
         conn = offer.conn
@@ -202,7 +148,7 @@
                 return
         written = offer.written
         self.give_up(offer)
-        (self.links.hearer.on_overdue if written else self.links.hearer.on_unsent)(offer)
+        (self.links.listener.on_overdue if written else self.links.listener.on_unsent)(offer)
 
     def give_up(self, offer: Offer) -> None:
         """Nothing more is wanted of a set-up without an answer; what still comes of it is put right here."""
@@ -230,7 +176,7 @@
         for conn in self.conns:
             for offer in [each for each in conn.open.values() if not each.written]:
                 self._end(offer)
-                self.links.hearer.on_unsent(offer)
+                self.links.listener.on_unsent(offer)
 
     # --- standing tasks -----------------------------------------------------------------------------------
 
@@ -309,14 +255,14 @@
         self.cuts.clear()
         for offer in lost:
             offer.leg.step(Step.RELEASE)
-            self.links.hearer.on_broken(offer, why)
+            self.links.listener.on_broken(offer, why)
         if self.gone:
             self._fold()
 
     # --- what comes in ------------------------------------------------------------------------------------
 
     def hear(self, conn: Conn, message: Message) -> None:
-        hearer = self.links.hearer
+        listener = self.links.listener
         if conn.proof is not None:
             conn.proof.cancel()
             conn.proof = None
@@ -332,7 +278,7 @@
                 offer.leg.step(Step.ANSWER)
                 offer.stood = True
                 self.standing[offer.id] = offer
-                hearer.on_answer(offer, message.description)
+                listener.on_answer(offer, message.description)
                 if offer.early_end is not None:
                     self.hear_end(offer.id, offer.early_end)
         elif message.kind is Kind.RELEASE:
@@ -340,7 +286,7 @@
             if offer is not None and offer.written:
                 self._end(offer)
                 offer.leg.step(Step.RELEASE)
-                hearer.on_release(offer, end.cause, end.note)
+                listener.on_release(offer, end.cause, end.note)
             elif message.id in self.standing:
                 self.hear_end(message.id, end)
             elif message.id not in self.late:
@@ -354,7 +300,7 @@
                     figure = math.nan
                 if not math.isfinite(figure):
                     raise SignalError("a note's figure is not a number")
-                hearer.on_note(offer, message.values.get(Code.NOTE), figure)
+                listener.on_note(offer, message.values.get(Code.NOTE), figure)
         elif message.kind is Kind.PING:
             self._put(conn, Message(Kind.PONG, message.id, 1))
 
@@ -364,7 +310,7 @@
         offer = self.standing.pop(id, None)
         if offer is not None:
             offer.leg.step(Step.RELEASE)
-            self.links.hearer.on_release(offer, end.cause, end.note)
+            self.links.listener.on_release(offer, end.cause, end.note)
 
     def _hear_early(self, id: str, end: End) -> None:
         """An end of a task that does not stand yet: its answer lies unread on another connection, or it is
@@ -405,11 +351,11 @@
         for offer in list(conn.open.values()):
             self._end(offer)
             if not offer.written:
-                self.links.hearer.on_unreached(offer)
+                self.links.listener.on_unreached(offer)
             else:
                 offer.leg.step(Step.RELEASE)
                 self._remember_late(offer)
-                self.links.hearer.on_broken(offer, repr(fault)[:80])
+                self.links.listener.on_broken(offer, repr(fault)[:80])
         if not up and refused(fault) and self.standing and not self.conns:
             # Nobody listens there: the process is dead, and its tasks with it.
             self.lose("refused")
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -19,7 +19,7 @@
 
 from ladderhub.loop import Loop
 from ladderhub.loop.stream import Address
-from ladderhub.platform.conn import Conn, End, Hearer, Offer
+from ladderhub.platform.conn import Conn, ConnOwner, End, Offer, OfferListener
 from ladderhub.platform.early import Early
 from ladderhub.platform.link import Link
 from ladderhub.platform.liveness import TEST_NS
@@ -35,10 +35,10 @@
     so set-ups that may be repeated share one."""
 
     def __init__(
-        self, loop: Loop, report: Report, hearer: Hearer, connect_ns: int, idle_ns: int,
+        self, loop: Loop, report: Report, listener: OfferListener, connect_ns: int, idle_ns: int,
         most: Callable[[], int], spare: Callable[[], int], share: bool = False,
     ) -> None:  # fmt: skip
-        self.loop, self.report, self.hearer = loop, report, hearer
+        self.loop, self.report, self.listener = loop, report, listener
         self.connect_ns, self.idle_ns, self.share = connect_ns, idle_ns, share
         self.most, self.spare = most, spare
         self.count = 0
@@ -118,14 +118,14 @@
                 conn.let_go = True
                 conn.stream.abort(None)
 
-    def forget(self, link: Link) -> None:
+    def forget(self, link: ConnOwner) -> None:
         if self._links.get(link.name) is link:
             del self._links[link.name]
 
     def send(self, offer: Offer) -> None:
         link = self._links.get(offer.machine)
         if link is None:
-            self.loop.call_soon(self.hearer.on_unreached, offer)
+            self.loop.call_soon(self.listener.on_unreached, offer)
         else:
             link.send(offer)
 
@@ -134,7 +134,7 @@
         link = self._links.get(offer.machine)
         if link is None or link.gone:
             self.report.line("adopted.nowhere", machine=offer.machine)
-            self.loop.call_soon(self.hearer.on_broken, offer, "not on the list")
+            self.loop.call_soon(self.listener.on_broken, offer, "not on the list")
         else:
             link.hold(offer)
             early = self._early.take(self.loop.now_ns(), (offer.machine, offer.id))
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from ladderhub.platform.carrying import unused
 from ladderhub.platform.conn import Offer
 from ladderhub.signalling import Code, Kind, Message
 from ladderhub.signalling.journal import decode_event
@@ -258,7 +259,8 @@
     bed.run(lambda: len(owner.said(Kind.RELEASE)) == 2)
     bed.run(span_ns=1_940 * MS)
     later = Offer(99, 0, "m0", bed.setup("bill"), bed.clock.now_ns(), bed.clock.now_ns() + S, False)
-    assert bed.service.links.get("m0")._unused(later) is not None  # tests passed on it keep it in use
+    link, now = bed.service.links.get("m0"), bed.clock.now_ns()
+    assert unused(link.conns, later, now, link.links.idle_ns) is not None  # tests passed on it keep it in use
     (line,) = bed.service.links.get("m0").conns
     line.used_ns -= 1_960 * MS
     dials = bed.service.tasks._report.counts["dial.setup"]
