--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -22,6 +23,7 @@
 START_NS = 1_700_000_000 * S
 HARMLESS = (34, 42, 102)  # causes that promise that nothing ran
 CLASSES = [("web", "read_like", 9000), ("bill", "non_idempotent", 3000)]
+LINGER_RESET = struct.pack("ii", 1, 0)
 IP_BIND_ADDRESS_NO_PORT = 24  # of Linux; Python names it from 3.12 on
 Script = Callable[["MachineConn", Message], None]
 
@@ -81,6 +83,13 @@
     def say(self, *messages: Message) -> None:
         self.stream.write(b"".join(encode_binary(message) for message in messages))
 
+    def reset(self) -> None:
+        """Reset the connection; what was said before is on its way already."""
+        sock = self.stream.sock
+        assert isinstance(sock, socket.socket)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self.stream.abort()
+
 
 class Machine:
     """A machine whose `script` answers what it hears."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.platform.bed import Bed
+from tests.platform.process_bed import ProcessBed
 
 
 @pytest.fixture
@@ -22,3 +23,16 @@
     yield make
     for bed in made:
         bed.close()
+
+
+@pytest.fixture
+def process_beds(tmp_path: Path) -> Iterator[Any]:
+    made: list[ProcessBed] = []
+
+    def make(*scripts: Any, **options: Any) -> ProcessBed:
+        made.append(ProcessBed(tmp_path, *scripts, **options))
+        return made[-1]
+
+    yield make
+    for bed in made:
+        bed.close()
--- a/tests/platform/soak_resets.py
+++ b/tests/platform/soak_resets.py
@@ -7,27 +7,15 @@
 
 import os
 import signal
-import socket
-import struct
 import tempfile
 from pathlib import Path
 
-from tests.platform.bed import MachineConn
 from tests.platform.soak import Play, judged, main
 
 STEPS = 40
 ENDS_PAUSED, ENDS_RUNNING = 15, 30
 OFTEN = 0.3
 SETTLE_ROUNDS = 600  # of a millisecond
-LINGER_RESET = struct.pack("ii", 1, 0)
-
-
-def reset(conn: MachineConn) -> None:
-    """The machine resets this connection."""
-    sock = conn.stream.sock
-    assert isinstance(sock, socket.socket)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-    conn.stream.abort()
 
 
 class ResetPlay(Play):
@@ -50,7 +38,7 @@
         self._turn(self.draw.randrange(1, 30))
         conns = [conn for machine in self.bed.machines for conn in machine.conns]
         for conn in self.draw.sample(conns, len(conns) // 2):
-            reset(conn)
+            conn.reset()
         self._turn(self.draw.randrange(1, 30))
         os.kill(self.bed.child.pid, signal.SIGCONT)
 
@@ -62,7 +50,7 @@
                 self._pause()
             machine = self.draw.choice(self.bed.machines)
             if self.draw.random() < OFTEN and machine.conns:
-                reset(self.draw.choice(machine.conns))
+                self.draw.choice(machine.conns).reset()
             self._turn(self.draw.randrange(0, 4))
 
 
--- a/tests/platform/soak_service.py
+++ b/tests/platform/soak_service.py
@@ -19,7 +19,6 @@
 from tests.platform.process_bed import ProcessBed
 from tests.platform.soak import DONE, MACHINES, Play, SoakOwner, judged, main
 from tests.platform.soak_journal import TOLD_LATE_NS, SoakJournal
-from tests.platform.soak_resets import reset
 
 STEPS = 120
 NO_ID = "0" * 16
@@ -195,7 +194,7 @@
         elif what < 0.22:
             conns = [conn for machine in self.bed.machines for conn in machine.conns]
             if conns:
-                reset(self.more.choice(conns))
+                self.more.choice(conns).reset()
 
     def run(self) -> None:
         for _ in range(STEPS):
--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -4,17 +4,13 @@
 
 import os
 import signal
-from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
-import pytest
 
 from ladderhub import interface as api
 from ladderhub.decide.records import Machine, Task
 from ladderhub.signalling import Kind, Message
 from tests.platform.bed import MS, S, Bed, Owner, release, stand, yes
-from tests.platform.process_bed import ProcessBed
 
 DECISION_NS = 10 * MS  # what one placement is made to take on the bed
 EVENT_NS = MS  # any event of the module
@@ -42,19 +38,6 @@
     return owner.said(Kind.ANSWER) + owner.said(Kind.RELEASE)
 
 
-@pytest.fixture
-def process_beds(tmp_path: Path) -> Iterator[Any]:
-    made: list[ProcessBed] = []
-
-    def make(*scripts: Any) -> ProcessBed:
-        made.append(ProcessBed(tmp_path, *scripts))
-        return made[-1]
-
-    yield make
-    for bed in made:
-        bed.close()
-
-
 def test_an_end_does_not_wait_behind_a_crowd_of_set_ups(beds: Any) -> None:
     bed = beds(*[yes] * 8)
     owners = [Owner(bed) for _ in range(4)]
--- a/tests/platform/test_reset.py
+++ b/tests/platform/test_reset.py
@@ -4,26 +4,15 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from typing import Any
 
 from ladderhub.platform.conn import LEAVE_NS
 from ladderhub.signalling import Kind, Message
 from tests.platform.bed import MS, Bed, Machine, MachineConn, Owner, S, never, release, stand, yes
 
-LINGER_RESET = struct.pack("ii", 1, 0)
 DONE, CANCELLED, NORMAL = 16, 31, 16
 
 
-def reset(conn: MachineConn) -> None:
-    """The machine resets this connection; what it said before is on its way already."""
-    sock = conn.stream.sock
-    assert isinstance(sock, socket.socket)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-    conn.stream.abort()
-
-
 def released(owner: Owner, asked: Message) -> bool:
     return asked.id in [each.id for each in owner.said(Kind.RELEASE)]
 
@@ -46,7 +35,7 @@
     (conn,), link = bed.machines[0].conns, bed.service.links.get("m0")
     bed.clock.advance(S)
     now = bed.clock.now_ns()
-    in_one_round(bed, lambda: conn.say(release(asked.id, DONE)), lambda: reset(conn), lambda: link.test(now))
+    in_one_round(bed, lambda: conn.say(release(asked.id, DONE)), conn.reset, lambda: link.test(now))
     assert released(owner, asked)
 
 
@@ -55,7 +44,7 @@
     owner = Owner(bed)
     asked = stand(bed, owner)
     (conn,), (ours,) = bed.machines[0].conns, bed.service.links.get("m0").conns
-    in_one_round(bed, lambda: conn.say(release(asked.id, DONE)), lambda: reset(conn), ours.leave)
+    in_one_round(bed, lambda: conn.say(release(asked.id, DONE)), conn.reset, ours.leave)
     assert released(owner, asked)
 
 
@@ -108,7 +97,7 @@
     in_one_round(
         bed,
         lambda: first.say(Message(Kind.ANSWER, asked.id, None, "runs")),
-        lambda: reset(first),
+        first.reset,
         lambda: second.say(release(asked.id, DONE)),
         read_second_first,
     )
@@ -139,7 +128,7 @@
     bed.run(lambda: len(bed.machines[0].got(Kind.SETUP)) == 2)
     first = next(conn for conn in bed.machines[0].conns if asked.id in [each.id for each in conn.heard])
     other = next(conn for conn in bed.machines[0].conns if conn is not first)
-    reset(first)  # its answer is lost with it, and the task is asked for again
+    first.reset()  # its answer is lost with it, and the task is asked for again
     bed.run(lambda: len([each for each in bed.machines[0].got(Kind.SETUP) if each.id == asked.id]) == 2)
     other.say(release(asked.id, DONE))
     bed.run()
@@ -180,7 +169,7 @@
     owner = Owner(bed)
     asked = stand(bed, owner)
     (conn,) = bed.machines[0].conns
-    reset(conn)
+    conn.reset()
     tasks = bed.service.tasks
     tasks.end_standing(tasks.find(asked.id), NORMAL)  # before the reset is noticed
     bed.run(span_ns=2 * S)
@@ -196,7 +185,7 @@
     bed.machines[0].conns[-1].say(release(asked.id, CANCELLED))
     bed.run()
     for conn in list(bed.machines[0].conns):
-        reset(conn)
+        conn.reset()
     bed.run(span_ns=2 * S)
     assert bed.machines[0].conns and not heard_the_cut(bed.machines[0], other)
     assert [each.id for each in bed.machines[0].got(Kind.RELEASE)] == [asked.id]
--- a/tests/platform/test_waited.py
+++ b/tests/platform/test_waited.py
@@ -5,15 +5,12 @@
 import os
 import signal
 import time
-from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 import pytest
 
 from ladderhub.signalling import Code, Kind, Message
 from tests.platform.bed import MS, START_NS, Bed, MachineConn, Owner, S, never, yes
-from tests.platform.process_bed import ProcessBed
 
 CALLERS = 300  # several times as many as are accepted in a round
 LEFT_MS = 3000
@@ -95,19 +92,6 @@
     assert max(passed_on_ms(bed)) <= 2000 - 400 + SLACK_MS
 
 
-@pytest.fixture
-def process_beds(tmp_path: Path) -> Iterator[Any]:
-    made: list[ProcessBed] = []
-
-    def make(*scripts: Any, **options: Any) -> ProcessBed:
-        made.append(ProcessBed(tmp_path, *scripts, **options))
-        return made[-1]
-
-    yield make
-    for bed in made:
-        bed.close()
-
-
 @pytest.mark.parametrize("callers", [1, 1000])
 def test_a_real_process_that_stood_still_passes_on_no_more_than_its_callers_have_left(
     process_beds: Any, callers: int
