The log tells how long callers waited to be accepted; no extra look at each

What the log did not tell is the time in the accept queue.

Change: accept_ms in each second's line, the longest that a caller may have waited to be accepted.

--- a/ladderhub/loop/listener.py
+++ b/ladderhub/loop/listener.py
@@ -32,6 +32,7 @@
         self.sock.setblocking(False)
         self.address: Address = self.sock.getsockname()
         self.waited_since_ns = self._left_ns = loop.now_ns()
+        self._longest_wait_ns = 0
         self._queue = AcceptQueue(self._left_ns, CAPACITY)
         self._open()
 
@@ -80,6 +81,7 @@
             self.loop.call_later(ACCEPT_REST_NS, self._open)
             return False
         self.waited_since_ns = self._queue.accept()
+        self._longest_wait_ns = max(self._longest_wait_ns, now - self.waited_since_ns)
         try:
             self._accept(sock)
         except Exception as fault:
@@ -87,6 +89,11 @@
             sock.close()
         return True
 
+    def take_longest_wait_ns(self) -> int:
+        """The longest that a caller may have waited to be accepted since the last call, in nanoseconds."""
+        longest_ns, self._longest_wait_ns = self._longest_wait_ns, 0
+        return longest_ns
+
     def accept_waiting(self) -> None:
         """Accept all that connected so far: closing over them would reset what they have sent."""
         for _ in range(BACKLOG):
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -79,6 +79,10 @@
         assert self._listener is not None
         return self._listener.waited_since_ns
 
+    def take_longest_wait_ms(self) -> int:
+        """The longest that a caller may have waited to be accepted since the last call, in milliseconds."""
+        return self._listener.take_longest_wait_ns() // MS if self._listener is not None else 0
+
     def address(self) -> Address:
         """Where the door is open."""
         assert self._listener is not None
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -220,6 +220,7 @@
             "cpu_ms": self._cpu_ms,
             "round_ms": self._round_ms,
             "unread_ms": lambda: self._unread_ms,
+            "accept_ms": self.door.take_longest_wait_ms,
             "unheard": self.door.unheard,
             "held": lambda: len(self.tasks.module.held),
         }
