While callers wait to be accepted, placing has its slices seldom, as for what lies unread

The log's accept_ms shows why nothing in it was late: callers wait up to 4.4 s to be accepted, longer than their set-ups have, on new connections that nobody has read.

Cause: of a process short of time a round gave 10 ms to accepting and as much to placing, though a set-up that waits to be placed is known and can be refused in time, and one on a connection not accepted is not.

Change: callers left to the next round for over 150 ms count like bytes that lie unread that long: placing then has a slice each 60 ms.

Evidence: test_crowd.py -k callers_who_wait failed before (250 callers at 5 ms each accepted after 2.7 s, 2 s allowed), passes now.

--- a/ladderhub/loop/core.py
+++ b/ladderhub/loop/core.py
@@ -56,6 +56,7 @@
         self._first: set[int] = set()
         self._ready_since: dict[int, int] = {}  # descriptors to handle: what waits there came since then
         self._judged: list[tuple[int, Callable[..., object], tuple[Any, ...]]] = []
+        self.rounds = 0  # begun so far
         self._look_ns = self.now_ns()  # all that came before has been seen
         self._round_ns = self._longest_round_ns = self._longest_unread_ns = 0
 
@@ -182,6 +183,7 @@
     def turn(self, most_wait_ns: int = IDLE_WAIT_NS) -> None:
         """One round: wait for what is ready, at most so long, and handle what of it fits into a round; then
         timers that are due, then what was put off."""
+        self.rounds += 1
         wait = most_wait_ns
         judged, self._judged = self._judged, []
         if self._soon or self._ready_since or judged or self._round_ns > ROUND_NS:
--- a/ladderhub/loop/listener.py
+++ b/ladderhub/loop/listener.py
@@ -33,6 +33,7 @@
         self.address: Address = self.sock.getsockname()
         self.waited_since_ns = self._left_ns = loop.now_ns()
         self._longest_wait_ns = 0
+        self._more_in_round = 0  # of the loop: the last one that left callers to the next
         self._queue = AcceptQueue(self._left_ns, CAPACITY)
         self._open()
 
@@ -56,8 +57,14 @@
             if not more:
                 break
         self._left_ns = self.loop.now_ns()
+        self._more_in_round = self.loop.rounds if more else 0
         return more
 
+    def unaccepted_ns(self) -> int:
+        """For how long callers whom this round leaves to the next may have waited; 0 where there are none."""
+        more = self._more_in_round == self.loop.rounds
+        return self.loop.now_ns() - self.waited_since_ns if more else 0
+
     def _look_at_queue(self) -> None:
         unseen_ns = self.loop.unseen_since_ns(self.sock.fileno())
         if unseen_ns > self._left_ns:  # the loop has looked since, and nobody waited
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -79,6 +79,10 @@
         assert self._listener is not None
         return self._listener.waited_since_ns
 
+    def unaccepted_ns(self) -> int:
+        """For how long callers whom this round leaves to the next may have waited; 0 where there are none."""
+        return self._listener.unaccepted_ns() if self._listener is not None else 0
+
     def take_longest_wait_ms(self) -> int:
         """The longest that a caller may have waited to be accepted since the last call, in milliseconds."""
         return self._listener.take_longest_wait_ns() // MS if self._listener is not None else 0
--- a/ladderhub/platform/placing.py
+++ b/ladderhub/platform/placing.py
@@ -23,6 +23,7 @@
 
     def __init__(self, loop: Loop, margin_ns: int, place: Callable[[Task], None]) -> None:
         self._loop, self._place = loop, place
+        self.unread_ns: Callable[[], int] = loop.unread_ns  # for how long what waits to be read may have
         self._intake: Intake[Task] = Intake(margin_ns, WAITING_MOST)
         self._due = False  # a slice is
         self._ended_ns = 0  # the last one
@@ -48,7 +49,7 @@
         """Place what fits into a slice, one set-up at least."""
         self._due = False
         now = self._loop.now_ns()
-        if now < self._ended_ns + BEHIND_NS and self._loop.unread_ns() > UNREAD_MOST_NS:
+        if now < self._ended_ns + BEHIND_NS and self.unread_ns() > UNREAD_MOST_NS:
             self._soon()
             return
         until_ns = now + SLICE_NS
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -63,6 +63,7 @@
         self.door = OwnerDoor(loop, report, self.tasks, config.names, config.settings, owners)
         self.follower = Follower(loop, report, config.journal, config.pos, config.connect_ns, self.take)
         self.door.on_accepted = self.links.trim
+        self.tasks.placing.unread_ns = lambda: max(loop.unread_ns(), self.door.unaccepted_ns())
         self.follower.on_caught_up = self.door.pass_tests
         self.tasks.look_at_list = self.follower.look
         self._until_ns = self._late_ms = self._second_ns = self._unread_ms = 0
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -53,7 +53,7 @@
         self._tell = Board(loop.now_ns, self._fault).add(self._timed, self)
         self._by_number: dict[int, Task] = {}
         self._by_id: dict[str, Task] = {}  # open and standing
-        self._placing = Placing(loop, ANSWER_MARGIN_NS, self._place_now)
+        self.placing = Placing(loop, ANSWER_MARGIN_NS, self._place_now)
         self._sending: Offer | None = None  # the one whose `Send` is being carried out
         self._count = 0
         self.open = 0
@@ -61,7 +61,7 @@
         self.look_at_list: Callable[[], None] = lambda: None  # read what is told of machines
         self.tell_over: Callable[[OwnerLine, Message], None] = lambda line, message: line.put(message)
         report.gauges["module_ms"] = self._timed.take_ms
-        report.gauges["queued"] = self._placing.waiting
+        report.gauges["queued"] = self.placing.waiting
         report.gauges["open"] = lambda: self.open
         report.gauges["standing"] = lambda: len(self._by_id) - self.open
         report.gauges["attempts_out"] = lambda: sum(1 for t in self._by_number.values() if t.offer)
@@ -89,7 +89,7 @@
 
     def place(self, task: Task) -> None:
         """Have it placed in its turn, or refused where too many wait."""
-        task.queued = self._placing.add(task)
+        task.queued = self.placing.add(task)
         if not task.queued:
             self._report.count("refused.crowd")
             self._answer(task, Message(Kind.RELEASE, task.asked.id, Cause.BUSY))
--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -15,6 +15,8 @@
 DECISION_NS = 10 * MS  # what one placement is made to take on the bed
 EVENT_NS = MS  # any event of the module
 READING_NS = 5 * MS  # and one message of a machine
+ACCEPT_NS = 5 * MS  # and the accept of one caller
+LATE_NS = 500 * MS  # an answer so long after its time is lost
 
 
 def slow_down(bed: Bed, pick_ns: int = DECISION_NS) -> None:
@@ -73,6 +75,27 @@
     assert not [row for row in bed.logged if row["event"] == "machine.unreached"]
 
 
+def test_callers_who_wait_to_be_accepted_go_before_set_ups_that_wait_to_be_placed(beds: Any) -> None:
+    # Guards against requests whose answer comes after their time, as their callers were not even accepted.
+    bed = beds(*[yes] * 8, sockets=2048)
+    slow_down(bed)
+    door, left_ms = bed.service.door, 2000
+    accept = door._listener._accept
+
+    def accept_slowly(sock: Any) -> None:
+        bed.clock.advance(ACCEPT_NS)
+        accept(sock)
+
+    door._listener._accept = accept_slowly
+    begun_ns, callers = bed.clock.now_ns(), [Owner(bed) for _ in range(250)]
+    for caller in callers:
+        caller.say(bed.setup(left=left_ms, cores=0.01, memory=0.01))
+    bed.run(lambda: door.count() == len(callers))
+    assert bed.clock.now_ns() - begun_ns <= left_ms * MS
+    bed.run(lambda: all(len(answers(caller)) == 1 for caller in callers))
+    assert bed.clock.now_ns() - begun_ns <= left_ms * MS + LATE_NS
+
+
 def test_a_real_process_tells_an_end_before_it_has_placed_a_crowd(process_beds: Any) -> None:
     bed = process_beds(*[yes] * 100)
     owners = [bed.owner() for _ in range(4)]
--- a/tests/platform/test_waited.py
+++ b/tests/platform/test_waited.py
@@ -64,14 +64,14 @@
     owner, asked = Owner(bed), bed.setup("web", left=500)
     owner.say(asked)
     tasks = bed.service.tasks
-    place = tasks._placing._place
+    place = tasks.placing._place
 
     def place_slowly(task: Any) -> None:
         monkeypatch.setattr(bed.clock, "now_ns", lambda: bed.clock.advance(60 * MS) or bed.clock.value_ns)
         place(task)
         monkeypatch.undo()
 
-    tasks._placing._place = place_slowly
+    tasks.placing._place = place_slowly
     bed.run(span_ns=S)
     assert [each.cause for each in owner.said(Kind.RELEASE)] and bed.clock.now_ns() > START_NS
     assert not [row for row in bed.logged if row["event"] == "unanswered"]
