What a dial brought before a reset is read before the time to come up is judged

Cause, from the log (machine.unreached with ECONNRESET at the machine that told the end, a round of 729 ms): a dial that comes up, brings an end and is reset within a round longer than a dial may take. In the next round its reset is noticed and the reading of the rest put off to the end of the round; before that the time to come up, over since the round before, is judged and closes it.

Change: that time is not judged any more once a connection is failing. Evidence: test_stream_reset.py -k longer_than_a_dial failed before, passes now.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -288,7 +288,7 @@
 
     def _not_up(self) -> None:
         """The time to come up is over."""
-        if not self.connected:
+        if not self.connected and not self._failing:
             self.abort(TimeoutError("connect"))
 
     def _finish_connect(self) -> None:
--- a/tests/test_stream_reset.py
+++ b/tests/test_stream_reset.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from ladderhub.loop import Listener, Loop, Stream
+from ladderhub.loop import Listener, Loop, ManualClock, Stream
+from ladderhub.loop.core import READ
 from ladderhub.loop.stream import READ_MOST, connect
 
 S = 1_000_000_000
@@ -171,3 +172,27 @@
     assert connecting.closed
     listener.close()
     loop.close()
+
+
+def test_a_peer_that_resets_in_a_round_longer_than_a_dial_may_take_is_heard() -> None:
+    # Guards against last words dropped as the time to come up is judged between the reset and their reading.
+    clock = ManualClock()
+    loop, sink = Loop(clock), Sink()
+    listener = Listener(loop, ("127.0.0.1", 0), lambda sock: reset(sock, LAST_WORDS))
+    near, far = socket.socketpair()
+
+    def dial_and_stand_still(_: int) -> None:
+        loop.watch(near.fileno(), 0, print)
+        connect(loop, listener.address, sink, S)
+        listener._accept_some()
+        clock.advance(2 * S)
+
+    loop.watch(near.fileno(), READ, dial_and_stand_still)
+    far.send(b"now")
+    for _ in range(20):
+        loop.turn(2_000_000)
+    assert bytes(sink.got) == LAST_WORDS and len(sink.closed) == 1
+    listener.close()
+    loop.close()
+    near.close()
+    far.close()
