--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.  TROUBLE=0 leaves out the disruption.
+# What was sent, answered and run is in record.txt beside this file.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x .venv/bin/python ] || { echo "could not run: no .venv; see 'build' of deploy/balancer.toml"; exit 2; }
