Tasks of a machine that returns cold are over once the list tells its start

Cause: a link ended tasks at a refused dial, at an entry `gone` and after 6 s of silence. A machine that is back earlier gives none of these: whatever it says clears the silence, though another process says it. The list tells the restart by a new start, but Links.update_machine was not given it; only the decision module read it.

Evidence: the log of the case has two dials without success and no further line on the machine, neither machine.silent nor a refused dial; the gauge `standing` kept its count after the event. The same follows without any silence, where the process restarts before it is dialled again.

Change: a new start has the link ping all its connections. One that is heard after that leads to the new process, and so does each that came up later; the tasks of all others are told as over after a dial time-out and are released at the machine, in case they run. A release of a task that the machine may not know is settled by a ping answered behind it. The order of connections is exact, where the start and our clock may differ by an hour.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -77,8 +77,8 @@
 
     def on_message(self, conn: Conn, message: Message) -> None: ...
 
-    def on_activity(self) -> None:
-        """Data of any kind arrived from the machine."""
+    def on_activity(self, conn: Conn) -> None:
+        """Data of any kind arrived on this connection."""
 
     def on_closed(self, conn: Conn, fault: BaseException | None) -> None: ...
 
@@ -95,9 +95,11 @@
         self.open_offers: dict[str, Offer] = {}  # set-ups without an answer, by task id
         self.stream: Stream | None = None
         self.reusable = True  # no set-up on it was given up, and the machine kept its address
+        self.order: int | None = None  # among the machine's connections, by when they came up
         self.closing = False
         self.closed_for_room = False  # closed to free a descriptor: not dialled again at once
         self.ping_timer: Timer | None = None  # runs while a ping must be answered before set-ups are written
+        self.pings_sent = self.pongs_received = 0
         self.last_used_ns = link.loop.now_ns()  # when it last sent or received anything
         self._sent_tasks: dict[str, None] = {}  # ids of tasks whose set-ups were written on it, oldest first
 
@@ -115,7 +117,7 @@
         return offer.id not in self._sent_tasks
 
     def on_data(self, stream: Stream, data: bytes) -> None:
-        self.link.on_activity()
+        self.link.on_activity(self)
         self.last_used_ns = self.link.loop.now_ns()
         messages, unreadable = self.reader.feed(data)
         for message in messages:
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -4,12 +4,14 @@
 
 import math
 
+from ladderhub.loop import Timer
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform import connection_choice
 from ladderhub.platform.conn import Conn, Offer, TaskEnd, is_refused
 from ladderhub.platform.liveness import PING_INTERVAL_NS, Liveness, LivenessAction
 from ladderhub.platform.pending_releases import PendingReleases
 from ladderhub.platform.pool import ConnectionPool
+from ladderhub.platform.process_check import ProcessCheck
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
 from ladderhub.signalling.table import TEST_ASKED
 
@@ -20,20 +22,26 @@
 class Link:
     """The connections to one machine, and all open set-ups and running tasks there."""
 
-    def __init__(self, pool: ConnectionPool, name: str, address: Address) -> None:
-        self.pool, self.name, self.address = pool, name, address
+    def __init__(self, pool: ConnectionPool, name: str, address: Address, start_ns: int = 0) -> None:
+        """`start_ns`: when the machine's process started, by the list; 0 if that is unknown or long ago."""
+        self.pool, self.name, self.address, self.start_ns = pool, name, address, start_ns
         self.loop, self.report = pool.loop, pool.report
         self.conns: list[Conn] = []
         self.running: dict[str, Offer] = {}
         self.ended_attempts: dict[str, None] = {}
         self.pending_releases = PendingReleases()
+        self._process_check = ProcessCheck()
+        self._check_timer: Timer | None = None
+        self._connected_count = 0
         self.liveness = Liveness(pool.loop.now_ns())
         self.setups_blocked = False  # no new set-up is written
         self.removed = False  # no longer on the list: dropped once nothing is open
 
-    def on_activity(self) -> None:
+    def on_activity(self, conn: Conn) -> None:
         """Data arrived from the machine, so it is alive."""
         self.liveness.record_heard(self.loop.now_ns())
+        if conn.order is not None:
+            self._process_check.record_heard(conn.order)
 
     def set_address(self, address: Address) -> None:
         """Use a new address: connections to the old one get no new set-ups."""
@@ -54,8 +62,7 @@
         if conn is not None and quiet:
             # A ping costs the machine less than a new connection, and shows as well that the machine is alive
             # before the set-up is written.
-            conn.ping_timer = loop.call_later(self.pool.connect_timeout_ns, self._on_ping_timeout, conn)
-            self._send_message(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
+            self._require_pong(conn)
         if conn is None and self.pool.share_connections and offer.repeatable:
             conn = connection_choice.find_shareable(self.conns, offer, recently_heard=not quiet)
         if conn is None and self.pool.make_room():
@@ -70,6 +77,16 @@
         conn.open_offers[offer.id] = offer
         self._write_waiting(conn, offer)
 
+    def _require_pong(self, conn: Conn) -> None:
+        """Ping on this connection: set-ups wait until it is heard, and it is closed if it stays silent."""
+        if conn.ping_timer is None:
+            conn.ping_timer = self.loop.call_later(self.pool.connect_timeout_ns, self._on_ping_timeout, conn)
+        self._ping(conn)
+
+    def _ping(self, conn: Conn) -> None:
+        conn.pings_sent += 1
+        self._send_message(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
+
     def _on_ping_timeout(self, conn: Conn) -> None:
         """The ping was not answered within the time that a dial may take."""
         conn.read_pending()
@@ -92,11 +109,14 @@
         return conn
 
     def _on_connected(self, conn: Conn) -> None:
+        conn.order = self._connected_count
+        self._connected_count += 1
+        self._process_check.record_heard(conn.order)
         self.pool.add_connected(conn)
         self._send_releases(conn)
         if self.running:
             # A machine that was dialled again may have nothing to send, and would count as silent.
-            self._send_message(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
+            self._ping(conn)
         self._write_waiting(conn)
 
     def _write_waiting(self, conn: Conn, only: Offer | None = None) -> None:
@@ -200,8 +220,11 @@
             self._send_releases(conn)
 
     def _send_releases(self, conn: Conn) -> None:
-        for id, cause in self.pending_releases.take_unsent(conn):
+        unsent = self.pending_releases.take_unsent(conn)
+        for id, cause in unsent:
             self._send_message(conn, Message(Kind.RELEASE, id, cause))
+        if any(id not in self.running for id, _ in unsent):
+            self._ping(conn)  # the machine may know nothing of the task, and then answers only this
 
     def is_needed(self, conn: Conn) -> bool:
         return bool(self.running) and self.conns == [conn]
@@ -237,7 +260,7 @@
                 self._reconnect(now)
             case LivenessAction.PING if (live := self.find_live_connection()) is not None:
                 self.liveness.record_request(now)
-                self._send_message(live, Message(Kind.PING, NO_ID, TEST_ASKED))
+                self._ping(live)
             case _:
                 self.ensure_connected()
 
@@ -261,6 +284,49 @@
         if self.removed:
             self._clean_up()
 
+    # --- restarts of the machine ----------------------------------------------------------------------------
+
+    def on_restart(self, start_ns: int) -> None:
+        """The list tells a new start of the machine: what ran in its previous process is over."""
+        self.start_ns = start_ns
+        # Not from here, as this may be called while messages of a connection are handled.
+        self.loop.call_soon(self._begin_process_check)
+
+    def _begin_process_check(self) -> None:
+        for conn in list(self.conns):
+            conn.read_pending()
+        self._process_check.begin()
+        for conn in list(self.conns):
+            if conn.is_live():
+                self._require_pong(conn)
+        if self._check_timer is not None:
+            self._check_timer.cancel()
+        self._check_timer = self.loop.call_later(self.pool.connect_timeout_ns, self._end_process_check)
+
+    def _end_process_check(self) -> None:
+        """End the tasks whose connections are not known to lead to the current process."""
+        for conn in list(self.conns):
+            conn.read_pending()
+        self._process_check.end()
+        over = [offer for offer in self.running.values() if not self._is_of_current_process(offer)]
+        if over:
+            self.report.line("machine.restarted", machine=self.name, tasks=len(over))
+        for offer in over:
+            self._end_unconfirmed(offer, "restarted")
+        if (live := self.find_live_connection()) is not None:
+            self._send_releases(live)
+
+    def _is_of_current_process(self, offer: Offer) -> bool:
+        return offer.conn is not None and self._process_check.is_current(offer.conn.order)
+
+    def _end_unconfirmed(self, offer: Offer, why: str) -> None:
+        """Report a running task as broken.  It may run all the same, so it is released as well: its owner may
+        have it started again."""
+        del self.running[offer.id]
+        self.pending_releases.add_unknown(offer.id, Cause.NORMAL)
+        offer.leg.step(Step.RELEASE)
+        self.pool.listener.on_broken(offer, why)
+
     # --- incoming messages --------------------------------------------------------------------------------
 
     def on_message(self, conn: Conn, message: Message) -> None:
@@ -291,7 +357,7 @@
                 listener.on_release(offer, end.cause, end.note)
             elif message.id in self.running:
                 self.on_task_end(message.id, end)
-            elif message.id not in self.ended_attempts:
+            elif not self.pending_releases.confirm(message.id) and message.id not in self.ended_attempts:
                 self._on_early_end(message.id, end)
         elif message.kind is Kind.NOTE:
             offer = self.running.get(message.id) or offer
@@ -303,6 +369,9 @@
                 if not math.isfinite(figure):
                     raise SignalError("a note's figure is not a number")
                 listener.on_note(offer, message.values.get(Code.NOTE), figure)
+        elif message.kind is Kind.PONG:
+            conn.pongs_received += 1
+            self.pending_releases.confirm_read(conn)
         elif message.kind is Kind.PING:
             self._send_message(conn, Message(Kind.PONG, message.id, 1))
 
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -87,13 +87,16 @@
     def get(self, name: str) -> Link | None:
         return self._links.get(name)
 
-    def update_machine(self, name: str, address: Address, serving: bool, gone: bool) -> None:
-        """Apply the machine's address and stage from the list."""
+    def update_machine(
+        self, name: str, address: Address, serving: bool, gone: bool, start_ns: int = 0
+    ) -> None:
+        """Apply the machine's address, stage and start time from the list; `start_ns` is 0 if it is unknown
+        or long ago."""
         link = self._links.get(name)
         if link is None:
             if gone:
                 return
-            link = self._links[name] = Link(self, name, address)
+            link = self._links[name] = Link(self, name, address, start_ns)
         if address != link.address:
             link.set_address(address)
         link.setups_blocked, link.removed = not serving, gone
@@ -101,6 +104,8 @@
             link.cancel_unsent()
         if gone:
             link.fail_running_tasks("gone")
+        elif start_ns not in (0, link.start_ns):
+            link.on_restart(start_ns)
 
     def remove_unlisted(self, listed: set[str]) -> None:
         """Remove all machines that a full list does not name."""
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -152,7 +152,7 @@
             self.links.remove_unlisted({entry.machine for entry in entries})
         for entry, address in zip(entries, addresses, strict=True):
             serving, gone = entry.stage is api.Stage.SERVING, entry.stage is api.Stage.GONE
-            self.links.update_machine(entry.machine, address, serving, gone)
+            self.links.update_machine(entry.machine, address, serving, gone, entry.ready_ns)
 
     # --- signals ------------------------------------------------------------------------------------------
 
