What was ended during an outage is released once the machine is reached again

What callers saw: a machine is cut off for 6 s; an owner ends two unsafe tasks there, the scheduler confirms that, and the release never comes. The machine's other tasks were told as over and ran on without an owner.

Cause: silence was treated like proof that the process is dead. Link.fail_running_tasks cleared the pending releases and sent none for what it reported as over, and afterwards nothing dialled the machine, as only running tasks counted as a reason. The check that gave a machine up did not dial it either, which cost up to a second more.

Evidence: before, in the test bed, the release stayed pending to the end of the cut while all dials timed out; 15 s later, after machine.silent, nothing was pending, no connection was held and no release had come.

Change: a refused dial, an entry `gone` and a new process end what is owed to a machine, silence does not. What is given up as silent is released too.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -226,36 +226,43 @@
         if any(id not in self.running for id, _ in unsent):
             self._ping(conn)  # the machine may know nothing of the task, and then answers only this
 
+    def has_duties(self) -> bool:
+        """Whether tasks run there, or releases of tasks wait to be confirmed."""
+        return bool(self.running) or len(self.pending_releases) > 0
+
     def is_needed(self, conn: Conn) -> bool:
-        return bool(self.running) and self.conns == [conn]
+        return self.has_duties() and self.conns == [conn]
 
     def find_live_connection(self) -> Conn | None:
         return next((conn for conn in reversed(self.conns) if conn.is_live()), None)
 
     def ensure_connected(self) -> None:
-        """Dial a machine that runs tasks and has no connection, if there is room for one.  Otherwise
+        """Dial a machine that needs a connection and has none, if there is room for one.  Otherwise
         `check_liveness` reconnects to such machines in turn."""
-        if self.running and not self.conns and self.pool.connection_count < self.pool.max_connections():
+        if self.has_duties() and not self.conns and self.pool.connection_count < self.pool.max_connections():
             self.dial("line")
 
     def check_liveness(self, now: int) -> None:
-        """Called each second: check that the machine is alive while it runs tasks of ours."""
+        """Called each second: check that the machine is alive while it runs tasks of ours, and reach it while
+        releases wait for it."""
         for conn in self.conns:
             if not conn.open_offers and not conn.reusable:
                 conn.start_closing()
-        if not self.running:
+        if not self.has_duties():
             return
         if self.liveness.get_silence_ns(now) > 2 * PING_INTERVAL_NS:
             for conn in list(self.conns):
                 conn.read_pending()
-        match self.liveness.choose_action(now, bool(self.conns)):
+        match self.liveness.choose_action(now, bool(self.conns), bool(self.running)):
             case LivenessAction.GIVE_UP:
-                self.report.line("machine.silent", machine=self.name, tasks=len(self.running))
-                self.fail_running_tasks("silent")
+                self._give_up_running_tasks()
+                self._retry(now)
+            case LivenessAction.RETRY:
+                self._retry(now)
+            case LivenessAction.WAIT:
+                return
             case LivenessAction.RECONNECT if self.conns:
-                for conn in [each for each in self.conns if each.is_live() and not each.open_offers]:
-                    assert conn.stream is not None
-                    conn.stream.abort(TimeoutError("silent"))
+                self._abort_silent_connections()
             case LivenessAction.RECONNECT:
                 self._reconnect(now)
             case LivenessAction.PING if (live := self.find_live_connection()) is not None:
@@ -264,8 +271,19 @@
             case _:
                 self.ensure_connected()
 
+    def _retry(self, now: int) -> None:
+        """Dial a machine that was given up, for the releases that wait for it."""
+        self._abort_silent_connections()
+        if all(conn.order is not None for conn in self.conns):  # no dial is under way
+            self._reconnect(now)
+
+    def _abort_silent_connections(self) -> None:
+        for conn in [each for each in self.conns if each.is_live() and not each.open_offers]:
+            assert conn.stream is not None
+            conn.stream.abort(TimeoutError("silent"))
+
     def _reconnect(self, now: int) -> None:
-        """Dial a machine that runs tasks and has no connection: it reports on the new one what has ended.
+        """Dial a machine that needs a connection and has none: it reports on the new one what has ended.
 
         Without this, ends would be reported too late and the machine would count as silent.  So the limit on
         connections may be exceeded if none can be closed, but not into the descriptors that the journal and
@@ -274,6 +292,15 @@
         if self.pool.make_room() or self.pool.free_descriptors() > 0:
             self.dial("visit")
 
+    def _give_up_running_tasks(self) -> None:
+        """Report all running tasks as broken because the machine is silent.
+
+        It may run them all the same, so they are released when it is reached again, and so are those whose
+        release was pending."""
+        self.report.line("machine.silent", machine=self.name, tasks=len(self.running))
+        for offer in list(self.running.values()):
+            self._end_unconfirmed(offer, "silent")
+
     def fail_running_tasks(self, why: str) -> None:
         """Report all running tasks as broken: the machine does not run them any more."""
         lost, self.running = list(self.running.values()), {}
@@ -430,7 +457,7 @@
                 offer.leg.step(Step.RELEASE)
                 self._remember_ended(offer)
                 self.pool.listener.on_broken(offer, repr(fault)[:80])
-        if not up and is_refused(fault) and self.running and not self.conns:
+        if not up and is_refused(fault) and self.has_duties() and not self.conns:
             # Nothing listens there: the machine's process is dead, and its tasks with it.
             self.fail_running_tasks("refused")
         self.pending_releases.mark_unsent(conn)
--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -283,3 +283,17 @@
     owner.send(asked)
     bed.run(lambda: [m for m in owner.received(Kind.ANSWER) if m.id == asked.id])
     return asked
+
+
+def open_unreachable_address() -> tuple[tuple[str, int], list[socket.socket]]:
+    """An address where connections never come up: nobody accepts, and the accept queue is full."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fill = []
+    for _ in range(2):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(listener.getsockname())
+        fill.append(sock)
+    return listener.getsockname(), [listener, *fill]
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -14,7 +14,7 @@
 from ladderhub.signalling import Code, Kind, Message
 from ladderhub.signalling.journal import decode_event
 from tests.platform.bed import MS, Owner, S
-from tests.platform.bed import accept_all, event, ignore_all, place_task, release
+from tests.platform.bed import accept_all, event, ignore_all, open_unreachable_address, place_task, release
 
 
 def test_a_running_task_outlives_its_connection_but_not_its_machine(beds: Any) -> None:
@@ -324,17 +324,3 @@
         pass
     assert heard == b""
     socks[0].close()
-
-
-def open_unreachable_address() -> tuple[tuple[str, int], list[socket.socket]]:
-    """An address where connections never come up: nobody accepts, and the accept queue is full."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(0)
-    fill = []
-    for _ in range(2):
-        sock = socket.socket()
-        sock.setblocking(False)
-        sock.connect_ex(listener.getsockname())
-        fill.append(sock)
-    return listener.getsockname(), [listener, *fill]
