Daemon: a run left over at a node is told to stop however long it has run

What callers saw: a safe job that ran for over ten minutes at a node which is then listed as gone is placed again or finished; when the node can be reached again, the old run goes on there beside the new one.

Cause: runs of finished jobs are told to stop for ten minutes, counted from Run.since_ns, the time when the run was sent. An older run was forgotten at the first timer, before anything was sent.

Change: OrphanedRuns.add sets the time as the job finishes.

--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -164,7 +164,7 @@
         self._retry_budget.deposit()
         if self._stopping:
             self._report_answer(job, t.Answer.REFUSED, "the scheduler is stopping")
-            self._finish(job, 0, "the scheduler is stopping")
+            self._finish(now, job, 0, "the scheduler is stopping")
         elif event.held:
             job.state_reason = "held by its owner"
         else:
@@ -379,12 +379,12 @@
             if finished or run.accepted:
                 self._report_answer(job, t.Answer.PLACED, f"placed on {run.machine}")
             if finished:
-                self._finish(job, event.status, f"ended at {run.machine} before the cancel reached it")
+                self._finish(now, job, event.status, f"ended at {run.machine} before the cancel reached it")
             else:
                 self._on_run_removed(now, job)
         elif job.state == RUNNING and event.run == job.main_run:
             if finished or (event.end is t.End.KILLED and not job.rerun_requested):
-                self._finish(job, event.status, f"{event.end.value} at {run.machine}")
+                self._finish(now, job, event.status, f"{event.end.value} at {run.machine}")
             else:
                 at_once = event.end in (t.End.LOST, t.End.SENT_AWAY, t.End.KILLED)
                 cause = (
@@ -396,7 +396,7 @@
             self._report_answer(job, t.Answer.PLACED, f"placed on {run.machine}")
             if job.state == ASKING:
                 self._actions.append(t.Withdraw(job.number, job.request_id))
-            self._finish(job, event.status, f"{event.end.value} at {run.machine}")
+            self._finish(now, job, event.status, f"{event.end.value} at {run.machine}")
         else:
             self._on_run_removed(now, job)
 
@@ -407,7 +407,7 @@
         rules = job.rules = self._get_current_rules(job)
         job.main_run, job.state_reason, job.rerun_requested = -1, reason, False
         if not job.rerunnable or job.placement_count > rules.max_reruns or self._stopping:
-            self._finish(job, -1, reason)
+            self._finish(now, job, -1, reason)
             return
         job.request_count, job.backoff_ns, job.answered = 0, 0, False
         job.deadline_ns = now + rules.limit_ns
@@ -449,12 +449,12 @@
         if job.state == STOPPING and not job.runs:
             reason = "cancelled" if job.answered else "cancelled before it ran"
             self._answer_unplaced(job, reason)
-            self._finish(job, CANCELLED_STATUS, reason)
+            self._finish(now, job, CANCELLED_STATUS, reason)
         elif job.state == DOUBT and not job.runs:
             if job.hold_requested:
                 self._set_held(job)
             elif job.answered and job.main_run < 0:
-                self._finish(job, -1, job.state_reason)
+                self._finish(now, job, -1, job.state_reason)
             else:
                 job.state_reason = "an earlier run is proven away"
                 self._wait_to_retry(now, job)
@@ -493,7 +493,7 @@
         self._answer_unplaced(job, full_reason)
         if job.state == ASKING:
             self._actions.append(t.Withdraw(job.number, job.request_id))
-        self._finish(job, -1, full_reason)
+        self._finish(now, job, -1, full_reason)
 
     def _answer_unplaced(self, job: t.Job, reason: str) -> None:
         """Answer that the job was not placed: refused if nothing ran (or a safe job was not accepted), else
@@ -511,11 +511,11 @@
             job.answered = True
             self._actions.append(t.ReportAnswer(job.number, answer, reason))
 
-    def _finish(self, job: t.Job, status: int, reason: str) -> None:
+    def _finish(self, now: int, job: t.Job, status: int, reason: str) -> None:
         """End the job; its remaining runs are told to stop until their machines confirm it."""
         self._set_state(job, OVER)
         del self._jobs[job.number]
-        self._orphans.add(job, self.settings)
+        self._orphans.add(now, job, self.settings)
         self._actions.append(t.Finish(job.number, status, reason))
         if job.runs:
             self._actions.append(t.SetTimer(job.number, 0))
--- a/ladderhub/owner/inquiries.py
+++ b/ladderhub/owner/inquiries.py
@@ -52,9 +52,10 @@
         """Return whether a run of this job may still be alive."""
         return any(job_number == job for job_number, _ in self._runs)
 
-    def add(self, job: t.Job, settings: t.OwnerSettings) -> None:
+    def add(self, now: int, job: t.Job, settings: t.OwnerSettings) -> None:
         """Take over the runs of a finished job; all of them are unwanted from now on."""
         for run_number, run in job.runs.items():
+            run.since_ns = now  # the time-out counts from here, however long the run has lasted
             run.stop_until_confirmed = job.stop_until_confirmed
             run.unwanted, run.interval_ns = True, run.interval_ns or settings.min_query_interval_ns
             self._runs[job.number, run_number] = run
--- a/ladderhub/owner/types.py
+++ b/ladderhub/owner/types.py
@@ -370,7 +370,7 @@
     in_doubt: bool = False  # the machine did not answer the offer, or it restarted
     last_message_ns: int = -1  # when the last query or stop was sent; -1: none yet
     interval_ns: int = 0  # between queries or stops
-    since_ns: int = 0  # when it was sent, or its first query was due
+    since_ns: int = 0  # when it was sent, its first query was due, or its job finished
     stop_until_confirmed: bool = False
 
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -88,6 +88,28 @@
     assert owner.count_orphans() == 0
 
 
+@pytest.mark.parametrize("rerunnable", [False, True])
+def test_a_run_at_a_machine_that_is_gone_is_stopped_however_long_it_has_run(rerunnable: bool) -> None:
+    # Guards against runs that go on behind a network partition: the time for their stop was counted from
+    # their start, so that a run of over ten minutes was never told to stop.
+    owner, now = Owner(settings(), 1), 7200 * S
+    owner.handle(0, t.Submitted(1, SAFE, rerunnable=rerunnable))
+    owner.handle(0, t.Sent(1, 1, 1, "a"))
+    owner.handle(S, t.Accepted(1, 1))
+    owner.handle(now, t.MachineGone("a"))
+    if rerunnable:  # it runs again elsewhere, and ends there
+        owner.handle(now + S, t.TimerFired(1))
+        owner.handle(now + S, t.Sent(1, 2, 2, "b"))
+        owner.handle(now + S, t.Accepted(1, 2))
+        owner.handle(now + S, t.Ended(1, 2, t.End.DONE))
+    assert owner.get_state(1)[0] == "over" and owner.count_orphans() == 1
+    for _ in range(5):
+        now += 10 * S
+        assert only(owner.handle(now, t.TimerFired(1)), t.Stop) == [t.Stop(1, 1, "a")]
+    owner.handle(now, t.MachineReplied(1, 1, t.RunStatus.NEVER))
+    assert owner.count_orphans() == 0
+
+
 def test_a_lost_run_of_a_restarted_machine_is_placed_again_only_on_its_word() -> None:
     owner = owner_with_request(UNSAFE)
     owner.handle(0, t.Sent(1, 1, 1, "a"))
