Daemon: a node that restarts with its clock set back is asked about its runs

What callers saw: a node restarts before it is listed as gone, and its clock has been set back meanwhile; the jobs that ran there count as running for ever.

Cause: NodeTracker took only a later start than the listed one for a restart.

Change: any other start is a restart. As before, the node is asked which runs it knows; clocks are not compared.

Result: tests/hard_cases/test_nodes.py -k restarts_at_once, the case with the clock two hours back failed before ("not reached in time"), both pass. tests/hard_cases, tests/server, test_commands: 79 passed.

--- a/ladderhub/server/nodetracker.py
+++ b/ladderhub/server/nodetracker.py
@@ -94,8 +94,8 @@
                 self._context.log.error("unknown kind of node", node=entry.name, kind=entry.kind)
                 continue
             self._context.links.set_address(entry.name, parse_address(entry.address))
-            if 0 < self._listed_ns.get(entry.name, 0) < entry.ready_ns:
-                restarted.append(entry.name)
+            if self._listed_ns.get(entry.name, entry.ready_ns) != entry.ready_ns:
+                restarted.append(entry.name)  # also if the start is an earlier one: clocks may be set back
             self._listed_ns[entry.name] = entry.ready_ns
             known.append(self._build_machine_entry(entry))
         self._context.tell_module(api.MachineList(kind, version, tuple(known)))
--- a/tests/hard_cases/test_nodes.py
+++ b/tests/hard_cases/test_nodes.py
@@ -67,6 +67,23 @@
     assert_recording_passes(world)
 
 
+@pytest.mark.parametrize("clock_error_ns", [0, -7200 * S])
+def test_a_job_of_a_node_that_restarts_at_once_is_placed_again(
+    make_world: WorldFactory, clock_error_ns: int
+) -> None:
+    # Guards against jobs that count as running for ever: a node back before it is listed as gone is told by
+    # its start time alone, which is earlier than the former one where its clock has been set back.
+    world = make_world(1, record=True)
+    world.daemon()
+    job = world.submit("billing")
+    world.wait(job, "R")
+    world.crash("node-1")
+    agent = world.add_node("node-1")
+    agent.ready_ns = agent.admission.ready_ns = agent.ready_ns + clock_error_ns
+    world.until(lambda: world.live(job))
+    assert_recording_passes(world)
+
+
 def test_an_unsafe_job_at_a_node_that_stays_silent_fails_in_time(make_world: WorldFactory) -> None:
     world = make_world(1, warm_ns=400 * MS, limit="3s")
     world.daemon()
