A release is settled once a ping behind it is answered, for known tasks too

Owners were told all they were owed.

Cause: a release was kept until the machine reported the end of its task. A machine that was cut off reads the release on its old connection and reports there, where nobody hears it; to the release that is sent again it says nothing, as it does not know the task any more.

Change: a ping follows each release. Once it is answered the machine has read what came before it, and the task is over here as well. Possibly unknown tasks need no mark of their own any more.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -211,7 +211,7 @@
         self.loop.call_soon(self.ensure_connected)
 
     def release(self, offer: Offer, cause: int) -> None:
-        """End a running task; the machine confirms with a release of its own."""
+        """End a running task; the machine confirms with a release of its own, or by answering a ping."""
         conn = offer.conn if offer.conn is not None and offer.conn.is_live() else self.find_live_connection()
         self.pending_releases.add(offer.id, cause)
         if conn is None:
@@ -223,8 +223,8 @@
         unsent = self.pending_releases.take_unsent(conn)
         for id, cause in unsent:
             self._send_message(conn, Message(Kind.RELEASE, id, cause))
-        if any(id not in self.running for id, _ in unsent):
-            self._ping(conn)  # the machine may know nothing of the task, and then answers only this
+        if unsent:
+            self._ping(conn)  # shows that they were read, also if the machine knows nothing of the tasks
 
     def has_duties(self) -> bool:
         """Whether tasks run there, or releases of tasks wait to be confirmed."""
@@ -350,7 +350,7 @@
         """Report a running task as broken.  It may run all the same, so it is released as well: its owner may
         have it started again."""
         del self.running[offer.id]
-        self.pending_releases.add_unknown(offer.id, Cause.NORMAL)
+        self.pending_releases.add(offer.id, Cause.NORMAL)
         offer.leg.step(Step.RELEASE)
         self.pool.listener.on_broken(offer, why)
 
@@ -398,7 +398,8 @@
                 listener.on_note(offer, message.values.get(Code.NOTE), figure)
         elif message.kind is Kind.PONG:
             conn.pongs_received += 1
-            self.pending_releases.confirm_read(conn)
+            for id in self.pending_releases.take_read(conn):
+                self.on_task_end(id, TaskEnd(Cause.CANCELLED, None))
         elif message.kind is Kind.PING:
             self._send_message(conn, Message(Kind.PONG, message.id, 1))
 
--- a/ladderhub/platform/pending_releases.py
+++ b/ladderhub/platform/pending_releases.py
@@ -10,7 +10,6 @@
 @dataclass
 class _PendingRelease:
     cause: int
-    may_be_unknown: bool  # the machine may not run the task, and then confirms nothing
     conn: Conn | None = None  # where it was sent last; None while it has to be sent
     ping_number: int = 0  # of the first ping on that connection behind it
 
@@ -21,7 +20,7 @@
     A release may be lost with the connection it was sent on, and its task would then run for ever.  So it is
     kept until the machine reports the end of the task, and is sent again on another connection.
 
-    A machine says nothing about the release of a task that it does not know.  Where that is possible, it is
+    That report may be lost too, and a machine says nothing about a task that it does not know.  So it is
     enough that the machine has read the release: it has when it answers a ping sent behind it."""
 
     def __init__(self) -> None:
@@ -31,25 +30,25 @@
         return len(self._releases)
 
     def add(self, id: str, cause: int) -> None:
-        """Add a release with this cause, still to be sent, of a task that runs there."""
-        self._releases[id] = _PendingRelease(cause, may_be_unknown=False)
-
-    def add_unknown(self, id: str, cause: int) -> None:
-        """Add a release of a task that may not run there any more; one that is pending keeps its cause."""
-        release = self._releases.setdefault(id, _PendingRelease(cause, may_be_unknown=True))
-        release.may_be_unknown = True
+        """Add a release with this cause, still to be sent; one that is pending already stays as it is."""
+        self._releases.setdefault(id, _PendingRelease(cause))
 
     def confirm(self, id: str) -> bool:
         """Drop the release: the machine reported the end of this task, for whatever reason.  Return whether
         there was one."""
         return self._releases.pop(id, None) is not None
 
-    def confirm_read(self, conn: Conn) -> None:
-        """Drop those of possibly unknown tasks that the machine has read, by the pings it answered here."""
-        for id, release in list(self._releases.items()):
-            is_read = release.conn is conn and release.ping_number <= conn.pongs_received
-            if is_read and release.may_be_unknown:
-                del self._releases[id]
+    def take_read(self, conn: Conn) -> list[str]:
+        """Drop the releases that the machine has read, by the pings it answered on this connection; return
+        their tasks."""
+        read = [
+            id
+            for id, release in self._releases.items()
+            if release.conn is conn and release.ping_number <= conn.pongs_received
+        ]
+        for id in read:
+            del self._releases[id]
+        return read
 
     def mark_unsent(self, conn: Conn) -> None:
         """Have releases that were sent on this closed connection sent again: they may be lost."""
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -158,6 +158,24 @@
     assert not cut.link.has_duties()
 
 
+def test_a_task_whose_cut_the_machine_reported_on_a_dead_connection_is_not_kept_for_ever(beds: Any) -> None:
+    # Guards against tasks that count as running, and releases as pending, for as long as the machine lives.
+    bed = beds(accept_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner)
+    machine.silent = True
+    owner.send(release(asked.id, CANCELLED))
+    bed.run(lambda: get_releases(machine))  # the machine cuts the task, and its word on that is lost
+    machine.silent = False
+    for conn in list(machine.conns):
+        conn.reset()
+    bed.run(span_ns=3 * S)
+    link = bed.service.links.get("m0")
+    assert link is not None and not link.has_duties()
+    assert not bed.service.tasks._by_number
+    assert get_releases(machine) == [asked.id, asked.id]
+
+
 def test_a_machine_given_up_whose_process_has_died_is_owed_nothing(beds: Any) -> None:
     bed = beds(accept_all)
     machine, owner = bed.machines[0], Owner(bed)
