Platform: what runs on a machine and is owed to it has a module of its own

Change: RunningTasks holds the tasks and the pending releases; sending and pinging belong to Conn; the messages of a machine have a method each.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -9,10 +9,12 @@
 from ladderhub.loop import Loop, Stream, Timer
 from ladderhub.loop.stream import MAX_READ_BYTES
 from ladderhub.platform.report import Report
-from ladderhub.signalling import BinaryReader, Leg, Message, SignalError
+from ladderhub.signalling import BinaryReader, Kind, Leg, Message, SignalError, encode_binary
+from ladderhub.signalling.table import TEST_ASKED
 
 CLOSE_LINGER_NS = 1_000_000_000  # a closing connection is still read for this long
 MAX_REMEMBERED_TASKS = 256  # task ids that a connection remembers
+NO_ID = "0" * 16  # of messages that concern no task
 
 
 @dataclass(frozen=True)
@@ -103,6 +105,18 @@
         self.last_used_ns = link.loop.now_ns()  # when it last sent or received anything
         self._sent_tasks: dict[str, None] = {}  # ids of tasks whose set-ups were written on it, oldest first
 
+    def send(self, message: Message) -> None:
+        """Send a message; it is lost if the connection is not up."""
+        assert self.stream is not None
+        self.last_used_ns = self.link.loop.now_ns()
+        self.stream.write(encode_binary(message))
+
+    def ping(self) -> None:
+        """Send a ping.  The machine handles messages in order, so its answer shows that it has read all that
+        was sent before."""
+        self.pings_sent += 1
+        self.send(Message(Kind.PING, NO_ID, TEST_ASKED))
+
     def record_sent(self, offer: Offer) -> None:
         """Remember that the set-up of this offer is written on this connection."""
         self._sent_tasks[offer.id] = None
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 
 from ladderhub.loop import Timer
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform import connection_choice
 from ladderhub.platform.conn import Conn, Offer, TaskEnd, is_refused
 from ladderhub.platform.liveness import PING_INTERVAL_NS, Liveness, LivenessAction
-from ladderhub.platform.pending_releases import PendingReleases
 from ladderhub.platform.pool import ConnectionPool
 from ladderhub.platform.process_check import ProcessCheck
-from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step, encode_binary
-from ladderhub.signalling.table import TEST_ASKED
+from ladderhub.platform.running_tasks import RunningTasks
+from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step
+from ladderhub.signalling.table import TEST_PASSED
 
 MAX_ENDED_ATTEMPTS = 256  # ids remembered for each machine, for messages that arrive late
-NO_ID = "0" * 16
 
 
 class Link:
@@ -27,9 +27,8 @@
         self.pool, self.name, self.address, self.start_ns = pool, name, address, start_ns
         self.loop, self.report = pool.loop, pool.report
         self.conns: list[Conn] = []
-        self.running: dict[str, Offer] = {}
+        self.tasks = RunningTasks(pool.listener)
         self.ended_attempts: dict[str, None] = {}
-        self.pending_releases = PendingReleases()
         self._process_check = ProcessCheck()
         self._check_timer: Timer | None = None
         self._connected_count = 0
@@ -37,6 +36,11 @@
         self.setups_blocked = False  # no new set-up is written
         self.removed = False  # no longer on the list: dropped once nothing is open
 
+    @property
+    def running(self) -> Mapping[str, Offer]:
+        """The tasks that run there, as far as is known, by id."""
+        return self.tasks.offers
+
     def on_activity(self, conn: Conn) -> None:
         """Data arrived from the machine, so it is alive."""
         self.liveness.record_heard(self.loop.now_ns())
@@ -81,11 +85,7 @@
         """Ping on this connection: set-ups wait until it is heard, and it is closed if it stays silent."""
         if conn.ping_timer is None:
             conn.ping_timer = self.loop.call_later(self.pool.connect_timeout_ns, self._on_ping_timeout, conn)
-        self._ping(conn)
-
-    def _ping(self, conn: Conn) -> None:
-        conn.pings_sent += 1
-        self._send_message(conn, Message(Kind.PING, NO_ID, TEST_ASKED))
+        conn.ping()
 
     def _on_ping_timeout(self, conn: Conn) -> None:
         """The ping was not answered within the time that a dial may take."""
@@ -116,7 +116,7 @@
         self._send_releases(conn)
         if self.running:
             # A machine that was dialled again may have nothing to send, and would count as silent.
-            self._ping(conn)
+            conn.ping()
         self._write_waiting(conn)
 
     def _write_waiting(self, conn: Conn, only: Offer | None = None) -> None:
@@ -141,12 +141,7 @@
         offer.leg.step(Step.SETUP)
         offer.written = True
         conn.record_sent(offer)
-        self._send_message(conn, offer.setup)
-
-    def _send_message(self, conn: Conn, message: Message) -> None:
-        assert conn.stream is not None
-        conn.last_used_ns = self.loop.now_ns()
-        conn.stream.write(encode_binary(message))
+        conn.send(offer.setup)
 
     def _stop_waiting(self, offer: Offer) -> None:
         """The set-up expects no answer any more; its connection may be used for others or closed."""
@@ -184,7 +179,7 @@
         if offer.conn is not None:
             offer.conn.reusable = False
             if offer.conn.is_live():
-                self._send_message(offer.conn, Message(Kind.RELEASE, offer.id, Cause.NORMAL))
+                offer.conn.send(Message(Kind.RELEASE, offer.id, Cause.NORMAL))
 
     def _remember_ended(self, offer: Offer) -> None:
         """Remember its id: late messages about this attempt must not be taken for a later attempt's."""
@@ -207,31 +202,27 @@
         offer.started = offer.written = True
         if not self.running:
             self.liveness.last_heard_ns = self.loop.now_ns()
-        self.running[offer.id] = offer
+        self.tasks.add(offer)
         self.loop.call_soon(self.ensure_connected)
 
     def release(self, offer: Offer, cause: int) -> None:
         """End a running task; the machine confirms with a release of its own, or by answering a ping."""
         conn = offer.conn if offer.conn is not None and offer.conn.is_live() else self.find_live_connection()
-        self.pending_releases.add(offer.id, cause)
+        self.tasks.releases.add(offer.id, cause)
         if conn is None:
             self.ensure_connected()
         else:
             self._send_releases(conn)
 
     def _send_releases(self, conn: Conn) -> None:
-        unsent = self.pending_releases.take_unsent(conn)
+        unsent = self.tasks.releases.take_unsent(conn)
         for id, cause in unsent:
-            self._send_message(conn, Message(Kind.RELEASE, id, cause))
+            conn.send(Message(Kind.RELEASE, id, cause))
         if unsent:
-            self._ping(conn)  # shows that they were read, also if the machine knows nothing of the tasks
-
-    def has_duties(self) -> bool:
-        """Whether tasks run there, or releases of tasks wait to be confirmed."""
-        return bool(self.running) or len(self.pending_releases) > 0
+            conn.ping()  # shows that they were read, also if the machine knows nothing of the tasks
 
     def is_needed(self, conn: Conn) -> bool:
-        return self.has_duties() and self.conns == [conn]
+        return self.tasks.has_duties() and self.conns == [conn]
 
     def find_live_connection(self) -> Conn | None:
         return next((conn for conn in reversed(self.conns) if conn.is_live()), None)
@@ -239,7 +230,11 @@
     def ensure_connected(self) -> None:
         """Dial a machine that needs a connection and has none, if there is room for one.  Otherwise
         `check_liveness` reconnects to such machines in turn."""
-        if self.has_duties() and not self.conns and self.pool.connection_count < self.pool.max_connections():
+        if (
+            self.tasks.has_duties()
+            and not self.conns
+            and self.pool.connection_count < self.pool.max_connections()
+        ):
             self.dial("line")
 
     def check_liveness(self, now: int) -> None:
@@ -248,14 +243,15 @@
         for conn in self.conns:
             if not conn.open_offers and not conn.reusable:
                 conn.start_closing()
-        if not self.has_duties():
+        if not self.tasks.has_duties():
             return
         if self.liveness.get_silence_ns(now) > 2 * PING_INTERVAL_NS:
             for conn in list(self.conns):
                 conn.read_pending()
         match self.liveness.choose_action(now, bool(self.conns), bool(self.running)):
             case LivenessAction.GIVE_UP:
-                self._give_up_running_tasks()
+                self.report.line("machine.silent", machine=self.name, tasks=len(self.running))
+                self.tasks.give_up("silent")
                 self._retry(now)
             case LivenessAction.RETRY:
                 self._retry(now)
@@ -267,7 +263,7 @@
                 self._reconnect(now)
             case LivenessAction.PING if (live := self.find_live_connection()) is not None:
                 self.liveness.record_request(now)
-                self._ping(live)
+                live.ping()
             case _:
                 self.ensure_connected()
 
@@ -292,22 +288,9 @@
         if self.pool.make_room() or self.pool.free_descriptors() > 0:
             self.dial("visit")
 
-    def _give_up_running_tasks(self) -> None:
-        """Report all running tasks as broken because the machine is silent.
-
-        It may run them all the same, so they are released when it is reached again, and so are those whose
-        release was pending."""
-        self.report.line("machine.silent", machine=self.name, tasks=len(self.running))
-        for offer in list(self.running.values()):
-            self._end_unconfirmed(offer, "silent")
-
     def fail_running_tasks(self, why: str) -> None:
         """Report all running tasks as broken: the machine does not run them any more."""
-        lost, self.running = list(self.running.values()), {}
-        self.pending_releases.clear()
-        for offer in lost:
-            offer.leg.step(Step.RELEASE)
-            self.pool.listener.on_broken(offer, why)
+        self.tasks.fail_all(why)
         if self.removed:
             self._clean_up()
 
@@ -335,81 +318,74 @@
         for conn in list(self.conns):
             conn.read_pending()
         self._process_check.end()
-        over = [offer for offer in self.running.values() if not self._is_of_current_process(offer)]
-        if over:
-            self.report.line("machine.restarted", machine=self.name, tasks=len(over))
-        for offer in over:
-            self._end_unconfirmed(offer, "restarted")
+        count = self.tasks.give_up("restarted", lambda offer: not self._is_of_current_process(offer))
+        if count:
+            self.report.line("machine.restarted", machine=self.name, tasks=count)
         if (live := self.find_live_connection()) is not None:
             self._send_releases(live)
 
     def _is_of_current_process(self, offer: Offer) -> bool:
         return offer.conn is not None and self._process_check.is_current(offer.conn.order)
 
-    def _end_unconfirmed(self, offer: Offer, why: str) -> None:
-        """Report a running task as broken.  It may run all the same, so it is released as well: its owner may
-        have it started again."""
-        del self.running[offer.id]
-        self.pending_releases.add(offer.id, Cause.NORMAL)
-        offer.leg.step(Step.RELEASE)
-        self.pool.listener.on_broken(offer, why)
-
     # --- incoming messages --------------------------------------------------------------------------------
 
     def on_message(self, conn: Conn, message: Message) -> None:
-        listener = self.pool.listener
         if conn.ping_timer is not None:
             conn.ping_timer.cancel()
             conn.ping_timer = None
             self._write_waiting(conn)
         offer = conn.open_offers.get(message.id)
-        if message.kind is Kind.ANSWER:
-            if offer is None or not offer.written:
-                self._on_stray_answer(conn, message)
-            elif message.description is None:
-                raise SignalError("an answer without a description")
-            else:
-                self._stop_waiting(offer)
-                offer.leg.step(Step.ANSWER)
-                offer.started = True
-                self.running[offer.id] = offer
-                listener.on_answer(offer, message.description)
-                if offer.early_end is not None:
-                    self.on_task_end(offer.id, offer.early_end)
-        elif message.kind is Kind.RELEASE:
-            end = TaskEnd(message.cause, message.values.get(Code.NOTE))
-            if offer is not None and offer.written:
-                self._stop_waiting(offer)
-                offer.leg.step(Step.RELEASE)
-                listener.on_release(offer, end.cause, end.note)
-            elif message.id in self.running:
-                self.on_task_end(message.id, end)
-            elif not self.pending_releases.confirm(message.id) and message.id not in self.ended_attempts:
-                self._on_early_end(message.id, end)
-        elif message.kind is Kind.NOTE:
-            offer = self.running.get(message.id) or offer
-            if offer is not None:
-                try:
-                    figure = float(message.values.get(Code.FIGURE, "0"))
-                except ValueError:
-                    figure = math.nan
-                if not math.isfinite(figure):
-                    raise SignalError("a note's figure is not a number")
-                listener.on_note(offer, message.values.get(Code.NOTE), figure)
-        elif message.kind is Kind.PONG:
-            conn.pongs_received += 1
-            for id in self.pending_releases.take_read(conn):
-                self.on_task_end(id, TaskEnd(Cause.CANCELLED, None))
-        elif message.kind is Kind.PING:
-            self._send_message(conn, Message(Kind.PONG, message.id, 1))
-
-    def on_task_end(self, id: str, end: TaskEnd) -> None:
-        """A running task has ended."""
-        self.pending_releases.confirm(id)
-        offer = self.running.pop(id, None)
+        open_offer = offer if offer is not None and offer.written else None
+        match message.kind:
+            case Kind.ANSWER:
+                self._on_answer(conn, message, open_offer)
+            case Kind.RELEASE:
+                self._on_release(message, open_offer)
+            case Kind.NOTE:
+                self._on_note(message, self.running.get(message.id) or offer)
+            case Kind.PONG:
+                conn.pongs_received += 1
+                for id in self.tasks.releases.take_read(conn):
+                    self.tasks.end(id, TaskEnd(Cause.CANCELLED, None))
+            case Kind.PING:
+                conn.send(Message(Kind.PONG, message.id, TEST_PASSED))
+
+    def _on_answer(self, conn: Conn, message: Message, offer: Offer | None) -> None:
+        if offer is None:
+            self._on_stray_answer(conn, message)
+            return
+        if message.description is None:
+            raise SignalError("an answer without a description")
+        self._stop_waiting(offer)
+        offer.leg.step(Step.ANSWER)
+        offer.started = True
+        self.tasks.add(offer)
+        self.pool.listener.on_answer(offer, message.description)
+        if offer.early_end is not None:
+            self.tasks.end(offer.id, offer.early_end)
+
+    def _on_release(self, message: Message, offer: Offer | None) -> None:
+        """The machine refused or broke off an open set-up, or a task has ended there."""
+        end = TaskEnd(message.cause, message.values.get(Code.NOTE))
         if offer is not None:
+            self._stop_waiting(offer)
             offer.leg.step(Step.RELEASE)
             self.pool.listener.on_release(offer, end.cause, end.note)
+        elif message.id in self.running:
+            self.tasks.end(message.id, end)
+        elif not self.tasks.releases.confirm(message.id) and message.id not in self.ended_attempts:
+            self._on_early_end(message.id, end)
+
+    def _on_note(self, message: Message, offer: Offer | None) -> None:
+        if offer is None:
+            return
+        try:
+            figure = float(message.values.get(Code.FIGURE, "0"))
+        except ValueError:
+            figure = math.nan
+        if not math.isfinite(figure):
+            raise SignalError("a note's figure is not a number")
+        self.pool.listener.on_note(offer, message.values.get(Code.NOTE), figure)
 
     def _on_early_end(self, id: str, end: TaskEnd) -> None:
         """The end of a task that does not run yet, as far as is known: its answer is still unread on another
@@ -425,7 +401,7 @@
     def _on_stray_answer(self, conn: Conn, message: Message) -> None:
         """An answer that no open set-up waits for: a given-up task is released, other answers are ignored."""
         if message.id in self.ended_attempts and message.id not in self.running:
-            self._send_message(conn, Message(Kind.RELEASE, message.id, Cause.NORMAL))
+            conn.send(Message(Kind.RELEASE, message.id, Cause.NORMAL))
         self.report.count("machine.stray_answer")
 
     def on_closed(self, conn: Conn, fault: BaseException | None) -> None:
@@ -458,10 +434,10 @@
                 offer.leg.step(Step.RELEASE)
                 self._remember_ended(offer)
                 self.pool.listener.on_broken(offer, repr(fault)[:80])
-        if not up and is_refused(fault) and self.has_duties() and not self.conns:
+        if not up and is_refused(fault) and self.tasks.has_duties() and not self.conns:
             # Nothing listens there: the machine's process is dead, and its tasks with it.
             self.fail_running_tasks("refused")
-        self.pending_releases.mark_unsent(conn)
+        self.tasks.releases.mark_unsent(conn)
         if (live := self.find_live_connection()) is not None:
             self._send_releases(live)
         if up and not conn.closed_for_room:
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -152,7 +152,7 @@
             if end is not None:
                 # Its end arrived before it was handed over, and the machine need not report it again.
                 self.report.count("adopted.over")
-                self.loop.call_soon(link.on_task_end, offer.id, end)
+                self.loop.call_soon(link.tasks.end, offer.id, end)
 
     def on_early_end(self, machine: str, id: str, end: TaskEnd) -> None:
         """Keep the end of a task that is unknown here, as the task may be about to be handed over."""
--- a/tests/platform/outages.py
+++ b/tests/platform/outages.py
@@ -298,7 +298,7 @@
         found += [f"{key}: stands {count} times" for key, count in keys.items() if count > 1]
         for machine in self.machines:
             link = self.bed.service.links.get(machine.name)
-            if link is not None and len(link.pending_releases):
+            if link is not None and len(link.tasks.releases):
                 found.append(f"{machine.name}: releases are still pending")
         return found
 
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -102,7 +102,7 @@
     cut.end()
     bed.run(span_ns=2 * S)
     assert sorted(get_releases(cut.machine)) == sorted(asked)
-    assert not cut.link.has_duties()
+    assert not cut.link.tasks.has_duties()
     assert len(owner.received(Kind.RELEASE)) == 3
 
 
@@ -119,7 +119,7 @@
     cut.end()
     bed.run(span_ns=3 * S)
     assert len(get_releases(cut.machine)) == 1
-    assert not cut.link.has_duties()
+    assert not cut.link.tasks.has_duties()
     pings = len(cut.machine.received(Kind.PING))
     bed.run(span_ns=5 * S)
     assert len(cut.machine.received(Kind.PING)) == pings
@@ -142,7 +142,7 @@
         conn.reset()
     bed.run(span_ns=3 * S)
     assert get_releases(machine) == [asked.id, asked.id]
-    assert not cut.link.has_duties()
+    assert not cut.link.tasks.has_duties()
 
 
 def test_an_end_that_the_machine_reports_first_is_told_once_and_settles_the_release(beds: Any) -> None:
@@ -155,7 +155,7 @@
     cut.end()
     bed.run(span_ns=3 * S)
     assert [(each.id, each.cause) for each in owner.received(Kind.RELEASE)] == [(asked.id, BROKEN)]
-    assert not cut.link.has_duties()
+    assert not cut.link.tasks.has_duties()
 
 
 def test_a_task_whose_cut_the_machine_reported_on_a_dead_connection_is_not_kept_for_ever(beds: Any) -> None:
@@ -171,7 +171,7 @@
         conn.reset()
     bed.run(span_ns=3 * S)
     link = bed.service.links.get("m0")
-    assert link is not None and not link.has_duties()
+    assert link is not None and not link.tasks.has_duties()
     assert not bed.service.tasks._by_number
     assert get_releases(machine) == [asked.id, asked.id]
 
@@ -185,7 +185,7 @@
     machine.die()
     cut.end()
     bed.run(span_ns=3 * S)
-    assert not cut.link.has_duties() and not cut.link.conns
+    assert not cut.link.tasks.has_duties() and not cut.link.conns
 
 
 def test_a_machine_given_up_that_leaves_the_list_is_owed_nothing(beds: Any) -> None:
@@ -230,4 +230,4 @@
     machine.silent, machine.script = False, confirm_releases
     bed.run(span_ns=10 * S)
     link = bed.service.links.get("m0")
-    assert link is not None and not link.has_duties()
+    assert link is not None and not link.tasks.has_duties()
--- a/tests/platform/test_outages.py
+++ b/tests/platform/test_outages.py
@@ -66,7 +66,7 @@
     machine, id, _ = find_standing(outage_run)
     link = outage_run.bed.service.links.get(machine.name)
     assert link is not None
-    link.pending_releases.add(id, outages.NORMAL)
+    link.tasks.releases.add(id, outages.NORMAL)
     return f"{machine.name}: releases are still pending"
 
 
