A task handed over just after a restart was told is not ended by it

What callers would have seen: a scheduler that starts reads of a restart long past, is handed over what runs there, and 250 ms later tells the owners that it is over and releases it.

Cause: tasks that are handed over have no connection, and the check of the process took each of them for one of the previous process, also those that came after the restart was told.

Change: of what was handed over, only what was there when the restart was told is over.

Result: tests/platform/test_restarts.py -k just_after failed before and passes; tests/platform: all passed.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -31,6 +31,7 @@
         self.ended_attempts: dict[str, None] = {}
         self._process_check = ProcessCheck()
         self._check_timer: Timer | None = None
+        self._adopted_before_restart: set[str] = set()  # tasks that were handed over before it was told
         self._connected_count = 0
         self.liveness = Liveness(pool.loop.now_ns())
         self.setups_blocked = False  # no new set-up is written
@@ -299,6 +300,7 @@
     def on_restart(self, start_ns: int) -> None:
         """The list tells a new start of the machine: what ran in its previous process is over."""
         self.start_ns = start_ns
+        self._adopted_before_restart = {id for id, offer in self.running.items() if offer.conn is None}
         # Not from here, as this may be called while messages of a connection are handled.
         self.loop.call_soon(self._begin_process_check)
 
@@ -325,7 +327,9 @@
             self._send_releases(live)
 
     def _is_of_current_process(self, offer: Offer) -> bool:
-        return offer.conn is not None and self._process_check.is_current(offer.conn.order)
+        if offer.conn is None:  # it was handed over, by somebody who may know of the restart
+            return offer.id not in self._adopted_before_restart
+        return self._process_check.is_current(offer.conn.order)
 
     # --- incoming messages --------------------------------------------------------------------------------
 
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -146,6 +146,23 @@
     assert get_over(owner) == {handed.id}
 
 
+def test_a_task_that_is_handed_over_just_after_the_restart_was_told_goes_on(beds: Any) -> None:
+    # Guards against ends told of tasks that run: a scheduler that starts is told of restarts long past, and
+    # then gets what runs there.  A task that is handed over has no connection to judge it by.
+    bed = beds(accept_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    before = bed.handover(machine)
+    owner.send(before)
+    bed.run(lambda: machine.conns)
+    tell_start(bed, RESTARTED_MS)
+    after = bed.handover(machine)
+    owner.send(after)
+    bed.run(span_ns=TOLD_WITHIN_NS)
+    assert get_over(owner) == {before.id}
+    assert set(bed.service.links.get("m0").running) == {after.id}
+    assert after.id not in {each.id for each in machine.received(Kind.RELEASE)}
+
+
 def test_a_set_up_that_the_previous_process_left_open_is_answered_at_once(beds: Any) -> None:
     bed = beds(ignore_all, ignore_all)
     owner = Owner(bed)
