--- a/tests/platform/test_process_check.py
+++ b/tests/platform/test_process_check.py
@@ -1,4 +1,4 @@
-"""Which connections are taken for ones to the current process of a machine, in all orders of a few of them."""
+"""Which connections are taken for ones to the current process of a machine, in all orders of five of them."""
 
 from __future__ import annotations
 
