A set-up closed as silent leaves nothing owed to a machine that left the list

What was seen, by reading: the release of such a set-up was also noted for a machine that is listed as gone, whose link then stayed and was dialled.

Change: nothing is owed to a machine that has left the list, as for its tasks.

Result: tests/platform/test_cut_off.py -k left_the_list, the new one of its two cases failed before (the link was kept), both pass.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -452,7 +452,7 @@
             else:
                 offer.leg.step(Step.RELEASE)
                 self._remember_ended(offer)
-                if isinstance(fault, TimeoutError):
+                if isinstance(fault, TimeoutError) and not self.removed:
                     # The connection was closed from here as silent: the task may run, its answer unheard.
                     self.tasks.releases.add(offer.id, Cause.NORMAL)
                 self.pool.listener.on_broken(offer, repr(fault)[:80])
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -232,6 +232,20 @@
     cut.end()
 
 
+def test_a_set_up_closed_as_silent_leaves_nothing_owed_to_a_machine_that_has_left_the_list(beds: Any) -> None:
+    bed = beds(ignore_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    owner.send(bed.setup("bill", left=2500))
+    bed.run(lambda: machine.received(Kind.SETUP))
+    machine.dead_conns = list(machine.conns)
+    bed.service.apply_event(decode_event(json.dumps(event(2, machine.row(since_ms=1))).encode()))
+    bed.run()
+    bed.service.apply_event(decode_event(json.dumps(event(3, machine.row("gone", since_ms=1))).encode()))
+    bed.run(span_ns=S)
+    assert bed.service.links.get("m0") is None and bed.service.links.connection_count == 0
+    assert not get_releases(machine) and owner.received(Kind.RELEASE)
+
+
 @pytest.mark.parametrize("outage_s", [20, 120])
 def test_a_machine_is_dialled_less_often_the_longer_its_outage_lasts(beds: Any, outage_s: int) -> None:
     bed = beds(confirm_releases)
