--- a/tests/hard_cases/test_nodes.py
+++ b/tests/hard_cases/test_nodes.py
@@ -77,10 +77,12 @@
     world.daemon()
     job = world.submit("billing")
     world.wait(job, "R")
-    world.crash("node-1")
-    agent = world.add_node("node-1")
-    agent.ready_ns = agent.admission.ready_ns = agent.ready_ns + clock_error_ns
-    world.until(lambda: world.live(job))
+    for restart in (1, 2):
+        world.crash("node-1")
+        agent = world.add_node("node-1")
+        agent.ready_ns = agent.admission.ready_ns = agent.ready_ns + restart * clock_error_ns
+        world.until(lambda: world.live(job))
+        world.wait(job, "R")
     assert_recording_passes(world)
 
 
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -63,6 +63,14 @@
         conn.send(release(message.id, CANCELLED))
 
 
+def cut_until_given_up(bed: Bed) -> Cut:
+    """Cut the first machine off for so long that it is given up as silent."""
+    cut = Cut(bed)
+    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    assert count_logged(bed, "machine.silent")
+    return cut
+
+
 def count_logged(bed: Bed, name: str) -> int:
     return sum(row["event"] == name for row in bed.logged)
 
@@ -90,13 +98,34 @@
     assert (other.id in get_releases(cut.machine)) == bool(told)
 
 
+@pytest.mark.parametrize("cut_s", [1, 3, 6, 7, 12])
+@pytest.mark.parametrize("ended_after", [0.1, 0.5, 0.9])
+def test_the_same_at_other_moments_and_twice_in_a_row(beds: Any, cut_s: int, ended_after: float) -> None:
+    bed = beds(confirm_releases)
+    owner = Owner(bed)
+    for _ in range(2):
+        ended = place_task(bed, owner, "bill")
+        cut = Cut(bed)
+        bed.run(span_ns=round(cut_s * S * ended_after))
+        owner.send(release(ended.id, CANCELLED))
+        bed.run(span_ns=round(cut_s * S * (1 - ended_after)))
+        cut.end()
+        bed.run(span_ns=2 * S)
+        meanwhile = place_task(bed, owner, "bill")
+        bed.run(span_ns=S)
+        assert get_releases(cut.machine).count(ended.id) >= 1
+        assert meanwhile.id in cut.link.running and meanwhile.id not in get_releases(cut.machine)
+        owner.send(release(meanwhile.id, CANCELLED))
+        bed.run(span_ns=S)
+        assert not cut.link.tasks.has_duties()
+
+
 def test_tasks_of_a_machine_given_up_as_silent_are_released_once_it_is_back(beds: Any) -> None:
     # Guards against copies that run on without an owner, who was told that they are over.
     bed = beds(confirm_releases)
     owner = Owner(bed)
     asked = {place_task(bed, owner).id for _ in range(3)}
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     assert {each.id for each in owner.received(Kind.RELEASE)} == asked
     assert not get_releases(cut.machine)
     cut.end()
@@ -112,8 +141,7 @@
     bed = beds(accept_all)  # it says nothing about the release of a task that it does not know
     owner = Owner(bed)
     place_task(bed, owner)
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     for conn in list(cut.machine.conns):
         conn.reset()
     cut.end()
@@ -130,8 +158,7 @@
     machine, owner = bed.machines[0], Owner(bed)
     machine.script = accept_all
     asked = place_task(bed, owner)
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     machine.script = ignore_all
     machine.silent = True  # neither the release nor the ping behind it is answered
     cut.end()
@@ -149,8 +176,7 @@
     bed = beds(accept_all)
     machine, owner = bed.machines[0], Owner(bed)
     asked = place_task(bed, owner)
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     machine.on_accept = lambda conn: conn.send(release(asked.id, 16))
     cut.end()
     bed.run(span_ns=3 * S)
@@ -212,8 +238,7 @@
     bed = beds(accept_all)
     machine, owner = bed.machines[0], Owner(bed)
     place_task(bed, owner)
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     machine.die()
     cut.end()
     bed.run(span_ns=3 * S)
@@ -224,8 +249,7 @@
     bed = beds(accept_all)
     owner = Owner(bed)
     place_task(bed, owner)
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     bed.service.apply_event(decode_event(json.dumps(event(2, cut.machine.row("gone"))).encode()))
     bed.run(span_ns=2 * S)
     assert bed.service.links.get("m0") is None and bed.service.links.connection_count == 0
@@ -251,8 +275,7 @@
     bed = beds(confirm_releases)
     owner = Owner(bed)
     asked = place_task(bed, owner)
-    cut = Cut(bed)
-    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    cut = cut_until_given_up(bed)
     before = count_logged(bed, "machine.unreached")
     for _ in range(outage_s):
         bed.run(span_ns=S)
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -222,3 +222,30 @@
     bed.run(span_ns=TOLD_WITHIN_NS)
     assert get_over(owner) == {first.id, second.id}
     assert set(bed.service.links.get("m0").running) == {third.id}
+
+
+@pytest.mark.parametrize("outage_ms", [200, 1_000, 2_500, 4_500])
+@pytest.mark.parametrize("list_delay_ms", [-100, 0, 1_000, 3_000])
+def test_the_same_at_other_moments_and_twice_in_a_row(beds: Any, outage_ms: int, list_delay_ms: int) -> None:
+    # The list tells the start before the machine is back, as it returns, or later.
+    bed = beds(accept_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    over: set[str] = set()
+    for restart in range(2):
+        over.add(place_task(bed, owner).id)
+        machine.silent = True
+        bed.run(span_ns=(outage_ms + min(0, list_delay_ms)) * MS)
+        if list_delay_ms < 0:
+            tell_start(bed, RESTARTED_MS + restart, pos=2 + restart)
+            bed.run(span_ns=-list_delay_ms * MS)
+        machine.silent = False
+        for conn in list(machine.conns):
+            conn.reset()
+        bed.run(span_ns=max(0, list_delay_ms) * MS)
+        meanwhile = place_task(bed, owner)
+        if list_delay_ms >= 0:
+            tell_start(bed, RESTARTED_MS + restart, pos=2 + restart)
+        bed.run(span_ns=TOLD_WITHIN_NS)
+        assert get_over(owner) == over
+        assert meanwhile.id in bed.service.links.get("m0").running
+        over.add(meanwhile.id)  # it runs in this process, and so ends with it
