--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -85,7 +85,7 @@
     def on_closed(self, conn: Conn, fault: BaseException | None) -> None: ...
 
     def is_needed(self, conn: Conn) -> bool:
-        """Whether it is the only connection to a machine that runs tasks."""
+        """Whether it is the only connection to a machine that runs tasks or has releases to confirm."""
 
 
 class Conn:
@@ -97,7 +97,7 @@
         self.open_offers: dict[str, Offer] = {}  # set-ups without an answer, by task id
         self.stream: Stream | None = None
         self.reusable = True  # no set-up on it was given up, and the machine kept its address
-        self.order: int | None = None  # among the machine's connections, by when they came up
+        self.order: int | None = None  # the machine's connections are numbered as they come up
         self.closing = False
         self.closed_for_room = False  # closed to free a descriptor: not dialled again at once
         self.ping_timer: Timer | None = None  # runs while a ping must be answered before set-ups are written
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -3,7 +3,8 @@
 A set-up has a connection to itself, so that invalid data or a reset ends that set-up alone.  A connection
 without such a fault is reused: at once if the machine was heard from recently, else after a ping on it is
 answered.  If there is none, one is dialled.  So an unreachable machine is noticed before anything is sent.
-While tasks run on a machine a connection to it is kept, on which it reports their ends.
+While tasks run on a machine, or releases wait to be confirmed, a connection to it is kept, on which it
+reports the ends of tasks.
 
 If new connections have a price, a second set-up to a machine shares the connection of the first, provided
 that both may be lost together and sent again.
--- a/ladderhub/platform/process_check.py
+++ b/ladderhub/platform/process_check.py
@@ -14,20 +14,20 @@
 
     def __init__(self) -> None:
         self._first_current: int | None = None  # order of the first connection known to lead there
-        self.in_progress = False
+        self._in_progress = False
 
     def begin(self) -> None:
         """A restart was told, and what arrived before has been handled: nothing is known from now on."""
-        self._first_current, self.in_progress = None, True
+        self._first_current, self._in_progress = None, True
 
     def record_heard(self, order: int) -> None:
         """Record that data arrived on this connection, or that it came up."""
-        if self.in_progress and (self._first_current is None or order < self._first_current):
+        if self._in_progress and (self._first_current is None or order < self._first_current):
             self._first_current = order
 
     def end(self) -> None:
         """Connections that were not heard until now lead to the previous process."""
-        self.in_progress = False
+        self._in_progress = False
 
     def is_current(self, order: int | None) -> bool:
         """Whether a connection is known to lead to the current process; `order` is None if it never came
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -100,7 +100,9 @@
 
 @pytest.mark.parametrize("cut_s", [1, 3, 6, 7, 12])
 @pytest.mark.parametrize("ended_after", [0.1, 0.5, 0.9])
-def test_the_same_at_other_moments_and_twice_in_a_row(beds: Any, cut_s: int, ended_after: float) -> None:
+def test_what_ends_at_any_moment_of_an_outage_is_released_and_nothing_later_is(
+    beds: Any, cut_s: int, ended_after: float
+) -> None:
     bed = beds(confirm_releases)
     owner = Owner(bed)
     for _ in range(2):
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -226,7 +226,9 @@
 
 @pytest.mark.parametrize("outage_ms", [200, 1_000, 2_500, 4_500])
 @pytest.mark.parametrize("list_delay_ms", [-100, 0, 1_000, 3_000])
-def test_the_same_at_other_moments_and_twice_in_a_row(beds: Any, outage_ms: int, list_delay_ms: int) -> None:
+def test_restarts_at_other_moments_and_twice_in_a_row_end_what_ran_before_each(
+    beds: Any, outage_ms: int, list_delay_ms: int
+) -> None:
     # The list tells the start before the machine is back, as it returns, or later.
     bed = beds(accept_all)
     machine, owner = bed.machines[0], Owner(bed)
