--- a/review/6/test.py
+++ b/review/6/test.py
@@ -62,7 +62,7 @@
         time.sleep(max(0.0, stopped_at + ENDS_S * number / len(ended) - time.time()))
         owner.release(task, 31)
     if TROUBLE:
-        wait_for(lambda: scheduler.child.poll() is not None, KILL_S, "the end of the scheduler")
+        wait_for(lambda: scheduler.child.poll() is not None, KILL_S + 2, "the end of the scheduler")
         record(f"the scheduler ended {time.time() - stopped_at:.2f} s after SIGTERM")
         if scheduler.child.returncode:
             return NOT_RUN, f"the scheduler ended with status {scheduler.child.returncode}"
