Daemon: SIGTERM waits until nodes have confirmed the stops of cancelled jobs

What callers saw: a running job was cancelled while its node was out of reach, and the daemon got SIGTERM; it ended at once and said that nothing was unsettled. The run went on, and the next process took it over as wanted.

Cause: Daemon._check_settled counted jobs without an answer only. A cancelled job that had run was answered long before, and that its stop was not confirmed counted nowhere. Found as a path related to releases that wait on the platform.

Evidence: tests/hard_cases/test_surroundings.py -k "cancelled_job or never_returns": 3 of 3 failed before, 3 of 3 pass; tests/hard_cases, tests/server and the owner's tests: 177 passed.

Why it works: unwanted runs that no node has confirmed as over delay the end, within stop_within, while their stops are repeated; `unconfirmed_stops` of the line `stopped` tells how many are left.

--- a/ladderhub/owner/decide.py
+++ b/ladderhub/owner/decide.py
@@ -57,6 +57,11 @@
         """Return the number of jobs that have not been answered yet."""
         return sum(not job.answered for job in self._jobs.values())
 
+    def count_unconfirmed_stops(self) -> int:
+        """Return the number of unwanted runs whose machines have not confirmed that they are over."""
+        unwanted = sum(run.unwanted for job in self._jobs.values() for run in job.runs.values())
+        return unwanted + len(self._orphans)
+
     def count_orphans(self) -> int:
         """Return the number of runs of finished jobs that are still to be stopped."""
         return len(self._orphans)
--- a/ladderhub/server/daemon.py
+++ b/ladderhub/server/daemon.py
@@ -114,7 +114,9 @@
         return sum(component.count_unsettled() for component in self.components)
 
     def shut_down(self) -> None:
-        """Settle every accepted job within `stop_within`, then end.  A second call ends at once."""
+        """Settle every accepted job and stop every unwanted run within `stop_within`, then end.
+
+        A second call ends at once."""
         if self.context.stopping:
             self._stop_components(now=True)
             self._finish()
@@ -129,7 +131,9 @@
             component.stop(now)
 
     def _check_settled(self, until_ns: int) -> None:
-        if self.count_unsettled() and self.loop.now_ns() < until_ns:
+        # The next process would take over the runs of cancelled jobs as if they were wanted.
+        unsettled = self.count_unsettled() or self.owner.count_unconfirmed_stops()
+        if unsettled and self.loop.now_ns() < until_ns:
             self.loop.call_later(SETTLED_CHECK_INTERVAL_NS, self._check_settled, until_ns)
             return
         if self.count_unsettled():
@@ -140,7 +144,8 @@
         if self.on_end is None:
             return
         done, self.on_end = self.on_end, None
-        self.log.info("stopped", unsettled=self.count_unsettled())
+        unconfirmed = self.owner.count_unconfirmed_stops()
+        self.log.info("stopped", unsettled=self.count_unsettled(), unconfirmed_stops=unconfirmed)
         self.client_listener.close_clients()
         self.loop.call_later(CLOSE_DELAY_NS, self._close, done)
 
--- a/tests/hard_cases/test_surroundings.py
+++ b/tests/hard_cases/test_surroundings.py
@@ -6,9 +6,11 @@
 import os
 import resource
 
+import pytest
 
 from ladderhub.interface import Action, Event, TaskAsked
 from ladderhub.lab.client import BatchClient, build_job_attributes
+from ladderhub.loop import Listener
 from ladderhub.pbs import names as n
 from ladderhub.pbs.batch import Attr, Reply, Request
 
@@ -110,6 +112,44 @@
     assert world.live(runs) and world.live(starting)  # placed jobs keep running
 
 
+@pytest.mark.parametrize("queue", ["billing", "web"])
+def test_a_cancelled_job_whose_node_is_out_of_reach_is_stopped_before_the_scheduler_ends(
+    make_world: WorldFactory, queue: str
+) -> None:
+    # Guards against cancelled jobs that run on: the next process would take them over as running.
+    world = make_world(1)
+    daemon = world.daemon()
+    job = world.submit(queue)
+    world.wait(job, "R")
+    agent = world.agents["node-1"]
+    address = agent.listener.address
+    agent.listener.close()
+    world.delete(job)
+    live_at_end: list[list[str]] = []
+    daemon.on_end = lambda: live_at_end.append(world.live(job))
+    daemon.shut_down()
+    world.run_for(500 * MS)
+    agent.listener = Listener(world.loop, address, agent._accept)
+    world.until(lambda: live_at_end)
+    assert live_at_end == [[]]
+
+
+def test_a_node_that_never_returns_delays_the_end_by_the_stated_time_only(make_world: WorldFactory) -> None:
+    world = make_world(1)
+    daemon = world.daemon()
+    job = world.submit("billing")
+    world.wait(job, "R")
+    world.agents["node-1"].listener.close()
+    world.delete(job)
+    ended: list[bool] = []
+    daemon.on_end = lambda: ended.append(True)
+    began_ns = world.loop.now_ns()
+    daemon.shut_down()
+    world.until(lambda: ended)
+    assert world.loop.now_ns() - began_ns >= daemon.context.settings.stop_within_ns
+    assert world.live(job)
+
+
 def test_altering_a_running_job_takes_effect_and_a_job_without_script_is_not_rerun(
     make_world: WorldFactory,
 ) -> None:
