Platform: an end lost with one of several connections is asked for on a new one

What callers saw: a task ended, its machine's report was lost with a connection that was reset, and another connection to the machine was up.

Cause: a machine reports an end on one connection, and once more on the next that it accepts. Link.on_closed dialled only where no connection was left, and check_liveness was content with a ping answered on any. Related: connections that we close while the machine may have written; and a look at the socket takes up the kernel's report of a reset, after which the next read finds an orderly end.

Why it works: LostEnds notes a loss that is not the machine's orderly close, and a connection dialled after it is opened within a second if tasks run there, ahead of the machine's turn where descriptors are short. Several losses in a second cost one dial. The queue of such dials, made for releases, got a name that fits both.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -65,6 +65,7 @@
         self._first = first
         self.connected = not connecting
         self.closed = False
+        self.ended_by_peer = False  # the peer closed it, and all that it sent before was read
         self.on_connected: Callable[[Stream], None] | None = None
         self.on_drained: Callable[[], None] | None = None  # called whenever the write buffer has become empty
         self._out: list[bytes] = []
@@ -138,7 +139,10 @@
         try:
             return self._socket().recv(1, socket.MSG_PEEK)
         except OSError as fault:
-            return None if fault.errno in TRANSIENT_ERRNOS else b""
+            if fault.errno in TRANSIENT_ERRNOS:
+                return None
+            self._fault = self._fault or fault  # the kernel reports it once: the next read would find an end
+            return b""
 
     def read_now(self, max_bytes: int) -> None:
         """Pass received data, up to about `max_bytes`, to the handler at once, even while reading is paused;
@@ -263,6 +267,7 @@
             if data:
                 self.handler.on_data(self, data)
             else:
+                self.ended_by_peer = self._fault is None
                 self.abort(None)
             return len(data)
         except OSError as fault:
--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -100,13 +100,15 @@
 class Conn:
     """One connection to a machine."""
 
-    def __init__(self, link: ConnHandler) -> None:
-        self.link = link
+    def __init__(self, link: ConnHandler, number: int = 0) -> None:
+        """`number`: of its dial, of all to this machine."""
+        self.link, self.number = link, number
         self.reader = BinaryReader()
         self.open_offers: dict[str, Offer] = {}  # set-ups without an answer, by task id
         self.stream: Stream | None = None
         self.reusable = True  # no set-up on it was given up, and the machine kept its address
         self.order: int | None = None  # the machine's connections are numbered as they come up
+        self.left_unanswered = False  # a set-up on it got no answer in time: what follows may be lost too
         self.closing = False
         self.has_received = False  # data arrived on it
         self.closed_for_room = False  # closed to free a descriptor: not dialled again at once
@@ -190,6 +192,13 @@
             and not self.stream.has_unsent()
         )
 
+    def may_have_lost_data(self) -> bool:
+        """Whether data that the machine sent on this closed connection may not have been received."""
+        stream = self.stream
+        if stream is None or not stream.connected or self.closed_for_room:
+            return False
+        return self.left_unanswered or not stream.ended_by_peer
+
     def is_idle(self) -> bool:
         """Whether no set-up is open on it and no part of a message is left in its reader."""
         return not self.open_offers and self.is_live() and not self.reader.pending()
--- a/ladderhub/platform/release_dials.py
+++ b/ladderhub/platform/dial_queue.py
@@ -1,4 +1,4 @@
-"""Decides which machines without a connection are dialled for releases, and how many at a time."""
+"""Decides which machines are dialled ahead of their turn, and how many at a time."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 AnyConn = TypeVar("AnyConn", bound=Hashable)
 
 
-class ReleaseDials(Generic[AnyConn]):
-    """Machines that wait to be dialled, the first first, and the dials whose releases are not confirmed yet.
+class DialQueue(Generic[AnyConn]):
+    """Machines that wait to be dialled, the first first, and the dials that are under way.
 
-    With more machines than descriptors most machines have no connection.  A task that its owner has ended
-    must end at its machine before the owner asks for it again, so its release can't wait for its machine's
-    turn to be dialled."""
+    With more machines than descriptors most machines have no connection, and are dialled in turn.  That is
+    too late for the release of a task, as its owner may have ended it and ask for it again soon, and for an
+    end that may be lost."""
 
     def __init__(self) -> None:
         self._waiting: dict[str, None] = {}
@@ -44,7 +44,7 @@
         self._under_way.add(conn)
 
     def end(self, conn: AnyConn) -> bool:
-        """The releases on it are confirmed, it is closed, or it took too long.  Return whether it was under
+        """The connection has served its purpose, is closed, or took too long.  Return whether it was under
         way."""
         if conn not in self._under_way:
             return False
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -10,6 +10,7 @@
 from ladderhub.platform import connection_choice
 from ladderhub.platform.conn import Conn, Need, Offer, TaskEnd, is_refused
 from ladderhub.platform.liveness import PING_INTERVAL_NS, Liveness, LivenessAction
+from ladderhub.platform.lost_ends import LostEnds
 from ladderhub.platform.pool import ConnectionPool
 from ladderhub.platform.process_check import ProcessCheck
 from ladderhub.platform.running_tasks import RunningTasks
@@ -30,6 +31,7 @@
         self.tasks = RunningTasks(pool.listener)
         self.ended_attempts: dict[str, None] = {}
         self._process_check = ProcessCheck()
+        self._lost_ends = LostEnds()
         self._check_timer: Timer | None = None
         self._adopted_before_restart: set[str] = set()  # tasks that were handed over before it was told
         self._connected_count = 0
@@ -100,7 +102,7 @@
     def dial(self, why: str) -> Conn:
         self.report.count(f"dial.{why}")
         self.liveness.record_request(self.loop.now_ns())
-        conn = Conn(self)
+        conn = Conn(self, self._lost_ends.record_dial())
         self.conns.append(conn)
         self.pool.connection_count += 1
         conn.stream = connect(
@@ -113,8 +115,11 @@
         conn.order = self._connected_count
         self._connected_count += 1
         self._process_check.record_heard(conn.order)
+        self._lost_ends.record_connected(conn.number)
         self.pool.add_connected(conn)
         self._send_releases(conn)
+        if not self.tasks.releases.is_awaited_on(conn):
+            self.pool.end_dial(conn)
         if self.running:
             # A machine that was dialled again may have nothing to send, and would count as silent.
             conn.ping()
@@ -166,6 +171,8 @@
             if conn.open_offers.get(offer.id) is not offer:
                 return
         written = offer.written
+        if written and conn is not None:
+            conn.left_unanswered = True
         self.give_up(offer)
         (self.pool.listener.on_overdue if written else self.pool.listener.on_unsent)(offer)
 
@@ -213,14 +220,22 @@
         conn = offer.conn if offer.conn is not None and offer.conn.is_live() else self.find_live_connection()
         self.tasks.releases.add(offer.id, cause)
         if conn is None:
-            self.pool.request_release_dial(self.name)
+            self.pool.request_dial(self.name)
         else:
             self._send_releases(conn)
 
-    def needs_release_dial(self) -> bool:
-        """Whether releases wait here and no connection is open or being opened."""
+    def needs_dial(self) -> bool:
+        """Whether a new connection is needed ahead of the machine's turn."""
+        return self._needs_dial_for_releases() or self._needs_dial_for_ends()
+
+    def _needs_dial_for_releases(self) -> bool:
         return not self.conns and self.tasks.releases.has_unsent()
 
+    def _needs_dial_for_ends(self) -> bool:
+        """Whether ends of tasks may be lost, and no connection is being opened on which they are reported."""
+        is_dialled = any(self._lost_ends.is_reported_again_on(conn.number) for conn in self.conns)
+        return bool(self.running) and self._lost_ends.are_suspected() and not is_dialled
+
     def _send_releases(self, conn: Conn) -> None:
         unsent = self.tasks.releases.take_unsent(conn)
         for id, cause in unsent:
@@ -251,6 +266,8 @@
                 conn.start_closing()
         if not self.tasks.has_duties():
             return
+        if self._needs_dial_for_ends():
+            self.pool.request_dial(self.name)
         if self.liveness.get_silence_ns(now) > 2 * PING_INTERVAL_NS:
             for conn in list(self.conns):
                 conn.read_pending()
@@ -272,8 +289,8 @@
                 live.ping()
             case _:
                 self.ensure_connected()
-                if self.needs_release_dial():
-                    self.pool.request_release_dial(self.name)
+                if self._needs_dial_for_releases():
+                    self.pool.request_dial(self.name)
 
     def _retry(self, now: int) -> None:
         """Dial a machine that was given up, for the releases that wait for it."""
@@ -365,7 +382,7 @@
         for id in read:
             self.tasks.end(id, TaskEnd(Cause.CANCELLED, None))
         if read:
-            self.pool.end_release_dial(conn)
+            self.pool.end_dial(conn)
             self._write_held_back()
 
     def _write_held_back(self) -> None:
@@ -439,6 +456,8 @@
         was_unresponsive = self.liveness.unresponsive
         if not up or not (conn.has_received or conn.closed_for_room):
             self.liveness.unresponsive = True
+        if conn.may_have_lost_data():
+            self._lost_ends.record_loss()
         if not up:
             self.report.line("machine.unreached", machine=self.name, why=repr(fault)[:80])
         elif conn.open_offers:
@@ -472,9 +491,10 @@
             self._send_releases(live)
         if up and not conn.closed_for_room:
             self.ensure_connected()
-        if self.needs_release_dial() and not (was_unresponsive and self.liveness.unresponsive):
+        has_answered = not (was_unresponsive and self.liveness.unresponsive)
+        if has_answered and self._needs_dial_for_releases():
             # One dial may come to nothing; a machine that misses two in a row is dialled by `check_liveness`.
-            self.pool.request_release_dial(self.name)
+            self.pool.request_dial(self.name)
         if self.removed:
             self._clean_up()
 
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -24,10 +24,10 @@
 from ladderhub.platform.early_ends import EarlyEnds
 from ladderhub.platform.link import Link
 from ladderhub.platform.liveness import PING_INTERVAL_NS
-from ladderhub.platform.release_dials import ReleaseDials
+from ladderhub.platform.dial_queue import DialQueue
 from ladderhub.platform.report import Report
 
-RELEASE_DIAL_LIMIT_NS = PING_INTERVAL_NS // 2  # a dial for releases holds up others for this long at most
+DIAL_LIMIT_NS = PING_INTERVAL_NS // 2  # a dial ahead of its turn holds up others for this long at most
 CHECK_PARTS = 10  # the checks of one second are spread over it, so that they delay nothing else
 
 
@@ -56,7 +56,7 @@
         self._connected: dict[Conn, None] = {}  # in the order in which they came up
         self._unchecked: list[Link] = []  # those still to be checked in this second
         self._current_part = self._links_per_part = 0
-        self._release_dials: ReleaseDials[Conn] = ReleaseDials()
+        self._dial_queue: DialQueue[Conn] = DialQueue()
         loop.call_later(PING_INTERVAL_NS // CHECK_PARTS, self._check_next)
 
     def make_room(self, most_needed: Need = Need.RELEASE) -> bool:
@@ -75,7 +75,12 @@
         for need in range(most_needed + 1):
             for conn in self._connected:
                 matches = conn.is_idle() and conn.link.get_need(conn) == need
-                if matches and conn.stream is not None and not conn.stream.has_unread():
+                if not matches or conn.stream is None:
+                    continue
+                if conn.stream.is_at_eof():
+                    conn.read_pending()  # its machine has closed or reset it, which may mean a lost end
+                    return self.make_room(most_needed)
+                if not conn.stream.has_unread():
                     conn.closed_for_room = True
                     self.report.count("machine.let_go")
                     conn.stream.abort(None)
@@ -88,7 +93,7 @@
     def remove_closed(self, conn: Conn) -> None:
         self.connection_count -= 1
         self._connected.pop(conn, None)
-        self.end_release_dial(conn)
+        self.end_dial(conn)
 
     def get(self, name: str) -> Link | None:
         return self._links.get(name)
@@ -119,34 +124,34 @@
             if name not in listed:
                 self.update_machine(name, link.address, False, True)
 
-    # --- releases that wait for a connection --------------------------------------------------------------
+    # --- machines that are dialled ahead of their turn ----------------------------------------------------
 
-    def request_release_dial(self, machine: str) -> None:
-        self._release_dials.add(machine)
-        self.loop.call_soon(self._dial_for_releases)
+    def request_dial(self, machine: str) -> None:
+        self._dial_queue.add(machine)
+        self.loop.call_soon(self._dial_requested)
 
-    def end_release_dial(self, conn: Conn) -> None:
-        if self._release_dials.end(conn):
-            self.loop.call_soon(self._dial_for_releases)
+    def end_dial(self, conn: Conn) -> None:
+        if self._dial_queue.end(conn):
+            self.loop.call_soon(self._dial_requested)
 
-    def _dial_for_releases(self) -> None:
-        while self._release_dials.may_begin(self.max_connections()):
-            link = self._links.get(self._release_dials.get_next())
-            if link is None or not link.needs_release_dial():
-                self._release_dials.drop_next()
+    def _dial_requested(self) -> None:
+        while self._dial_queue.may_begin(self.max_connections()):
+            link = self._links.get(self._dial_queue.get_next())
+            if link is None or not link.needs_dial():
+                self._dial_queue.drop_next()
             elif self.make_room(Need.TASK_ENDS):
-                conn = link.dial("release")
-                self._release_dials.begin_next(conn)
-                # A machine that hangs may accept the connection and confirm nothing.
-                self.loop.call_later(RELEASE_DIAL_LIMIT_NS, self.end_release_dial, conn)
+                conn = link.dial("ahead")
+                self._dial_queue.begin_next(conn)
+                # A machine that hangs may accept the connection and confirm no release.
+                self.loop.call_later(DIAL_LIMIT_NS, self.end_dial, conn)
             else:
                 return
 
-    def dial_all_for_releases(self) -> None:
-        """Dial each machine that has no connection and releases waiting, as soon as there is room."""
+    def request_due_dials(self) -> None:
+        """Dial each machine that needs it, as soon as there is room."""
         for name, link in self._links.items():
-            if link.needs_release_dial():
-                self.request_release_dial(name)
+            if link.needs_dial():
+                self.request_dial(name)
 
     def count_pending_releases(self) -> int:
         """The number of releases that machines have not confirmed."""
@@ -221,4 +226,4 @@
         for link in due:
             if self._links.get(link.name) is link:
                 link.check_liveness(now)
-        self._dial_for_releases()
+        self._dial_requested()
--- a/ladderhub/platform/pool.py
+++ b/ladderhub/platform/pool.py
@@ -31,10 +31,10 @@
 
     def remove_link(self, link: ConnHandler) -> None: ...
 
-    def request_release_dial(self, machine: str) -> None:
-        """Dial this machine, which has no connection, as soon as there is room: releases wait for it."""
+    def request_dial(self, machine: str) -> None:
+        """Dial this machine ahead of its turn, as soon as there is room, if it still needs it then."""
 
-    def end_release_dial(self, conn: Conn) -> None:
-        """The releases sent on this connection are confirmed."""
+    def end_dial(self, conn: Conn) -> None:
+        """This connection, which may have been dialled ahead of its turn, has served its purpose."""
 
     def on_early_end(self, machine: str, id: str, end: TaskEnd) -> None: ...
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -198,7 +198,7 @@
         # An unread task end could not be reported after the owners' connections are closed.
         self.links.read_pending()
         # The next process would not know the releases that are pending, and their tasks would run on.
-        self.links.dial_all_for_releases()
+        self.links.request_due_dials()
         owed = (
             {"answers": self.tasks.open_count}
             | self.owners.count_owed()
--- a/tests/platform/test_release_dials.py
+++ b/tests/platform/test_dial_queue.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ladderhub.platform.release_dials import ReleaseDials
+from ladderhub.platform.dial_queue import DialQueue
 from ladderhub.signalling import Kind, Message
 from tests.platform.bed import MS, Bed, MachineConn, Owner, S, accept_all, open_unreachable_address
 from tests.platform.bed import place_task, release
@@ -104,7 +104,7 @@
 
 
 def test_the_machine_that_waits_longest_is_dialled_first_and_half_of_the_connections_stay_free() -> None:
-    dials: ReleaseDials[int] = ReleaseDials()
+    dials: DialQueue[int] = DialQueue()
     assert not dials.may_begin(8)
     for name in ("m3", "m1", "m2", "m3", "m0", "m4"):
         dials.add(name)
@@ -120,6 +120,6 @@
 
 
 def test_one_connection_in_all_is_enough_for_a_dial() -> None:
-    dials: ReleaseDials[int] = ReleaseDials()
+    dials: DialQueue[int] = DialQueue()
     dials.add("m0")
     assert dials.may_begin(1)
--- a/tests/test_stream_reset.py
+++ b/tests/test_stream_reset.py
@@ -133,6 +133,22 @@
     assert bytes(connection.sink.received) == LAST_DATA and len(connection.sink.closed) == 1
 
 
+@pytest.mark.parametrize("look", [Stream.has_unread, Stream.is_at_eof])
+def test_a_reset_that_a_look_has_found_is_not_taken_for_an_orderly_end(
+    connection: Connection, look: Callable[[Stream], bool]
+) -> None:
+    # Guards against a lost end of a task: the kernel reports a reset once, and then as an end of the data.
+    connection.reset_then(lambda: look(connection.stream), b"")
+    assert isinstance(connection.sink.closed[0], ConnectionResetError)
+    assert not connection.stream.ended_by_peer
+
+
+def test_an_orderly_end_is_told_from_a_close_of_our_own(connection: Connection) -> None:
+    connection.peer.close()
+    connection.run_rounds(3)
+    assert connection.sink.closed == [None] and connection.stream.ended_by_peer
+
+
 class ShortOfMemory(socket.socket):
     """A socket whose next reads fail with ENOMEM, as if the kernel were short of memory."""
 
