--- a/tests/platform/test_late.py
+++ b/tests/platform/test_late.py
@@ -7,7 +7,7 @@
 import json
 from typing import Any
 
-from ladderhub.platform.follower import SILENCE_LIMIT_NS as JOURNAL_SILENT_NS
+from ladderhub.platform.patience import SILENCE_LIMIT_NS as JOURNAL_SILENT_NS
 from ladderhub.platform.liveness import SILENCE_LIMIT_NS
 from ladderhub.signalling import Kind, Message
 from tests.platform.bed import MS, Owner, S, accept_all, event, ignore_all, place_task
