Daemon: a dial to the directory that times out doubles the time of the next one

A directory whose connections take longer than a second to come up was never reached, and the node list stayed old.

Cause: NodeList gave up each dial after one second, and the next one as well.

Evidence: tests/directory/test_slow.py failed before (no dial lasted longer than 1.05 s beyond the retry delay) and passes.

Why it works: the time of a dial doubles with each that times out, up to 16 s, and is one second again once a connection has come up.

--- a/ladderhub/server/nodelist.py
+++ b/ladderhub/server/nodelist.py
@@ -16,7 +16,8 @@
 from ladderhub.usage.accounted import connect_counted
 from ladderhub.usage.traffic import TrafficCount
 
-CONNECT_TIMEOUT_NS = 1_000_000_000
+# Each dial that times out doubles the time for the next one, so that a slow directory is reached in the end.
+CONNECT_TIMEOUT_RANGE_NS = (1_000_000_000, 16_000_000_000)
 RETRY_DELAY_RANGE_NS = (200_000_000, 5_000_000_000)
 SAVE_INTERVAL_NS = 2_000_000_000
 ListHandler = Callable[[ListKind, int, list[Entry]], None]
@@ -43,6 +44,7 @@
         self._stream: Stream | None = None
         self._decoder = MessageDecoder()
         self._retry_delay_ns = RETRY_DELAY_RANGE_NS[0]
+        self._connect_timeout_ns = CONNECT_TIMEOUT_RANGE_NS[0]
         self._closed = self._dirty = False
 
     def start(self) -> None:
@@ -58,11 +60,12 @@
         if not self._closed:
             self._decoder = MessageDecoder()
             self._stream = connect_counted(
-                self._loop, self._address, self, CONNECT_TIMEOUT_NS, self._on_connected, self._count
+                self._loop, self._address, self, self._connect_timeout_ns, self._on_connected, self._count
             )
 
     def _on_connected(self, stream: Stream) -> None:
         self.connected = True
+        self._connect_timeout_ns = CONNECT_TIMEOUT_RANGE_NS[0]
         self._retry_delay_ns = RETRY_DELAY_RANGE_NS[0]
         self._count.messages_out += 1
         stream.write(encode(Watch(self._scheduler, self.version)))
@@ -91,6 +94,8 @@
         self._on_list(kind, message.version, message.entries)
 
     def on_closed(self, stream: Stream, fault: BaseException | None) -> None:
+        if not self.connected and isinstance(fault, TimeoutError):
+            self._connect_timeout_ns = min(CONNECT_TIMEOUT_RANGE_NS[1], 2 * self._connect_timeout_ns)
         self._stream, self.connected = None, False
         if not self._closed:
             self._on_list(ListKind.FAILED, self.version, [])
