Platform: what stood at a machine that is gone is released at its address

What callers saw: an operators' picture, shown by a probe: a process came up at the address of a machine that had died, the list told both 2 s later, and what was sent there meanwhile under the old name was told as over with the old machine. It ran on, and twice once its owner had asked again.

Cause: Links.update_machine took `gone` as proof that nothing sent under that name runs, and dropped the releases; it proves that of the machine, not of the process that has its address by then. An answer that came later was passed on, though nobody followed the task.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -9,7 +9,7 @@
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform import connection_choice
 from ladderhub.platform.conn import Conn, Need, Offer, TaskEnd, is_refused
-from ladderhub.platform.liveness import PING_INTERVAL_NS, Liveness, LivenessAction
+from ladderhub.platform.liveness import PING_INTERVAL_NS, RELEASE_DEADLINE_NS, Liveness, LivenessAction
 from ladderhub.platform.lost_ends import LostEnds
 from ladderhub.platform.pool import ConnectionPool
 from ladderhub.platform.process_check import ProcessCheck
@@ -37,7 +37,7 @@
         self._connected_count = 0
         self.liveness = Liveness(pool.loop.now_ns())
         self.setups_blocked = False  # no new set-up is written
-        self.removed = False  # no longer on the list: dropped once nothing is open
+        self._removed_ns: int | None = None  # when it left the list; dropped once nothing is open
 
     @property
     def running(self) -> Mapping[str, Offer]:
@@ -264,6 +264,7 @@
         for conn in self.conns:
             if not conn.open_offers and not conn.reusable:
                 conn.start_closing()
+        self._drop_releases_in_vain(now)
         if not self.tasks.has_duties():
             return
         if self._needs_dial_for_ends():
@@ -316,7 +317,32 @@
     def fail_running_tasks(self, why: str) -> None:
         """Report all running tasks as broken: the machine does not run them any more."""
         self.tasks.fail_all(why)
-        if self.removed:
+        if self.is_removed():
+            self._clean_up()
+
+    def is_removed(self) -> bool:
+        """Whether the machine has left the list."""
+        return self._removed_ns is not None
+
+    def on_removed(self) -> None:
+        """The machine has left the list.  Its tasks are over for their owners, who may have them started
+        again.
+
+        A new machine may have had its address for a while, and run what was sent there meanwhile.  So they
+        are released at that address, if a process can be reached there."""
+        if self._removed_ns is None:
+            self._removed_ns = self.loop.now_ns()
+        self.tasks.give_up("gone")
+        if (live := self.find_live_connection()) is not None:
+            self._send_releases(live)
+        elif self._needs_dial_for_releases():
+            self.pool.request_dial(self.name)
+        self._clean_up()
+
+    def _drop_releases_in_vain(self, now: int) -> None:
+        """Nothing more is owed to a machine that left the list so long ago."""
+        if self._removed_ns is not None and now - self._removed_ns > RELEASE_DEADLINE_NS:
+            self.tasks.releases.clear()
             self._clean_up()
 
     # --- restarts of the machine ----------------------------------------------------------------------------
@@ -384,6 +410,8 @@
         if read:
             self.pool.end_dial(conn)
             self._write_held_back()
+            if self.is_removed():
+                self._clean_up()
 
     def _write_held_back(self) -> None:
         """Write the set-ups that waited for the release of an earlier attempt."""
@@ -400,6 +428,9 @@
         offer.leg.step(Step.ANSWER)
         offer.started = True
         self.tasks.add(offer)
+        if self.is_removed():
+            self.on_removed()  # it runs in a process that nobody would follow
+            return
         self.pool.listener.on_answer(offer, message.description)
         if offer.early_end is not None:
             self.tasks.end(offer.id, offer.early_end)
@@ -415,6 +446,8 @@
             self.tasks.end(message.id, end)
         elif self.tasks.releases.confirm(message.id):
             self._write_held_back()
+            if self.is_removed():
+                self._clean_up()
         elif message.id not in self.ended_attempts:
             self._on_early_end(message.id, end)
 
@@ -479,7 +512,7 @@
             else:
                 offer.leg.step(Step.RELEASE)
                 self._remember_ended(offer)
-                if isinstance(fault, TimeoutError) and not self.removed:
+                if isinstance(fault, TimeoutError) and not self.is_removed():
                     # The connection was closed from here as silent: the task may run, its answer unheard.
                     self.tasks.releases.add(offer.id, Cause.NORMAL)
                 self.pool.listener.on_broken(offer, repr(fault)[:80])
@@ -495,13 +528,15 @@
         if has_answered and self._needs_dial_for_releases():
             # One dial may come to nothing; a machine that misses two in a row is dialled by `check_liveness`.
             self.pool.request_dial(self.name)
-        if self.removed:
+        if self.is_removed():
+            if not up and was_unresponsive:
+                self.tasks.releases.clear()  # no process can be reached there
             self._clean_up()
 
     def _clean_up(self) -> None:
         """The machine has left the list: close unused connections, and drop the link once nothing is left."""
         for conn in self.conns:
-            if not conn.open_offers:
+            if not conn.open_offers and not self.tasks.releases.is_awaited_on(conn):
                 conn.start_closing()
-        if not self.conns and not self.running:
+        if not self.conns and not self.tasks.has_duties():
             self.pool.remove_link(self)
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -110,11 +110,11 @@
             link = self._links[name] = Link(self, name, address, start_ns)
         if address != link.address:
             link.set_address(address)
-        link.setups_blocked, link.removed = not serving, gone
+        link.setups_blocked = not serving
         if not serving:
             link.cancel_unsent()
         if gone:
-            link.fail_running_tasks("gone")
+            link.on_removed()
         elif start_ns not in (0, link.start_ns):
             link.on_restart(start_ns)
 
@@ -187,7 +187,7 @@
     def adopt(self, offer: Offer) -> None:
         """Take over a running task.  If its machine is not on the list, the task ended with the machine."""
         link = self._links.get(offer.machine)
-        if link is None or link.removed:
+        if link is None or link.is_removed():
             self.report.line("adopted.nowhere", machine=offer.machine)
             self.loop.call_soon(self.listener.on_broken, offer, "not on the list")
         else:
