Platform: no set-up is sent while its owner's close may lie unread

Cause: before an attempt at most 1 MiB of what the owner had sent was read; a close or a cancellation behind that was not seen, and reading so much takes a slow process that long.

Why it works: a set-up whose owner has sent more than was read at once is written once nothing of that lies unread; it is looked at again each 2 ms, and what is read at once is a quarter of before. The kernel also tells a close that has arrived behind unread data.

--- a/ladderhub/loop/stream.py
+++ b/ladderhub/loop/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from collections.abc import Callable
 from typing import Protocol, TypeVar
@@ -132,6 +133,15 @@
         """Whether the peer has closed or reset the connection and all it sent before has been read."""
         return self._peek() == b""
 
+    def has_peer_finished(self) -> bool:
+        """Whether the peer has closed or reset the connection or will send nothing more, also if what it sent
+        before is still unread."""
+        if self.closed:
+            return True
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def _peek(self) -> bytes | None:
         """The next received byte; None if there is none yet, empty if there will be none."""
         if self.closed:
--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -49,7 +49,7 @@
 
     def confirm_send(self, offer: Offer) -> bool:
         """Called just before the set-up is written, as a dial may have delayed it: whether it is still wanted
-        and allowed.  If not, the offer has been given up when this returns."""
+        and allowed.  If not, the offer has been given up when this returns, or is to be written later."""
 
     def on_answer(self, offer: Offer, description: str) -> None: ...
 
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -125,6 +125,11 @@
             conn.ping()
         self._write_waiting(conn)
 
+    def write_waiting(self, offer: Offer) -> None:
+        """Write this set-up if it may be written now."""
+        if offer.conn is not None and not offer.written:
+            self._write_waiting(offer.conn, offer)
+
     def _write_waiting(self, conn: Conn, only: Offer | None = None) -> None:
         """Write the set-ups that may be written now; with `only`, just that one."""
         for offer in [only] if only is not None else list(conn.open_offers.values()):
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -184,6 +184,12 @@
         else:
             link.send(offer)
 
+    def write(self, offer: Offer) -> None:
+        """Write an offer that was not confirmed before, if its connection is up."""
+        link = self._links.get(offer.machine)
+        if link is not None:
+            link.write_waiting(offer)
+
     def adopt(self, offer: Offer) -> None:
         """Take over a running task.  If its machine is not on the list, the task ended with the machine."""
         link = self._links.get(offer.machine)
--- a/ladderhub/platform/ownerconn.py
+++ b/ladderhub/platform/ownerconn.py
@@ -21,7 +21,7 @@
 # that arrives is failed.
 CLOSE_RACE_NS = 50 * MS
 READ_BYTES = MAX_MESSAGE_BYTES  # read from one connection at a time
-MAX_PENDING_READ_BYTES = 64 * READ_BYTES  # read before a set-up of its owner is sent
+MAX_PENDING_READ_BYTES = 16 * READ_BYTES  # read at once before a set-up of its owner is sent
 
 
 class OwnerConnHandler(Protocol):
@@ -104,10 +104,19 @@
         """Read and handle all that has arrived.
 
         Called before each attempt, also while reading is paused: the unread data may cancel the set-up or
-        end the connection, and then nobody would use the started task."""
+        end the connection, and then nobody would use the started task.  If there is very much, some of it is
+        left."""
         self._handle_inbox()
         self.stream.read_now(MAX_PENDING_READ_BYTES)
 
+    def has_unread(self) -> bool:
+        """Whether the owner has sent more than was handled."""
+        return bool(self._inbox) or self.stream.has_unread()
+
+    def has_left(self) -> bool:
+        """Whether the owner has closed the connection, also if what it sent before that is still unread."""
+        return not self.alive or self.stream.has_peer_finished()
+
     def reject(self, fault: SignalError) -> None:
         """Reject an invalid message: fail the set-up that it names, and close the connection."""
         self.server.report.line("owner.turned_away", peer=self.peer, why=str(fault)[:120])
--- a/ladderhub/platform/task.py
+++ b/ladderhub/platform/task.py
@@ -20,6 +20,12 @@
     def read_pending(self) -> None:
         """Read and handle what has arrived from the owner: it may have closed, or cancelled its set-up."""
 
+    def has_unread(self) -> bool:
+        """Whether the owner has sent more than was handled."""
+
+    def has_left(self) -> bool:
+        """Whether the owner has closed, also if what it sent before that is still unread."""
+
 
 @dataclass(frozen=True, slots=True)
 class SetupRequest:
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -23,6 +23,7 @@
 from ladderhub.signalling import Cause, Code, Kind, Message, State, Step
 
 MS = 1_000_000
+POSTPONE_NS = 2 * MS  # until a set-up whose owner has sent more than was read is looked at again
 
 
 class _TimedModule:
@@ -55,6 +56,7 @@
         self._by_id: dict[str, Task] = {}  # open and running
         self.placing = Placer(loop, ANSWER_MARGIN_NS, self._place_now)
         self._sending: Offer | None = None  # the one whose `Send` is being executed
+        self._postponed: dict[Offer, None] = {}  # they wait until what their owners sent is read
         self._count = 0
         self.open_count = 0
         self._links: Links
@@ -275,13 +277,40 @@
         task = self._find_task(offer)
         if task is None:
             return False
-        task.owner.read_pending()
+        self._read_owner(task)
+        if self._find_task(offer) is task and task.owner.has_unread():
+            # A cancellation or a close may lie there.  It is read in turn with what others have sent.
+            self._postpone(offer)
+            return False
         self.read_journal()
         if self._find_task(offer) is task and offer is not self._sending:
             # The module decided this a while ago, and may forbid the attempt by now.
             self._dispatch(api.AttemptLeaving(offer.number, offer.attempt))
         return self._find_task(offer) is task
 
+    def _postpone(self, offer: Offer) -> None:
+        """Have this offer written a little later, if it is still wanted then."""
+        if not self._postponed:
+            self._loop.call_later(POSTPONE_NS, self._write_postponed)
+        self._postponed[offer] = None
+
+    def _write_postponed(self) -> None:
+        postponed, self._postponed = self._postponed, {}
+        for offer in postponed:
+            task = self._find_task(offer)
+            if task is not None and task.owner.has_unread():
+                self._postpone(offer)  # not read from here, as there may be many such offers
+            elif task is not None:
+                self._links.write(offer)
+
+    def _read_owner(self, task: Task) -> None:
+        """Handle what the owner of an open task has sent: it may have cancelled or closed.
+
+        There may be more than is read at once, and a close behind it counts all the same."""
+        task.owner.read_pending()
+        if task.leg.state is State.SET_UP and task.owner.has_left():
+            self.give_up(task)
+
     def _cancel(self, offer: Offer) -> None:
         """Cancel an attempt at its machine."""
         self._links.give_up(offer)
@@ -296,7 +325,7 @@
     def on_answer(self, offer: Offer, description: str) -> None:
         task = self._find_task(offer)
         if task is not None:
-            task.owner.read_pending()  # the owner may have closed or cancelled
+            self._read_owner(task)
             if self._find_task(offer) is not task:
                 return
         if task is None or task.leg.state is not State.SET_UP:
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -11,11 +11,26 @@
 
 from ladderhub.decide.scheduler import SWEEP_TIMER
 from ladderhub.interface import TimerFired
-from ladderhub.platform.ownerconn import READ_BYTES
+from ladderhub.platform.ownerconn import MAX_PENDING_READ_BYTES, READ_BYTES
 from ladderhub.signalling import Kind, Message, encode_line
-from tests.platform.bed import Bed, Owner, accept_all, ignore_all, release
-
-WAYS_TO_LEAVE = ("closes", "resets", "cancels", "cancels behind a portion", "cancels where reading is paused")
+from tests.platform.bed import MS, Bed, Owner, accept_all, ignore_all, release
+
+WAYS_TO_LEAVE = (
+    "closes", "resets", "closes behind much", "cancels", "cancels behind a portion",
+    "cancels where reading is paused",
+)  # fmt: skip
+
+
+def write_and_close(owner: Owner, size: int) -> None:
+    """Write messages of so many bytes in all, and close at once."""
+    sock = owner.stream.sock
+    assert isinstance(sock, socket.socket)
+    filler = encode_line(Message(Kind.PROGRESS, "0" * 16))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * size)
+    sock.setblocking(True)
+    sock.settimeout(1)
+    sock.sendall(filler * (size // len(filler) + 1))
+    owner.stream.abort()
 
 
 def leave(bed: Bed, owner: Owner, id: str, how: str) -> None:
@@ -27,6 +42,9 @@
     elif how == "resets":
         owner.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")  # type: ignore[union-attr]
         owner.stream.abort()
+    elif how == "closes behind much":
+        conn.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * MAX_PENDING_READ_BYTES)  # type: ignore[union-attr]
+        write_and_close(owner, MAX_PENDING_READ_BYTES + READ_BYTES)
     elif how == "cancels behind a portion":
         ping = encode_line(Message(Kind.PROGRESS, "0" * 16))
         owner.send(ping * (3 * READ_BYTES // len(ping)), cancel)
@@ -88,6 +106,27 @@
     assert not link.running and not bed.module().tasks and not bed.service.tasks._by_number
 
 
+def test_a_set_up_whose_owner_has_sent_more_than_was_read_waits_until_that_is_read(beds: Any) -> None:
+    # Guards against attempts for an owner that has gone: its close is on its way behind what lies unread.
+    bed = beds(accept_all)
+    owner, asked = Owner(bed), bed.setup()
+    bed.service.links.get("m0").dial("line")
+    bed.run()
+    (conn,) = bed.service.owners._conns
+    conn.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * MAX_PENDING_READ_BYTES)
+    ping = encode_line(Message(Kind.PROGRESS, "0" * 16))
+    behind = ping * (2 * MAX_PENDING_READ_BYTES // len(ping))
+    owner.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * len(behind))  # type: ignore[union-attr]
+    owner.send(encode_line(asked) + behind + encode_line(Message(Kind.RELEASE, asked.id, 16)))
+    bed.run(lambda: not conn.open_tasks and conn.trust)
+    bed.run(span_ns=200 * MS)
+    assert not bed.machine_messages and not bed.module().tasks and not bed.service.tasks._postponed
+    bed.run(span_ns=100 * MS)
+    other = bed.setup()
+    owner.send(other)
+    bed.run(lambda: owner.received(Kind.ANSWER), span_ns=0)
+
+
 def test_a_set_up_and_the_close_after_it_read_together_start_nothing(beds: Any) -> None:
     # Guards also against lost actions: one read ends several tasks of an owner while the module's actions are
     # carried out, and the actions for other tasks must still be carried out.
