Platform: an unsafe set-up under an id that may have run is not started again

What callers saw: an operators' picture, looked for with a probe: the owner of an unsafe set-up left before its answer, and the same set-up came again under its id on another connection.

Cause: an id was forgotten with its set-up, and a copy of it was taken for a new set-up.

Evidence: tests/platform/test_gone.py -k comes_again: the two cases of the unsafe class whose first attempt was not standing any more failed before.

One that never ran is served, and so are classes that may be repeated.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -287,6 +287,10 @@
             # would not recognize a repeated set-up.  BUSY, as nothing ran and its owner may try again.
             self.report.count("refused.settling" if self.refuses_setups else "refused.idem")
             conn.send(Message(Kind.RELEASE, message.id, Cause.BUSY))
+        elif self.tasks.may_have_run(message.id):
+            # Its owner left or heard nothing, and the same set-up comes again: it must not be started twice.
+            self.report.count("failed.repeated_id")
+            conn.send(Message(Kind.RELEASE, message.id, Cause.BROKEN))
         else:
             self.report.count("setups")
             # The owner's time runs from when it sent the set-up, not from when a busy scheduler read it.  So
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -12,8 +12,9 @@
 from ladderhub import interface as api
 from ladderhub.dispatcher import DeferredEvent, EventDispatcher
 from ladderhub.decide import Scheduler
-from ladderhub.decide.records import ANSWER_MARGIN_NS
+from ladderhub.decide.records import ANSWER_MARGIN_NS, NEVER_RAN
 from ladderhub.loop import Loop
+from ladderhub.platform.attempted_ids import AttemptedIds
 from ladderhub.platform.conn import Offer
 from ladderhub.platform.links import Links
 from ladderhub.platform.mapping import to_outcome, to_reason, to_topic
@@ -57,6 +58,7 @@
         self.placing = Placer(loop, ANSWER_MARGIN_NS, self._place_now)
         self._sending: Offer | None = None  # the one whose `Send` is being executed
         self._postponed: dict[Offer, None] = {}  # they wait until what their owners sent is read
+        self._attempted_ids = AttemptedIds()
         self._count = 0
         self.open_count = 0
         self._links: Links
@@ -82,6 +84,10 @@
         """The open or running task with this id."""
         return self._by_id.get(id)
 
+    def may_have_run(self, id: str) -> bool:
+        """Whether a set-up with this id, which must not be started twice, may have run before."""
+        return self._attempted_ids.is_known(self._loop.now_ns(), id)
+
     def accept(self, owner: TaskOwner, request: SetupRequest, until_ns: int) -> Task:
         """Accept a set-up, which must be answered by `until_ns`.  The caller calls `place` once the owner's
         connection has recorded the task."""
@@ -385,6 +391,9 @@
                 "attempt", machine=offer.machine, outcome=outcome.name.lower(), task=offer.id, why=why,
                 after_ms=(self._loop.now_ns() - offer.sent_ns) // MS,
             )  # fmt: skip
+        effect = self.module.settings.classes[task.request.klass].effect
+        if effect is api.Effect.UNSAFE and outcome not in NEVER_RAN:
+            self._attempted_ids.add(self._loop.now_ns(), offer.id)
         task.offer = None
         concluded = task.leg.state is not State.SET_UP
         waited = self._loop.now_ns() - offer.sent_ns
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -11,9 +11,10 @@
 
 from ladderhub.decide.scheduler import SWEEP_TIMER
 from ladderhub.interface import TimerFired
+from ladderhub.platform.attempted_ids import MAX_IDS, REMEMBERED_NS, AttemptedIds
 from ladderhub.platform.ownerconn import MAX_PENDING_READ_BYTES, READ_BYTES
-from ladderhub.signalling import Kind, Message, encode_line
-from tests.platform.bed import MS, Bed, Owner, accept_all, ignore_all, release
+from ladderhub.signalling import Cause, Kind, Message, encode_line
+from tests.platform.bed import MS, Bed, Owner, S, accept_all, ignore_all, release
 
 WAYS_TO_LEAVE = (
     "closes", "resets", "closes behind much", "cancels", "cancels behind a portion",
@@ -161,3 +162,55 @@
     bed.service.tasks._dispatch(TimerFired(SWEEP_TIMER))
     bed.run(lambda: [m for m in other.received(Kind.ANSWER) if m.id == last.id], span_ns=0)
     assert [m.id for m in bed.machines[0].received(Kind.SETUP)] == [full.id, last.id]
+
+
+@pytest.mark.parametrize("moment", ["before its answer", "after its answer", "after its end"])
+@pytest.mark.parametrize("klass", ["bill", "web"])
+def test_an_id_that_comes_again_after_its_owner_has_left_starts_nothing_unsafe_twice(
+    beds: Any, klass: str, moment: str
+) -> None:
+    # Guards against an unsafe task that is started twice: its first attempt had run, or was running.
+    bed = beds(accept_all if moment != "before its answer" else ignore_all)
+    (machine,), owner = bed.machines, Owner(bed)
+    asked = bed.setup(klass, left=2000)
+    owner.send(asked)
+    bed.run(lambda: machine.received(Kind.SETUP))
+    bed.run()
+    if moment == "after its end":
+        machine.conns[0].send(release(asked.id, 16))
+        bed.run(lambda: owner.received(Kind.RELEASE))
+    owner.stream.abort()
+    bed.run()
+    again = Owner(bed)
+    again.send(asked)
+    bed.run(span_ns=500 * MS)
+    stands = moment == "after its answer"
+    started = 2 if klass == "web" and not stands else 1
+    assert len(machine.received(Kind.SETUP)) == started
+    if started == 1:
+        assert [m.cause for m in again.received(Kind.RELEASE)] == [Cause.PROTOCOL if stands else Cause.BROKEN]
+
+
+def test_an_id_that_comes_again_after_a_refusal_is_served(beds: Any) -> None:
+    bed = beds(lambda conn, message: conn.send(release(message.id, 34)))
+    (machine,), owner = bed.machines, Owner(bed)
+    asked = bed.setup("bill", left=300)
+    owner.send(asked)
+    bed.run(span_ns=500 * MS)
+    assert [m.cause for m in owner.received(Kind.RELEASE)] == [Cause.BUSY]
+    machine.script = accept_all
+    bed.run(span_ns=7 * S)  # the machine is not asked for a while after a refusal without a reason
+    again = Message(Kind.SETUP, asked.id, None, asked.description, asked.fields | {"left": 2000})
+    owner.send(again)
+    bed.run(lambda: owner.received(Kind.ANSWER))
+
+
+def test_ids_are_forgotten_after_a_while_and_never_too_many_are_kept() -> None:
+    ids = AttemptedIds()
+    for number in range(MAX_IDS + 10):
+        ids.add(number, str(number))
+    assert len(ids) == MAX_IDS and not ids.is_known(0, "9") and ids.is_known(0, "10")
+    later_ns = MAX_IDS + 10 + REMEMBERED_NS
+    assert not ids.is_known(later_ns, "10")
+    ids.add(later_ns, "new")
+    assert len(ids) == 1 and ids.is_known(later_ns + REMEMBERED_NS, "new")
