Platform: what is held for owners is bounded by the memory of the process

Cause: memory_mb was not read, and nothing counted what is held. A hand-over at a machine that is not listed made a record for its name in the decision module; unconfirmed releases were sent again each 200 ms without bound, to other owners too.

Why it works: set-ups and unconfirmed releases are counted in bytes against half of memory_mb less the program, and a connection may hold as much as is still free, so one that sends without end gets half and others are served. A set-up beyond that is refused, a hand-over waits on its connection, since its task runs. Hand-overs at unlisted machines are told as over without the module.

--- a/ladderhub/platform/config.py
+++ b/ladderhub/platform/config.py
@@ -20,6 +20,7 @@
 from ladderhub.translate import FieldError, read_object, read_settings
 
 MS = 1_000_000
+MB = 1_000_000
 NEVER_NS = 1 << 62
 OWN_DESCRIPTORS = 12  # listener, selector, wake-up, standard streams, journal, a file
 MIN_SOCKETS = 4 * OWN_DESCRIPTORS  # a quarter then goes to machines, half to owners
@@ -62,6 +63,7 @@
     journal: Address
     seed: int
     sockets: int
+    memory_bytes: int  # the limit of this process; 0 if there is none
     settings: api.Settings
     names: NameIndex
     known: tuple[JournalEvent, ...]
@@ -111,6 +113,7 @@
         journal=read_address(file.journal, f"{path}: journal"),
         seed=_parse_seed(file.seed, path),
         sockets=file.limits.sockets,
+        memory_bytes=round(file.limits.memory_mb * MB),
         settings=settings,
         names=names,
         known=tuple(decode_entry(entry) for entry in file.known.entries),
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -191,18 +191,14 @@
             link.write_waiting(offer)
 
     def adopt(self, offer: Offer) -> None:
-        """Take over a running task.  If its machine is not on the list, the task ended with the machine."""
-        link = self._links.get(offer.machine)
-        if link is None or link.is_removed():
-            self.report.line("adopted.nowhere", machine=offer.machine)
-            self.loop.call_soon(self.listener.on_broken, offer, "not on the list")
-        else:
-            link.adopt(offer)
-            end = self._early_ends.take(self.loop.now_ns(), (offer.machine, offer.id))
-            if end is not None:
-                # Its end arrived before it was handed over, and the machine need not report it again.
-                self.report.count("adopted.over")
-                self.loop.call_soon(link.tasks.end, offer.id, end)
+        """Take over a task that runs on a listed machine."""
+        link = self._links[offer.machine]
+        link.adopt(offer)
+        end = self._early_ends.take(self.loop.now_ns(), (offer.machine, offer.id))
+        if end is not None:
+            # Its end arrived before it was handed over, and the machine need not report it again.
+            self.report.count("adopted.over")
+            self.loop.call_soon(link.tasks.end, offer.id, end)
 
     def on_early_end(self, machine: str, id: str, end: TaskEnd) -> None:
         """Keep the end of a task that is unknown here, as the task may be about to be handed over."""
@@ -218,6 +214,11 @@
         if offer.machine in self._links:
             self._links[offer.machine].release(offer, cause)
 
+    def is_listed(self, name: str) -> bool:
+        """Whether the list names this machine."""
+        link = self._links.get(name)
+        return link is not None and not link.is_removed()
+
     def _check_next(self) -> None:
         self.loop.call_later(PING_INTERVAL_NS // CHECK_PARTS, self._check_next)
         now = self.loop.now_ns()
--- a/ladderhub/platform/ownerconn.py
+++ b/ladderhub/platform/ownerconn.py
@@ -33,6 +33,9 @@
 
     def get_waited_since_ns(self) -> int: ...
 
+    def may_handle(self, conn: OwnerConn, message: Message) -> bool:
+        """Whether there is room for what this message brings; if not, it has to wait."""
+
     def on_message(self, conn: OwnerConn, message: Message) -> None: ...
 
     def on_activity(self, conn: OwnerConn) -> None:
@@ -61,6 +64,8 @@
         self.earliest_arrival_ns = self.opened_ns  # of the data that was read last
         self.open_tasks: dict[str, Task] = {}
         self._inbox: deque[Message | SignalError] = deque()  # read and not handled yet
+        self.unconfirmed_count = 0  # of its releases that are repeated until they are confirmed
+        self._stalled = False  # the inbox is not empty, as there is no room for its first message
         self.alive = True  # False once it is closed or being closed
         self.reader = LineReader()
         self.stream = Stream(server.loop, sock, self, max_read_bytes=READ_BYTES)
@@ -92,13 +97,23 @@
 
     def _handle_inbox(self) -> None:
         while self._inbox:
-            each = self._inbox.popleft()
+            each = self._inbox[0]
+            if self.alive and isinstance(each, Message) and not self.server.may_handle(self, each):
+                break
+            self._inbox.popleft()
             if not self.alive:
                 self._handle_while_closing(each)
             elif isinstance(each, SignalError):
                 self.reject(each)
             else:
                 self.server.on_message(self, each)
+        if self._stalled != bool(self._inbox):
+            self._stalled = not self._stalled
+            self.stream.pause(self._stalled)
+
+    def is_stalled(self) -> bool:
+        """Whether messages wait for room, and nothing is read until there is some."""
+        return self._stalled
 
     def read_pending(self) -> None:
         """Read and handle all that has arrived.
@@ -107,7 +122,8 @@
         end the connection, and then nobody would use the started task.  If there is very much, some of it is
         left."""
         self._handle_inbox()
-        self.stream.read_now(MAX_PENDING_READ_BYTES)
+        if not self._stalled:
+            self.stream.read_now(MAX_PENDING_READ_BYTES)
 
     def has_unread(self) -> bool:
         """Whether the owner has sent more than was handled."""
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -16,9 +16,9 @@
 from ladderhub.platform.liveness import RELEASE_DEADLINE_NS
 from ladderhub.platform.mapping import NameIndex
 from ladderhub.platform.ownerconn import OwnerConn
-from ladderhub.platform.setup_parser import parse_setup
+from ladderhub.platform.setup_parser import is_handover, parse_setup
 from ladderhub.platform.report import Report
-from ladderhub.platform.task import SetupRequest, TaskOwner
+from ladderhub.platform.task import SetupRequest, TaskOwner, estimate_bytes
 from ladderhub.platform.tasks import Tasks
 from ladderhub.signalling import Cause, Kind, Message, SignalError, State
 from ladderhub.signalling.table import TEST_FAILED, TEST_PASSED
@@ -32,13 +32,18 @@
 # The release of a task that ran must reach its owner within 1 s.  If the owner does not confirm it within
 # this time, it is sent again on another connection.
 RESEND_AFTER_NS = 200 * MS
+# At one sweep, so that an owner that confirms nothing does not keep the process from serving others.
+MAX_RESENT_AT_ONCE = 64
+MAX_UNCONFIRMED = 1024  # of one connection's releases: more are sent once
+NOTICE_BYTES = 2048  # what an unconfirmed release takes
 
 
 class _OwnerNotice:
     """The release or move of a task, with the connections on which it was sent to the owner."""
 
-    def __init__(self, message: Message, peer: str, until_ns: int) -> None:
-        self.message, self.peer, self.until_ns = message, peer, until_ns
+    def __init__(self, message: Message, payer: OwnerConn, until_ns: int) -> None:
+        """`payer`: the connection whose share of the memory it counts for."""
+        self.message, self.payer, self.peer, self.until_ns = message, payer, payer.peer, until_ns
         self.sent_ns = 0
         self.tried_conns: list[OwnerConn] = []
 
@@ -211,11 +216,20 @@
         for conn, since in list(self._closing.items()):
             if now - since > SILENCE_LIMIT_NS:  # the peer does not read, and holds a descriptor
                 conn.stream.abort(BufferError("the peer does not read"))
+        self._resend_notices(now)
+        for conn in [each for each in self._conns if each.is_stalled()]:
+            conn.read_pending()
+
+    def _resend_notices(self, now: int) -> None:
+        """Send unconfirmed releases again, those first that were sent longest ago."""
+        resent = 0
         for id, notice in list(self._unconfirmed.items()):
             if now > notice.until_ns:
                 self.report.line("owner.unheard", task=id)
-                del self._unconfirmed[id]
-            elif now > notice.sent_ns + RESEND_AFTER_NS:
+                self._drop_notice(id)
+            elif now > notice.sent_ns + RESEND_AFTER_NS and resent < MAX_RESENT_AT_ONCE:
+                resent += 1
+                self._unconfirmed[id] = self._unconfirmed.pop(id)  # last in order from now on
                 self._send_notice(notice)
 
     # --- ends of tasks ------------------------------------------------------------------------------------
@@ -224,11 +238,28 @@
         """Send an owner the release or move of its running task, on the connection of the set-up or else on
         another one.  A release is repeated until it is confirmed."""
         assert isinstance(owner, OwnerConn)
-        notice = _OwnerNotice(message, owner.peer, self.loop.now_ns() + RELEASE_DEADLINE_NS)
+        notice = _OwnerNotice(message, owner, self.loop.now_ns() + RELEASE_DEADLINE_NS)
         if message.kind is Kind.RELEASE:
-            self._unconfirmed[message.id] = notice
+            self._keep_notice(notice)
         self._send_notice(notice, owner)
 
+    def _keep_notice(self, notice: _OwnerNotice) -> None:
+        """Have a release repeated until it is confirmed, if its owner leaves not too many unconfirmed."""
+        payer = notice.payer
+        has_room = self.tasks.memory.may_hold(payer, NOTICE_BYTES)
+        if has_room and payer.unconfirmed_count < MAX_UNCONFIRMED:
+            self._drop_notice(notice.message.id)
+            self._unconfirmed[notice.message.id] = notice
+            payer.unconfirmed_count += 1
+            self.tasks.memory.add(payer, NOTICE_BYTES)
+
+    def _drop_notice(self, id: str) -> None:
+        """Its owner has confirmed this release, or it is too late."""
+        notice = self._unconfirmed.pop(id, None)
+        if notice is not None:
+            notice.payer.unconfirmed_count -= 1
+            self.tasks.memory.remove(notice.payer, NOTICE_BYTES)
+
     def _send_notice(self, notice: _OwnerNotice, target: OwnerConn | None = None) -> None:
         if target is None or not target.alive:
             useful = [conn for conn in self._conns if conn.trust is not Trust.NONE]
@@ -248,6 +279,16 @@
 
     # --- messages -----------------------------------------------------------------------------------------
 
+    def may_handle(self, conn: OwnerConn, message: Message) -> bool:
+        """Whether there is memory for what this message hands over.  If not it waits, and what follows on its
+        connection with it: the task runs, and can't be refused as a new one."""
+        if message.kind is not Kind.SETUP or self.tasks.memory.may_hold(conn, estimate_bytes(message)):
+            return True
+        if not is_handover(message):
+            return True
+        self.report.line("owner.memory", peer=conn.peer, held_mb=self.tasks.get_held_mb())
+        return False
+
     def on_message(self, conn: OwnerConn, message: Message) -> None:
         """Handle a valid message of an owner."""
         self.report.count(f"heard.{message.kind.name.lower()}")
@@ -262,7 +303,7 @@
         elif message.kind is Kind.RELEASE:
             self._on_release(conn, message)
         elif message.kind is Kind.RELEASED:
-            self._unconfirmed.pop(message.id, None)
+            self._drop_notice(message.id)
 
     def _on_setup(self, conn: OwnerConn, message: Message) -> None:
         known = self.tasks.find(message.id)
@@ -287,6 +328,10 @@
             # would not recognize a repeated set-up.  BUSY, as nothing ran and its owner may try again.
             self.report.count("refused.settling" if self.refuses_setups else "refused.idem")
             conn.send(Message(Kind.RELEASE, message.id, Cause.BUSY))
+        elif not self.tasks.has_room(conn, request):
+            self.report.count("refused.memory")
+            self.report.line("owner.memory", peer=conn.peer, held_mb=self.tasks.get_held_mb())
+            conn.send(Message(Kind.RELEASE, message.id, Cause.BUSY))
         elif self.tasks.may_have_run(message.id):
             # Its owner left or heard nothing, and the same set-up comes again: it must not be started twice.
             self.report.count("failed.repeated_id")
@@ -301,6 +346,11 @@
             self.tasks.place(task)
 
     def _adopt(self, conn: OwnerConn, request: SetupRequest) -> None:
+        if not self.tasks.is_listed(request.machine):
+            # It ended with its machine.  The decision module is told nothing: it would keep the name.
+            self.report.line("adopted.nowhere", machine=request.machine[:60])
+            self.notify_owner(conn, Message(Kind.RELEASE, request.id, Cause.BROKEN))
+            return
         task = self.tasks.adopt(conn, request)
         # Its owner may have ended it on another connection that was read earlier.
         cause = self._early_ends.take(self.loop.now_ns(), request.id)
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -20,8 +20,10 @@
 from ladderhub.platform.config import OWN_DESCRIPTORS, Config, ConfigError, load_config, read_address
 from ladderhub.platform.follower import JournalFollower
 from ladderhub.platform.links import Links
+from ladderhub.platform.memory_budget import MemoryBudget, get_held_limit
 from ladderhub.platform.owners import OwnerServer
 from ladderhub.platform.report import Report
+from ladderhub.platform.task import TaskOwner
 from ladderhub.platform.tasks import Tasks
 from ladderhub.signalling import JournalEvent
 from ladderhub.translate import FieldError
@@ -48,7 +50,8 @@
 
     def __init__(self, loop: Loop, config: Config, report: Report) -> None:
         self._loop, self._config, self._report = loop, config, report
-        self.tasks = Tasks(loop, Scheduler(config.settings, config.seed), report)
+        memory: MemoryBudget[TaskOwner] = MemoryBudget(get_held_limit(config.memory_bytes))
+        self.tasks = Tasks(loop, Scheduler(config.settings, config.seed), report, memory)
         owner_limit = config.sockets // OWNER_CONNECTIONS_DIVISOR
         machine_limit = config.sockets - owner_limit - OWN_DESCRIPTORS
         # Connections to machines get the rest, and also what owners don't use, less the number of callers
--- a/ladderhub/platform/task.py
+++ b/ladderhub/platform/task.py
@@ -15,6 +15,8 @@
 
     alive: bool
 
+    def __hash__(self) -> int: ...
+
     def send(self, message: Message) -> None: ...
 
     def read_pending(self) -> None:
@@ -27,6 +29,10 @@
         """Whether the owner has closed, also if what it sent before that is still unread."""
 
 
+# What one set-up takes besides its description: itself, its attempt, and what the decision module keeps.
+SETUP_BYTES = 4096
+
+
 @dataclass(frozen=True, slots=True)
 class SetupRequest:
     """A complete and valid set-up.  `machine` is the machine on which the task already runs, or ''."""
@@ -43,17 +49,28 @@
     description: str
     machine: str
 
+    def estimate_bytes(self) -> int:
+        """About how many bytes of memory it takes until its last attempt has ended."""
+        return SETUP_BYTES + len(self.description)
+
+
+def estimate_bytes(message: Message) -> int:
+    """As `SetupRequest.estimate_bytes`, of the message that it will be parsed from."""
+    return SETUP_BYTES + len(message.description or "")
+
 
 class Task:
     """One set-up of an owner, from its arrival until its last attempt has ended."""
 
     __slots__ = (
-        "attempt_count", "deadline_timer", "leg", "number", "offer", "owner", "queued", "request", "until_ns",
+        "attempt_count", "deadline_timer", "leg", "number", "offer", "owner", "payer", "queued", "request",
+        "until_ns",
         "withdrawing",
     )  # fmt: skip
 
     def __init__(self, number: int, request: SetupRequest, owner: TaskOwner, until_ns: int) -> None:
         self.number, self.request, self.owner, self.until_ns = number, request, owner, until_ns
+        self.payer = owner  # its memory counts as this owner's, also after it has come on another connection
         self.leg = Leg()  # the exchange with the owner
         self.offer: Offer | None = None
         self.attempt_count = 0
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -18,6 +18,7 @@
 from ladderhub.platform.conn import Offer
 from ladderhub.platform.links import Links
 from ladderhub.platform.mapping import to_outcome, to_reason, to_topic
+from ladderhub.platform.memory_budget import MemoryBudget
 from ladderhub.platform.placing import Placer
 from ladderhub.platform.report import Report
 from ladderhub.platform.task import SetupRequest, Task, TaskOwner
@@ -49,8 +50,12 @@
 class Tasks:
     """Runs the decision module: executes its actions and receives the events of offers."""
 
-    def __init__(self, loop: Loop, module: Scheduler, report: Report) -> None:
+    def __init__(
+        self, loop: Loop, module: Scheduler, report: Report, memory: MemoryBudget[TaskOwner] | None = None
+    ) -> None:
+        """`memory`: what may be held for owners; without it there is no limit."""
         self._loop, self._report, self.module = loop, report, module
+        self.memory: MemoryBudget[TaskOwner] = memory or MemoryBudget()
         self._timed_module = _TimedModule(module)
         self._dispatch = EventDispatcher(loop.now_ns, self._on_fault).register(self._timed_module, self)
         self._by_number: dict[int, Task] = {}
@@ -66,6 +71,7 @@
         self.notify_owner: Callable[[TaskOwner, Message], None] = lambda owner, message: owner.send(message)
         report.gauges["module_ms"] = self._timed_module.take_ms
         report.gauges["queued"] = self.placing.count_waiting
+        report.gauges["held_mb"] = self.get_held_mb
         report.gauges["open"] = lambda: self.open_count
         report.gauges["standing"] = lambda: len(self._by_id) - self.open_count
         report.gauges["attempts_out"] = lambda: sum(1 for t in self._by_number.values() if t.offer)
@@ -84,6 +90,18 @@
         """The open or running task with this id."""
         return self._by_id.get(id)
 
+    def has_room(self, owner: TaskOwner, request: SetupRequest) -> bool:
+        """Whether there is memory for one more set-up of this owner."""
+        return self.memory.may_hold(owner, request.estimate_bytes())
+
+    def get_held_mb(self) -> float:
+        """The memory that set-ups and unconfirmed releases take, as estimated, in megabytes."""
+        return round(self.memory.total / 1e6, 1)
+
+    def is_listed(self, machine: str) -> bool:
+        """Whether the list names this machine."""
+        return self._links.is_listed(machine)
+
     def may_have_run(self, id: str) -> bool:
         """Whether a set-up with this id, which must not be started twice, may have run before."""
         return self._attempted_ids.is_known(self._loop.now_ns(), id)
@@ -124,6 +142,7 @@
         task = Task(self._count, request, owner, until_ns)
         self._count += 1
         self._by_number[task.number] = self._by_id[request.id] = task
+        self.memory.add(owner, request.estimate_bytes())
         return task
 
     def _make_request_event(self, task: Task, now: int) -> api.TaskAsked:
@@ -172,8 +191,9 @@
 
     def _drop_if_done(self, task: Task) -> None:
         # Until the module was told of the end, one of its earlier actions may still name the task.
-        if task.leg.state is State.OVER and task.offer is None and not task.withdrawing:
-            self._by_number.pop(task.number, None)
+        is_done = task.leg.state is State.OVER and task.offer is None and not task.withdrawing
+        if is_done and self._by_number.pop(task.number, None) is not None:
+            self.memory.remove(task.payer, task.request.estimate_bytes())
 
     def answer_all(self) -> None:
         """Have the module answer all open set-ups, as the process is about to end."""
