Platform: what a restart of a machine ends stands in a module of its own

The check of which tasks belong to a machine's previous process, with its timer and its state, moves to restart_check.py; the link is left with the log line and the releases.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -5,14 +5,13 @@
 import math
 from collections.abc import Mapping
 
-from ladderhub.loop import Timer
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform import connection_choice
 from ladderhub.platform.conn import Conn, Need, Offer, TaskEnd, is_refused
 from ladderhub.platform.liveness import PING_INTERVAL_NS, RELEASE_DEADLINE_NS, Liveness, LivenessAction
 from ladderhub.platform.lost_ends import LostEnds
 from ladderhub.platform.pool import ConnectionPool
-from ladderhub.platform.process_check import ProcessCheck
+from ladderhub.platform.restart_check import RestartCheck
 from ladderhub.platform.running_tasks import RunningTasks
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step
 from ladderhub.signalling.table import TEST_PASSED
@@ -30,10 +29,8 @@
         self.conns: list[Conn] = []
         self.tasks = RunningTasks(pool.listener)
         self.ended_attempts: dict[str, None] = {}
-        self._process_check = ProcessCheck()
+        self._restart_check = RestartCheck(self, pool.connect_timeout_ns)
         self._lost_ends = LostEnds()
-        self._check_timer: Timer | None = None
-        self._adopted_before_restart: set[str] = set()  # tasks that were handed over before it was told
         self._connected_count = 0
         self.liveness = Liveness(pool.loop.now_ns())
         self.setups_blocked = False  # no new set-up is written
@@ -48,7 +45,7 @@
         """Data arrived from the machine, so it is alive."""
         self.liveness.record_heard(self.loop.now_ns())
         if conn.order is not None:
-            self._process_check.record_heard(conn.order)
+            self._restart_check.record_heard(conn.order)
 
     def set_address(self, address: Address) -> None:
         """Use a new address: connections to the old one get no new set-ups."""
@@ -69,7 +66,7 @@
         if conn is not None and quiet:
             # A ping costs the machine less than a new connection, and shows as well that the machine is alive
             # before the set-up is written.
-            self._require_pong(conn)
+            self.require_pong(conn)
         if conn is None and self.pool.share_connections and offer.repeatable:
             conn = connection_choice.find_shareable(self.conns, offer, recently_heard=not quiet)
         if conn is None and self.pool.make_room():
@@ -84,7 +81,7 @@
         conn.open_offers[offer.id] = offer
         self._write_waiting(conn, offer)
 
-    def _require_pong(self, conn: Conn) -> None:
+    def require_pong(self, conn: Conn) -> None:
         """Ping on this connection: set-ups wait until it is heard, and it is closed if it stays silent."""
         if conn.ping_timer is None:
             conn.ping_timer = self.loop.call_later(self.pool.connect_timeout_ns, self._on_ping_timeout, conn)
@@ -114,7 +111,7 @@
     def _on_connected(self, conn: Conn) -> None:
         conn.order = self._connected_count
         self._connected_count += 1
-        self._process_check.record_heard(conn.order)
+        self._restart_check.record_heard(conn.order)
         self._lost_ends.record_connected(conn.number)
         self.pool.add_connected(conn)
         self._send_releases(conn)
@@ -355,37 +352,15 @@
     def on_restart(self, start_ns: int) -> None:
         """The list tells a new start of the machine: what ran in its previous process is over."""
         self.start_ns = start_ns
-        self._adopted_before_restart = {id for id, offer in self.running.items() if offer.conn is None}
-        # Not from here, as this may be called while messages of a connection are handled.
-        self.loop.call_soon(self._begin_process_check)
+        self._restart_check.start()
 
-    def _begin_process_check(self) -> None:
-        for conn in list(self.conns):
-            conn.read_pending()
-        self._process_check.begin()
-        for conn in list(self.conns):
-            if conn.is_live():
-                self._require_pong(conn)
-        if self._check_timer is not None:
-            self._check_timer.cancel()
-        self._check_timer = self.loop.call_later(self.pool.connect_timeout_ns, self._end_process_check)
-
-    def _end_process_check(self) -> None:
-        """End the tasks whose connections are not known to lead to the current process."""
-        for conn in list(self.conns):
-            conn.read_pending()
-        self._process_check.end()
-        count = self.tasks.give_up("restarted", lambda offer: not self._is_of_current_process(offer))
-        if count:
-            self.report.line("machine.restarted", machine=self.name, tasks=count)
+    def on_restart_checked(self, ended_count: int) -> None:
+        """The tasks of the previous process were reported as broken; they are released if they run."""
+        if ended_count:
+            self.report.line("machine.restarted", machine=self.name, tasks=ended_count)
         if (live := self.find_live_connection()) is not None:
             self._send_releases(live)
 
-    def _is_of_current_process(self, offer: Offer) -> bool:
-        if offer.conn is None:  # it was handed over, by somebody who may know of the restart
-            return offer.id not in self._adopted_before_restart
-        return self._process_check.is_current(offer.conn.order)
-
     # --- incoming messages --------------------------------------------------------------------------------
 
     def on_message(self, conn: Conn, message: Message) -> None:
