Platform: a machine that comes back on the list at once is used as before

A machine that left the list and was listed again while its link still waited for releases counted as gone for as long as the link lived: its answers were released, hand-overs there told as over.

Cause: Link kept when the machine left the list, and nothing took that back, as Links.update_machine did before with each row.

Evidence: tests/platform/test_reused_address.py -k comes_back failed before and passes.

Why it works: each row that lists the machine takes it back (Link.on_listed).

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -326,6 +326,10 @@
         """Whether the machine has left the list."""
         return self._removed_ns is not None
 
+    def on_listed(self) -> None:
+        """The machine is on the list, perhaps again after it had left it."""
+        self._removed_ns = None
+
     def on_removed(self) -> None:
         """The machine has left the list.  Its tasks are over for their owners, who may have them started
         again.
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -115,7 +115,9 @@
             link.cancel_unsent()
         if gone:
             link.on_removed()
-        elif start_ns not in (0, link.start_ns):
+            return
+        link.on_listed()
+        if start_ns not in (0, link.start_ns):
             link.on_restart(start_ns)
 
     def remove_unlisted(self, listed: set[str]) -> None:
--- a/ladderhub/platform/task.py
+++ b/ladderhub/platform/task.py
@@ -64,8 +64,7 @@
 
     __slots__ = (
         "attempt_count", "deadline_timer", "leg", "number", "offer", "owner", "payer", "queued", "request",
-        "until_ns",
-        "withdrawing",
+        "until_ns", "withdrawing",
     )  # fmt: skip
 
     def __init__(self, number: int, request: SetupRequest, owner: TaskOwner, until_ns: int) -> None:
--- a/tests/platform/test_reused_address.py
+++ b/tests/platform/test_reused_address.py
@@ -124,3 +124,23 @@
     assert 1 <= sum(row["event"] == "machine.unreached" for row in bed.logged) <= 2
     for sock in sockets:
         sock.close()
+
+
+def test_a_machine_that_comes_back_on_the_list_at_once_is_used_as_before(beds: Any) -> None:
+    # Guards against answers that are released, and hand-overs told as over, for as long as the link lives.
+    bed = beds(accept_all)
+    (machine,), owner = bed.machines, Owner(bed)
+    task = place_task(bed, owner, "bill")
+    machine.silent = True  # so that the link is kept, as the release is not confirmed
+    tell_list(bed, 2, machine.row("gone"))
+    bed.run()
+    link = bed.service.links.get("m0")
+    assert link is not None and link.is_removed()
+    machine.silent = False
+    tell_list(bed, 3, machine.row())
+    handed_over, again = bed.handover(machine), bed.setup("web", left=9000)
+    owner.send(handed_over, again)
+    bed.run(span_ns=RELEASE_DEADLINE_NS + 2 * S)
+    assert bed.service.links.get("m0") is link and not link.is_removed()
+    assert set(link.running) == {again.id, handed_over.id}
+    assert get_told(owner) == [(task.id, BROKEN)]
