Tests: a set-up on its way may be accepted, so the test of refused set-ups waits for it

Trace: the test had the machine accept from the moment the refusals were heard; the ten set-ups that were taken could still be on their way, were accepted, and stood after their owner had left, which is right. The test now waits until the machine has received all ten; its bound stands, and that ten were taken is asserted exactly.

--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -120,6 +120,8 @@
     bed.run(lambda: len(flooder.received(Kind.RELEASE)) >= 40)
     assert {message.cause for message in flooder.received(Kind.RELEASE)} == {Cause.BUSY}
     assert bed.service.tasks.open_count <= 10
+    # None of them may still be on its way: one that is accepted stands, whatever becomes of its owner.
+    bed.run(lambda: len(bed.machines[0].received(Kind.SETUP)) == bed.service.tasks.open_count == 10)
     bed.machines[0].script = accept_all
     place_task(bed, other)
     flooder.stream.abort()
