Platform: an end that a scheduler caused is told to the owner that holds the task then

What callers saw: a machine hung for 12 s.

Cause: Tasks._on_task_end told nothing of an end that the machine reports with cause 31, or that the answer to a ping behind a release shows, as only the owner was thought to cause one. A release that was pending since the machine was given up causes one too, from this scheduler or from another that had given the machine up.

Why it works: the owner's wish and a move end the owner's side of the task before the release is sent, so an end that finds that side standing was not asked for there. It is told as cut (41).

--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -393,14 +393,19 @@
         self._end_attempt(offer, api.Outcome.TIMED_OUT)
 
     def _on_task_end(self, offer: Offer, cause: int, outcome: api.Outcome) -> None:
-        """A running task has ended: notify its owner, unless the owner ended it."""
+        """A running task has ended: notify its owner, unless the owner ended it or had it moved.
+
+        A machine reports that it was cancelled also if a scheduler caused that which does not hold it any
+        more, such as this one, by a release of an earlier attempt.  For its owner it was cut off then."""
         task = self._find_task(offer)
         if task is None or task.leg.state is not State.ESTABLISHED:
             return
         self._report.count(f"over.{outcome.name.lower()}")
         self._apply_owner_step(task, Step.RELEASE)
-        if outcome is not api.Outcome.CANCELLED:
-            self.notify_owner(task.owner, Message(Kind.RELEASE, task.request.id, cause))
+        if outcome is api.Outcome.CANCELLED:
+            self._report.line("task.cut", machine=offer.machine, task=offer.id)
+            cause = Cause.BROKEN
+        self.notify_owner(task.owner, Message(Kind.RELEASE, task.request.id, cause))
 
     def _end_attempt(
         self, offer: Offer, outcome: api.Outcome, reason: api.Reason = api.Reason.UNKNOWN, why: str = ""
--- /dev/null
+++ b/tests/platform/test_hand_overs.py
@@ -0,0 +1,125 @@
+"""Tasks that are handed over while a release of an earlier attempt at them is under way.
+
+A machine that hangs or is cut off is given up, and its tasks are told as over.  The owner of a task that must
+not be started twice waits, finds that it runs on, and hands it over again, here or to another scheduler."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from ladderhub.platform.liveness import SILENCE_LIMIT_NS
+from ladderhub.signalling import Kind, Message
+from tests.platform.bed import Bed, Machine, MachineConn, Owner, S, accept_all, place_task, release
+from tests.platform.test_cut_off import (
+    BROKEN,
+    CANCELLED,
+    OWNER_WAITS_NS,
+    Cut,
+    confirm_releases,
+    count_logged,
+    get_releases,
+)
+
+NORMAL = 16
+
+
+class Hang:
+    """Has the first machine hang until `end`: its connections come up, and nothing is read from them."""
+
+    def __init__(self, bed: Bed) -> None:
+        self.machine = bed.machines[0]
+        for conn in self.machine.conns:
+            conn.stream.pause(True)
+        self.machine.on_accept = lambda conn: conn.stream.pause(True)
+
+    def end(self) -> None:
+        self.machine.on_accept = lambda conn: None
+        for conn in list(self.machine.conns):
+            conn.stream.pause(False)
+
+
+def say_nothing_of_releases(conn: MachineConn, message: Message) -> None:
+    """Accept everything, and report no end: the report is lost, or the task is unknown here."""
+    accept_all(conn, message)
+
+
+def run_until_given_up(bed: Bed) -> None:
+    bed.run(span_ns=SILENCE_LIMIT_NS + 2 * S)
+    assert count_logged(bed, "machine.silent") == 1
+
+
+def make_hand_over(asked: Message, machine: Machine) -> Message:
+    """The set-up with which the owner of this task hands it over, as it runs on this machine."""
+    return replace(asked, fields=asked.fields | {"extras": f"{asked.fields['extras']};at:{machine.name}"})
+
+
+def hand_over(bed: Bed, owner: Owner, asked: Message) -> None:
+    owner.send(make_hand_over(asked, bed.machines[0]))
+    bed.run(lambda: bed.service.tasks.find(asked.id) is not None)
+
+
+def get_told(owner: Owner) -> list[tuple[str, int | None]]:
+    """The tasks that were told as over, with the causes."""
+    return [(each.id, each.cause) for each in owner.received(Kind.RELEASE)]
+
+
+@pytest.mark.parametrize("script", [confirm_releases, say_nothing_of_releases])
+def test_an_end_by_a_release_that_can_not_be_withdrawn_is_told_to_who_holds_the_task_then(
+    beds: Any, script: Any
+) -> None:
+    # Guards against owners that hold a task which has ended: it was cut after they had handed it over again.
+    bed = beds(script)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner)  # it may be started twice, so its release is sent without waiting
+    hang = Hang(bed)
+    run_until_given_up(bed)
+    bed.run(span_ns=OWNER_WAITS_NS)
+    hand_over(bed, owner, asked)
+    assert get_told(owner) == [(asked.id, BROKEN)]
+    hang.end()
+    bed.run(span_ns=S)
+    assert asked.id in get_releases(machine)
+    assert get_told(owner) == [(asked.id, BROKEN)] * 2
+    link = bed.service.links.get("m0")
+    assert not link.tasks.has_duties() and bed.service.tasks.find(asked.id) is None
+
+
+@pytest.mark.parametrize("klass", ["web", "bill"])
+def test_a_task_that_another_scheduler_had_cut_is_told_to_its_owner(beds: Any, klass: str) -> None:
+    # Guards against an end that a scheduler caused which gave the machine up, while this one holds the task.
+    bed = beds(accept_all)
+    owner = Owner(bed)
+    asked = place_task(bed, owner, klass)
+    bed.machines[0].conns[0].send(release(asked.id, CANCELLED))
+    bed.run(span_ns=S)
+    assert get_told(owner) == [(asked.id, BROKEN)]
+
+
+def test_an_end_that_its_owner_asked_for_is_not_told(beds: Any) -> None:
+    bed = beds(confirm_releases)
+    owner = Owner(bed)
+    asked = place_task(bed, owner, "bill")
+    owner.send(release(asked.id, CANCELLED))
+    bed.run(span_ns=2 * S)
+    assert get_releases(bed.machines[0]) == [asked.id] and get_told(owner) == []
+
+
+def test_what_its_owner_has_ended_is_cut_although_it_is_handed_over_after_that(beds: Any) -> None:
+    bed = beds(confirm_releases)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner, "bill")
+    cut = Cut(bed)
+    for conn in list(machine.conns):
+        conn.stream.abort()  # so that the release waits for a connection
+    bed.run()
+    owner.send(release(asked.id, CANCELLED))
+    bed.run(lambda: owner.received(Kind.RELEASED))
+    hand_over(bed, owner, asked)
+    cut.end()
+    bed.run(span_ns=4 * S)
+    assert asked.id in get_releases(machine)
+    link = bed.service.links.get("m0")
+    assert not link.tasks.has_duties()
--- a/tests/platform/test_owners.py
+++ b/tests/platform/test_owners.py
@@ -179,13 +179,18 @@
     assert owner.closed
 
 
-@pytest.mark.parametrize(("cause", "told"), [(16, [16]), (41, [41]), (7, [7]), (31, [])])
+@pytest.mark.parametrize("is_ended_by_owner", [False, True])
+@pytest.mark.parametrize(("cause", "told"), [(16, [16]), (41, [41]), (7, [7]), (31, [41])])
 def test_the_end_of_a_task_is_reported_once_unless_its_owner_ended_it(
-    beds: Any, cause: int, told: list[int]
+    beds: Any, cause: int, told: list[int], is_ended_by_owner: bool
 ) -> None:
     bed = beds(accept_all)
     owner = Owner(bed)
     asked = place_task(bed, owner)
+    if is_ended_by_owner:
+        owner.send(release(asked.id, 31))
+        bed.run(lambda: owner.received(Kind.RELEASED))
+        told = []
     bed.machines[0].conns[0].send(release(asked.id, cause), release(asked.id, cause))
     bed.run(span_ns=S)
     assert [m.cause for m in owner.received(Kind.RELEASE)] == told and bed.service.tasks.find(
