Platform: a release belongs to one attempt, and a hand-over withdraws one that was not sent

Cause: a release that is pending since its machine was given up was kept by the id of the task, so it stayed in force when the task was handed over, which is a new attempt at it (Link.adopt), and was sent again on each new connection. Besides, it was sent as soon as a connection came up. The kernel of a machine that hangs accepts connections, so the release lay there to be read when the machine went on, after the hand-over, or after the scheduler's own end.

Why it works: PendingReleases keeps for each release the attempt that was given up. A hand-over drops one that was never sent. Where an owner looks whether its task runs before it asks again (it must not be started twice), the release waits until the machine has answered a ping on that connection, so it is never sent to one that hangs. Tasks that may be started twice are not handed over by their owners, and their releases are sent at once, as before. A release that may have been read stays in force, and the end that it causes is told.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -209,7 +209,14 @@
     # --- running tasks ------------------------------------------------------------------------------------
 
     def adopt(self, offer: Offer) -> None:
-        """Take over a task that already runs here, handed over by its owner."""
+        """Take over a task that already runs here, handed over by its owner.
+
+        The machine may have been given up meanwhile.  The release that this left pending belongs to the
+        earlier attempt: it is withdrawn, or the end that it causes is reported."""
+        if self.tasks.releases.withdraw(offer.id):
+            self.report.line("release.withdrawn", machine=self.name, task=offer.id)
+        elif self.tasks.releases.is_pending(offer.id):
+            self.report.line("release.too_late", machine=self.name, task=offer.id)
         offer.leg.step(Step.ADOPT)
         offer.started = offer.written = True
         if not self.running:
@@ -239,11 +246,13 @@
         return bool(self.running) and self._lost_ends.are_suspected() and not is_dialled
 
     def _send_releases(self, conn: Conn) -> None:
-        unsent = self.tasks.releases.take_unsent(conn)
+        releases = self.tasks.releases
+        unsent = releases.take_unsent(conn)
         for id, cause in unsent:
             conn.send(Message(Kind.RELEASE, id, cause))
-        if unsent:
-            conn.ping()  # shows that they were read, also if the machine knows nothing of the tasks
+        if releases.begin_probe(conn) or unsent:
+            # Its answer shows that they were read, also if the machine knows nothing of the tasks.
+            conn.ping()
 
     def get_need(self, conn: Conn) -> Need:
         if self.tasks.releases.is_awaited_on(conn):
@@ -388,11 +397,16 @@
 
     def _on_pong(self, conn: Conn) -> None:
         conn.pongs_received += 1
-        read = self.tasks.releases.take_read(conn)
+        releases = self.tasks.releases
+        read = releases.take_read(conn)
         for id in read:
             self.tasks.end(id, TaskEnd(Cause.CANCELLED, None))
+        releases.record_pong(conn)
+        if releases.has_unsent() and conn.is_live():
+            self._send_releases(conn)
         if read:
-            self.pool.end_dial(conn)
+            if not releases.is_awaited_on(conn):
+                self.pool.end_dial(conn)
             self._write_held_back()
             if self.is_removed():
                 self._clean_up()
@@ -498,7 +512,7 @@
                 self._remember_ended(offer)
                 if isinstance(fault, TimeoutError) and not self.is_removed():
                     # The connection was closed from here as silent: the task may run, its answer unheard.
-                    self.tasks.releases.add(offer.id, Cause.NORMAL)
+                    self.tasks.releases.add_lost(offer)
                 self.pool.listener.on_broken(offer, repr(fault)[:80])
         if not up and is_refused(fault) and self.tasks.has_duties() and not self.conns:
             # Nothing listens there: the machine's process is dead, and its tasks with it.
--- a/ladderhub/platform/pending_releases.py
+++ b/ladderhub/platform/pending_releases.py
@@ -3,78 +3,154 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
-from ladderhub.platform.conn import Conn
+from ladderhub.platform.conn import Conn, Offer
+from ladderhub.signalling import Cause
+
+
+class _Stage(Enum):
+    UNSENT = "it still has to be sent"
+    PROBED = "its machine was pinged, and is sent it once it has answered"
+    SENT = "it was sent, with a ping behind it"
 
 
 @dataclass
-class _PendingRelease:
+class PendingRelease:
+    """A release that is owed to a machine, and why.
+
+    `lost`: the attempt that was given up although its task may run; None if the release was wanted by the
+    task's owner, or by the decision module."""
+
     cause: int
-    conn: Conn | None = None  # where it was sent last; None while it has to be sent
-    ping_number: int = 0  # of the first ping on that connection behind it
+    lost: Offer | None = None
+    needs_probe: bool = False  # it is not sent before its machine has answered a ping
+    was_sent: bool = False  # at least once: its machine may have read it
+    stage: _Stage = _Stage.UNSENT
+    conn: Conn | None = None  # where it was sent last, or its machine was pinged
+    ping_number: int = 0  # of the ping on that connection whose answer is waited for
 
 
 class PendingReleases:
-    """The releases that one machine still has to confirm.
+    """The releases that one machine still has to confirm, by task.
 
     A release may be lost with the connection it was sent on, and its task would then run for ever.  So it is
     kept until the machine reports the end of the task, and is sent again on another connection.
 
     That report may be lost too, and a machine says nothing about a task that it does not know.  So it is
-    enough that the machine has read the release: it has when it answers a ping sent behind it."""
+    enough that the machine has read the release: it has when it answers a ping sent behind it.
+
+    A release belongs to one attempt.  A task that was given up may be handed over again by its owner, which
+    is a new attempt, so a release that was never sent is withdrawn then.  Where the owner looks whether the
+    task runs before it asks again, there is no hurry: the release is not sent to a machine that hangs, whose
+    kernel would take it and have it read after the task was handed over."""
 
     def __init__(self) -> None:
-        self._releases: dict[str, _PendingRelease] = {}
+        self._releases: dict[str, PendingRelease] = {}
 
     def __len__(self) -> int:
         return len(self._releases)
 
     def add(self, id: str, cause: int) -> None:
-        """Add a release with this cause, still to be sent; one that is pending already stays as it is."""
-        self._releases.setdefault(id, _PendingRelease(cause))
+        """Add a release with this cause, still to be sent, which is not withdrawn any more."""
+        pending = self._releases.setdefault(id, PendingRelease(cause))
+        pending.lost = None
+        pending.needs_probe = False
+        if pending.stage is _Stage.PROBED:
+            self._mark_unsent(pending)
+
+    def add_lost(self, offer: Offer) -> None:
+        """Add the release of an attempt that was given up, though its task may run; one that is wanted
+        anyhow stays as it is."""
+        pending = self._releases.get(offer.id)
+        if pending is None:
+            needs_probe = not offer.repeatable
+            self._releases[offer.id] = PendingRelease(Cause.NORMAL, offer, needs_probe)
+        elif pending.lost is not None:
+            pending.lost = offer
+
+    def withdraw(self, id: str) -> bool:
+        """The task was handed over again: drop the release of its earlier attempt, if it was never sent.
+        Return whether there was one."""
+        pending = self._releases.get(id)
+        if pending is None or pending.lost is None or pending.was_sent:
+            return False
+        del self._releases[id]
+        return True
 
     def has_unsent(self) -> bool:
-        """Whether a release was not sent yet, or was lost with its connection."""
-        return any(release.conn is None for release in self._releases.values())
+        """Whether a release was neither sent on a connection that is up, nor waits for a ping there."""
+        return any(pending.conn is None for pending in self._releases.values())
 
     def is_awaited_on(self, conn: Conn) -> bool:
-        """Whether a release that was sent on this connection is still to be confirmed."""
-        return any(release.conn is conn for release in self._releases.values())
+        """Whether an answer on this connection is waited for, to send a release or to have it confirmed."""
+        return any(pending.conn is conn for pending in self._releases.values())
 
     def is_pending(self, id: str) -> bool:
         """Whether the release of this task is still to be confirmed."""
         return id in self._releases
 
-    def confirm(self, id: str) -> bool:
-        """Drop the release: the machine reported the end of this task, for whatever reason.  Return whether
-        there was one."""
-        return self._releases.pop(id, None) is not None
-
-    def take_read(self, conn: Conn) -> list[str]:
-        """Drop the releases that the machine has read, by the pings it answered on this connection; return
-        their tasks."""
-        read = [
-            id
-            for id, release in self._releases.items()
-            if release.conn is conn and release.ping_number <= conn.pongs_received
-        ]
+    def confirm(self, id: str) -> PendingRelease | None:
+        """Drop and return the release, if there is one: the machine reported the end of this task, for
+        whatever reason."""
+        return self._releases.pop(id, None)
+
+    def take_read(self, conn: Conn) -> dict[str, PendingRelease]:
+        """Drop and return the releases that the machine has read, by the pings it answered on this
+        connection."""
+        read = {
+            id: pending
+            for id, pending in self._releases.items()
+            if pending.stage is _Stage.SENT and _is_answered(pending, conn)
+        }
         for id in read:
             del self._releases[id]
         return read
 
+    def record_pong(self, conn: Conn) -> None:
+        """The machine answers pings on this connection, so releases that waited for that may be sent."""
+        for pending in self._releases.values():
+            if pending.stage is _Stage.PROBED and _is_answered(pending, conn):
+                pending.needs_probe = False
+                self._mark_unsent(pending)
+
     def mark_unsent(self, conn: Conn) -> None:
         """Have releases that were sent on this closed connection sent again: they may be lost."""
-        for release in self._releases.values():
-            if release.conn is conn:
-                release.conn = None
+        for pending in self._releases.values():
+            if pending.conn is conn:
+                self._mark_unsent(pending)
+
+    def _mark_unsent(self, pending: PendingRelease) -> None:
+        pending.stage, pending.conn = _Stage.UNSENT, None
 
     def take_unsent(self, conn: Conn) -> list[tuple[str, int]]:
-        """Return the tasks and causes still to be sent, and mark them as sent on this connection."""
-        unsent = [(id, release) for id, release in self._releases.items() if release.conn is None]
-        for _, release in unsent:
-            release.conn, release.ping_number = conn, conn.pings_sent + 1
-        return [(id, release.cause) for id, release in unsent]
+        """Return the tasks and causes to be sent now, and mark them as sent on this connection, on which the
+        caller sends a ping behind them."""
+        unsent = [
+            (id, pending)
+            for id, pending in self._releases.items()
+            if pending.conn is None and not pending.needs_probe
+        ]
+        for _, pending in unsent:
+            pending.was_sent = True
+            self._await_pong(pending, conn, _Stage.SENT)
+        return [(id, pending.cause) for id, pending in unsent]
+
+    def begin_probe(self, conn: Conn) -> bool:
+        """Return whether releases wait for the machine to answer a ping, which the caller sends now on this
+        connection."""
+        waiting = [pending for pending in self._releases.values() if pending.conn is None]
+        for pending in waiting:
+            self._await_pong(pending, conn, _Stage.PROBED)
+        return bool(waiting)
+
+    def _await_pong(self, pending: PendingRelease, conn: Conn, stage: _Stage) -> None:
+        pending.stage, pending.conn, pending.ping_number = stage, conn, conn.pings_sent + 1
 
     def clear(self) -> None:
         """Drop all releases: the machine runs none of the tasks any more."""
         self._releases.clear()
+
+
+def _is_answered(pending: PendingRelease, conn: Conn) -> bool:
+    return pending.conn is conn and pending.ping_number <= conn.pongs_received
--- a/ladderhub/platform/running_tasks.py
+++ b/ladderhub/platform/running_tasks.py
@@ -6,7 +6,7 @@
 
 from ladderhub.platform.conn import Offer, OfferListener, TaskEnd
 from ladderhub.platform.pending_releases import PendingReleases
-from ladderhub.signalling import Cause, Step
+from ladderhub.signalling import Step
 
 
 class RunningTasks:
@@ -54,7 +54,7 @@
         lost = [offer for offer in self.offers.values() if is_lost(offer)]
         for offer in lost:
             del self.offers[offer.id]
-            self.releases.add(offer.id, Cause.NORMAL)
+            self.releases.add_lost(offer)
         for offer in lost:
             self._report_broken(offer, why)
         return len(lost)
--- a/tests/platform/test_hand_overs.py
+++ b/tests/platform/test_hand_overs.py
@@ -66,6 +66,30 @@
     return [(each.id, each.cause) for each in owner.received(Kind.RELEASE)]
 
 
+@pytest.mark.parametrize("outage", [Hang, Cut])
+def test_a_task_handed_over_during_an_outage_is_not_cut_by_the_release_of_its_loss(
+    beds: Any, outage: Any
+) -> None:
+    # Guards against a release that outlives its attempt: it cut the task that had been taken over since.
+    bed = beds(confirm_releases)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner, "bill")
+    trouble = outage(bed)
+    run_until_given_up(bed)
+    bed.run(span_ns=OWNER_WAITS_NS)
+    hand_over(bed, owner, asked)
+    bed.run(span_ns=S)
+    trouble.end()
+    bed.run(span_ns=4 * S)
+    link = bed.service.links.get("m0")
+    assert get_releases(machine) == [] and asked.id in link.running
+    assert get_told(owner) == [(asked.id, BROKEN)]
+    machine.conns[-1].send(release(asked.id, NORMAL))
+    bed.run(lambda: len(get_told(owner)) == 2)
+    assert get_told(owner)[1] == (asked.id, NORMAL)
+    assert not link.tasks.has_duties()
+
+
 @pytest.mark.parametrize("script", [confirm_releases, say_nothing_of_releases])
 def test_an_end_by_a_release_that_can_not_be_withdrawn_is_told_to_who_holds_the_task_then(
     beds: Any, script: Any
@@ -123,3 +147,74 @@
     assert asked.id in get_releases(machine)
     link = bed.service.links.get("m0")
     assert not link.tasks.has_duties()
+
+
+@pytest.mark.parametrize("outage", [Hang, Cut])
+@pytest.mark.parametrize("klass", ["web", "bill"])
+def test_a_task_that_nobody_hands_over_is_released_once_its_machine_is_back(
+    beds: Any, outage: Any, klass: str
+) -> None:
+    bed = beds(confirm_releases)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = {place_task(bed, owner, klass).id for _ in range(3)}
+    trouble = outage(bed)
+    run_until_given_up(bed)
+    bed.run(span_ns=OWNER_WAITS_NS)
+    trouble.end()
+    bed.run(span_ns=3 * S)
+    assert set(get_releases(machine)) == asked
+    assert not bed.service.links.get("m0").tasks.has_duties()
+
+
+def test_a_release_is_sent_again_if_its_connection_breaks_after_the_machine_was_found_alive(
+    beds: Any,
+) -> None:
+    # Guards against a release that is sent once and forgotten, or that waits for a second answer to a ping.
+    bed = beds(accept_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner, "bill")
+    cut = Cut(bed)
+    run_until_given_up(bed)
+
+    def reset_once(conn: MachineConn, message: Message) -> None:
+        if message.kind is Kind.RELEASE:
+            machine.script = confirm_releases
+            conn.reset()
+
+    machine.script = reset_once
+    cut.end()
+    bed.run(span_ns=4 * S)
+    assert get_releases(machine) == [asked.id, asked.id]
+    assert not cut.link.tasks.has_duties()
+
+
+def test_a_task_that_is_handed_over_at_each_loss_of_a_long_outage_stands_after_it(beds: Any) -> None:
+    bed = beds(confirm_releases)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner, "bill")
+    hang = Hang(bed)
+    for losses in range(1, 4):
+        bed.run(lambda losses=losses: count_logged(bed, "machine.silent") == losses, span_ns=10 * S)
+        assert len(get_told(owner)) == losses
+        hand_over(bed, owner, asked)
+    hang.end()
+    bed.run(span_ns=4 * S)
+    assert get_releases(machine) == [] and asked.id in bed.service.links.get("m0").running
+    assert len(get_told(owner)) == 3
+
+
+def test_a_process_that_ends_during_a_hang_leaves_no_release_for_what_its_successor_takes_over(
+    beds: Any,
+) -> None:
+    # Guards against a cut by a process that is gone: the hung machine read its release when it went on.
+    bed = beds(confirm_releases)
+    machine, owner = bed.machines[0], Owner(bed)
+    place_task(bed, owner, "bill")
+    hang = Hang(bed)
+    run_until_given_up(bed)
+    bed.service.stop()
+    bed.run(lambda: count_logged(bed, "stopped"), span_ns=5 * S)
+    bed.service.links._links.clear()  # the loop goes on with the machine alone
+    hang.end()
+    bed.run(span_ns=S)
+    assert get_releases(machine) == []
