Platform: an end is kept for a hand-over of its task that may be on its way

What callers saw: a task that was cut by a pending release counted as running for as long as its machine lived if its owner had found it running just before that and handed it over: nothing was told to it.

Cause: a report that confirmed a release, and the answer to a ping behind one, were used up as that. Ends of tasks unknown here are kept for a hand-over (EarlyEnds), but these were not, nor were ends of tasks that this scheduler had held, nor of set-ups that had been given up (Link._on_release, _on_pong).

--- a/ladderhub/platform/early_ends.py
+++ b/ladderhub/platform/early_ends.py
@@ -1,4 +1,4 @@
-"""Ends of tasks that arrive before the task is handed over to this scheduler."""
+"""Ends of tasks that arrive before the task is handed over to this scheduler, perhaps again."""
 
 from __future__ import annotations
 
@@ -15,7 +15,8 @@
 
 
 class EarlyEnds(Generic[Key, Ending]):
-    """Ends of tasks unknown to this scheduler, kept while they may still be reported to their owners."""
+    """Ends of tasks that this scheduler does not hold, or no longer, kept while their owners may still hand
+    the tasks over."""
 
     def __init__(self) -> None:
         self._ends: dict[Key, tuple[int, Ending]] = {}
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -400,7 +400,7 @@
         releases = self.tasks.releases
         read = releases.take_read(conn)
         for id in read:
-            self.tasks.end(id, TaskEnd(Cause.CANCELLED, None))
+            self._end_task(id, TaskEnd(Cause.CANCELLED, None))
         releases.record_pong(conn)
         if releases.has_unsent() and conn.is_live():
             self._send_releases(conn)
@@ -441,14 +441,24 @@
             offer.leg.step(Step.RELEASE)
             self.pool.listener.on_release(offer, end.cause, end.note)
         elif message.id in self.running:
-            self.tasks.end(message.id, end)
+            self._end_task(message.id, end)
         elif self.tasks.releases.confirm(message.id):
+            self._end_task(message.id, end)
             self._write_held_back()
             if self.is_removed():
                 self._clean_up()
-        elif message.id not in self.ended_attempts:
+        elif message.id in self.ended_attempts:
+            self.pool.on_early_end(self.name, message.id, end)
+        else:
             self._on_early_end(message.id, end)
 
+    def _end_task(self, id: str, end: TaskEnd) -> None:
+        """A task does not run here any more, if it did; nothing is reported if that is known already.
+
+        Its owner may have found it running before that, and its hand-over may be on its way."""
+        self.tasks.end(id, end)
+        self.pool.on_early_end(self.name, id, end)
+
     def _on_note(self, message: Message, offer: Offer | None) -> None:
         if offer is None:
             return
--- a/tests/platform/test_hand_overs.py
+++ b/tests/platform/test_hand_overs.py
@@ -12,7 +12,17 @@
 
 from ladderhub.platform.liveness import SILENCE_LIMIT_NS
 from ladderhub.signalling import Kind, Message
-from tests.platform.bed import Bed, Machine, MachineConn, Owner, S, accept_all, place_task, release
+from tests.platform.bed import (
+    Bed,
+    Machine,
+    MachineConn,
+    Owner,
+    S,
+    accept_all,
+    ignore_all,
+    place_task,
+    release,
+)
 from tests.platform.test_cut_off import (
     BROKEN,
     CANCELLED,
@@ -218,3 +228,63 @@
     hang.end()
     bed.run(span_ns=S)
     assert get_releases(machine) == []
+
+
+@pytest.mark.parametrize("klass", ["web", "bill"])
+@pytest.mark.parametrize("script", [confirm_releases, say_nothing_of_releases])
+def test_a_hand_over_that_crosses_the_release_of_its_loss_is_told_as_over(
+    beds: Any, script: Any, klass: str
+) -> None:
+    # Guards against a task that counts as running for ever: its end was taken as a confirmation alone.
+    bed = beds(script)
+    owner = Owner(bed)
+    asked = place_task(bed, owner, klass)
+    cut = Cut(bed)
+    run_until_given_up(bed)
+    cut.end()
+    bed.run(lambda: asked.id in get_releases(cut.machine), span_ns=2 * S)
+    bed.run(span_ns=S)
+    assert not cut.link.tasks.has_duties()
+    told = len(get_told(owner))
+    owner.send(make_hand_over(asked, cut.machine))
+    bed.run(lambda: len(get_told(owner)) > told)
+    assert get_told(owner)[-1] == (asked.id, BROKEN)
+    assert not cut.link.tasks.has_duties() and bed.service.tasks.find(asked.id) is None
+
+
+@pytest.mark.parametrize("is_given_up", [False, True])
+def test_a_hand_over_that_crosses_the_release_of_an_unanswered_set_up_is_told_as_over(
+    beds: Any, is_given_up: bool
+) -> None:
+    # Guards against a task that counts as running for ever: it ran, and its answer came after its time.
+    bed = beds(ignore_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = bed.setup("bill", left=1000)
+    owner.send(asked)
+    bed.run(lambda: machine.received(Kind.SETUP))
+    if is_given_up:
+        owner.send(release(asked.id, NORMAL))
+        bed.run(lambda: machine.received(Kind.RELEASE))
+    else:
+        bed.run(span_ns=S)
+        assert get_told(owner) == [(asked.id, BROKEN)]
+    machine.script = confirm_releases
+    machine.conns[0].send(Message(Kind.ANSWER, asked.id, None, f"runs {asked.id}\r\n"))
+    bed.run(lambda: get_releases(machine))
+    bed.run(span_ns=S)
+    told = get_told(owner)
+    owner.send(make_hand_over(asked, machine))
+    bed.run(lambda: len(get_told(owner)) > len(told))
+    assert get_told(owner)[-1] == (asked.id, BROKEN)
+    assert not bed.service.links.get("m0").tasks.has_duties()
+
+
+def test_a_hand_over_that_crosses_the_end_of_its_task_is_told_as_over(beds: Any) -> None:
+    bed = beds(accept_all)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked = place_task(bed, owner)
+    machine.conns[0].send(release(asked.id, NORMAL))
+    bed.run(lambda: get_told(owner))
+    owner.send(make_hand_over(asked, machine))
+    bed.run(lambda: len(get_told(owner)) == 2)
+    assert not bed.service.links.get("m0").tasks.has_duties()
