Platform: the end of an earlier attempt is not told any more once its task is handed over

What callers saw: an owner that does not confirm releases, which the protocol leaves free, was told of the loss of its task up to 8 s long, also after it had handed the task over, which stood. It would count as over once more, and be handed over or asked for again.

Cause: OwnerServer repeats a release until it is confirmed, by the id of the task, and sends it on another connection when its own closes. A hand-over is a new attempt and did not end that.

Evidence: tests/platform/test_hand_overs.py -k did_not_confirm: two of two failed before (told ten more times after the hand-over).

Why it works: a hand-over drops what is still to be repeated of the task's earlier end. If the two cross, the owner holds the task and so does the scheduler; an end that it reports later is told as any other.

--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -346,6 +346,8 @@
             self.tasks.place(task)
 
     def _adopt(self, conn: OwnerConn, request: SetupRequest) -> None:
+        # The end of an earlier attempt, told once more, would be taken for the end of the task that stands.
+        self._drop_notice(request.id)
         if not self.tasks.is_listed(request.machine):
             # It ended with its machine.  The decision module is told nothing: it would keep the name.
             self.report.line("adopted.nowhere", machine=request.machine[:60])
--- a/tests/platform/test_hand_overs.py
+++ b/tests/platform/test_hand_overs.py
@@ -288,3 +288,28 @@
     owner.send(make_hand_over(asked, machine))
     bed.run(lambda: len(get_told(owner)) == 2)
     assert not bed.service.links.get("m0").tasks.has_duties()
+
+
+@pytest.mark.parametrize("loses_connection", [False, True])
+def test_an_end_that_its_owner_did_not_confirm_is_not_told_after_the_task_is_handed_over(
+    beds: Any, loses_connection: bool
+) -> None:
+    # Guards against a task that stands and is told as over: the end of its earlier attempt was repeated.
+    bed = beds(accept_all)
+    owner, other = Owner(bed, acknowledges=False), Owner(bed, acknowledges=False)
+    asked = place_task(bed, owner, "bill")
+    place_task(bed, other)
+    cut = Cut(bed)
+    bed.run(lambda: get_told(owner), span_ns=SILENCE_LIMIT_NS + S)
+    hand_over(bed, owner, asked)
+
+    def count_told() -> int:
+        return (get_told(owner) + get_told(other)).count((asked.id, BROKEN))
+
+    told_before = count_told()
+    if loses_connection:
+        owner.stream.abort()
+    cut.end()
+    bed.run(span_ns=3 * S)
+    assert 0 < told_before == count_told()
+    assert asked.id in cut.link.running
