Platform: the end of a task that was given up is told, as another scheduler may hold it by then

A machine is cut off from one scheduler, which tells its tasks as over; their owner finds one running and hands it to another scheduler. When the first reaches the machine again, its release cuts the task, or its end is told there, as the machine reports on any connection it has. Nobody told the owner.

Cause: a report that confirmed such a release counted as settled, as the loss had been told (Link._on_release). But the loss was told before the task had ended, and it was held again since.

Why it works: the attempt that was given up keeps whom the loss was told to, and when. If its machine then reports the end, the owner's wait before it asks again (settle-ns of the settings) is over and no task with this id is held here, the end is told once more. It is not where nobody can hold the task: where it may be started twice, where the settings give no wait, while the owner still waits, and where the machine did not run it (that a ping was answered alone).

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -10,6 +10,7 @@
 from ladderhub.loop import Loop, Stream, Timer
 from ladderhub.loop.stream import MAX_READ_BYTES
 from ladderhub.platform.report import Report
+from ladderhub.platform.task_owner import TaskOwner
 from ladderhub.signalling import BinaryReader, Kind, Leg, Message, SignalError, encode_binary
 from ladderhub.signalling.table import TEST_ASKED
 
@@ -26,6 +27,14 @@
     note: str | None
 
 
+@dataclass(frozen=True)
+class Loss:
+    """That an owner was told of the end of its task while the task may run, and when."""
+
+    owner: TaskOwner
+    told_ns: int
+
+
 class Offer:
     """One set-up sent to one machine, from the decision module's `Send` action to its end."""
 
@@ -42,6 +51,7 @@
         self.conn: Conn | None = None
         self.written = self.started = False
         self.early_end: TaskEnd | None = None  # received on another connection before the answer was read
+        self.loss: Loss | None = None  # if the task was told as over although it may run
 
 
 class OfferListener(Protocol):
@@ -67,6 +77,9 @@
     def on_broken(self, offer: Offer, why: str) -> None:
         """After it was written, its connection closed or received invalid data, or its machine was lost."""
 
+    def on_end_after_loss(self, offer: Offer, end: TaskEnd) -> None:
+        """The machine has reported the end of a task that had been reported as broken though it might run."""
+
     def on_overdue(self, offer: Offer) -> None:
         """Its time ran out, and it was given up at the machine."""
 
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -442,7 +442,9 @@
             self.pool.listener.on_release(offer, end.cause, end.note)
         elif message.id in self.running:
             self._end_task(message.id, end)
-        elif self.tasks.releases.confirm(message.id):
+        elif (pending := self.tasks.releases.confirm(message.id)) is not None:
+            if pending.lost is not None:
+                self.pool.listener.on_end_after_loss(pending.lost, end)
             self._end_task(message.id, end)
             self._write_held_back()
             if self.is_removed():
--- a/ladderhub/platform/mapping.py
+++ b/ladderhub/platform/mapping.py
@@ -43,6 +43,13 @@
     )
 
 
+def get_owner_cause(cause: int | None) -> int:
+    """The cause that tells an owner how its task ended, by the one that the machine gave.
+
+    An owner that hears of a cancelled task did not ask for that: for it the task was cut off."""
+    return Cause.BROKEN if cause is None or cause == Cause.CANCELLED else cause
+
+
 def to_reason(note: str | None) -> api.Reason:
     found = _NOTES.get(note or "")
     return found if isinstance(found, api.Reason) else api.Reason.UNKNOWN
--- a/ladderhub/platform/owners.py
+++ b/ladderhub/platform/owners.py
@@ -18,7 +18,8 @@
 from ladderhub.platform.ownerconn import OwnerConn
 from ladderhub.platform.setup_parser import is_handover, parse_setup
 from ladderhub.platform.report import Report
-from ladderhub.platform.task import SetupRequest, TaskOwner, estimate_bytes
+from ladderhub.platform.task import SetupRequest, estimate_bytes
+from ladderhub.platform.task_owner import TaskOwner
 from ladderhub.platform.tasks import Tasks
 from ladderhub.signalling import Cause, Kind, Message, SignalError, State
 from ladderhub.signalling.table import TEST_FAILED, TEST_PASSED
--- a/ladderhub/platform/pending_releases.py
+++ b/ladderhub/platform/pending_releases.py
@@ -95,14 +95,14 @@
         whatever reason."""
         return self._releases.pop(id, None)
 
-    def take_read(self, conn: Conn) -> dict[str, PendingRelease]:
-        """Drop and return the releases that the machine has read, by the pings it answered on this
-        connection."""
-        read = {
-            id: pending
+    def take_read(self, conn: Conn) -> list[str]:
+        """Drop the releases that the machine has read, by the pings it answered on this connection; return
+        their tasks."""
+        read = [
+            id
             for id, pending in self._releases.items()
             if pending.stage is _Stage.SENT and _is_answered(pending, conn)
-        }
+        ]
         for id in read:
             del self._releases[id]
         return read
--- a/ladderhub/platform/service.py
+++ b/ladderhub/platform/service.py
@@ -23,7 +23,7 @@
 from ladderhub.platform.memory_budget import MemoryBudget, get_held_limit
 from ladderhub.platform.owners import OwnerServer
 from ladderhub.platform.report import Report
-from ladderhub.platform.task import TaskOwner
+from ladderhub.platform.task_owner import TaskOwner
 from ladderhub.platform.tasks import Tasks
 from ladderhub.signalling import JournalEvent
 from ladderhub.translate import FieldError
--- a/ladderhub/platform/task.py
+++ b/ladderhub/platform/task.py
@@ -3,32 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
 
 from ladderhub.loop import Timer
 from ladderhub.platform.conn import Offer
+from ladderhub.platform.task_owner import TaskOwner
 from ladderhub.signalling import Leg, Message, State
 
 
-class TaskOwner(Protocol):
-    """The interface of an owner's connection that tasks use."""
-
-    alive: bool
-
-    def __hash__(self) -> int: ...
-
-    def send(self, message: Message) -> None: ...
-
-    def read_pending(self) -> None:
-        """Read and handle what has arrived from the owner: it may have closed, or cancelled its set-up."""
-
-    def has_unread(self) -> bool:
-        """Whether the owner has sent more than was handled."""
-
-    def has_left(self) -> bool:
-        """Whether the owner has closed, also if what it sent before that is still unread."""
-
-
 # What one set-up takes besides its description: itself, its attempt, and what the decision module keeps.
 SETUP_BYTES = 4096
 
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -15,13 +15,14 @@
 from ladderhub.decide.records import ANSWER_MARGIN_NS, NEVER_RAN
 from ladderhub.loop import Loop
 from ladderhub.platform.attempted_ids import AttemptedIds
-from ladderhub.platform.conn import Offer
+from ladderhub.platform.conn import Loss, Offer, TaskEnd
 from ladderhub.platform.links import Links
-from ladderhub.platform.mapping import to_outcome, to_reason, to_topic
+from ladderhub.platform.mapping import get_owner_cause, to_outcome, to_reason, to_topic
 from ladderhub.platform.memory_budget import MemoryBudget
 from ladderhub.platform.placing import Placer
 from ladderhub.platform.report import Report
-from ladderhub.platform.task import SetupRequest, Task, TaskOwner
+from ladderhub.platform.task import SetupRequest, Task
+from ladderhub.platform.task_owner import TaskOwner
 from ladderhub.signalling import Cause, Code, Kind, Message, State, Step
 
 MS = 1_000_000
@@ -371,7 +372,7 @@
     def on_release(self, offer: Offer, cause: int | None, note: str | None) -> None:
         outcome = to_outcome(cause, offer.started)
         if offer.started:
-            self._on_task_end(offer, cause if cause is not None else Cause.BROKEN, outcome)
+            self._on_task_end(offer, cause, outcome)
         self._end_attempt(offer, outcome, to_reason(note), f"cause {cause} {note or ''}")
 
     def on_note(self, offer: Offer, note: str | None, figure: float) -> None:
@@ -386,17 +387,32 @@
         self._end_attempt(offer, api.Outcome.NEVER_SENT)
 
     def on_broken(self, offer: Offer, why: str) -> None:
+        task = self._find_task(offer)
+        if task is not None and task.leg.state is State.ESTABLISHED and not offer.repeatable:
+            offer.loss = Loss(task.owner, self._loop.now_ns())
         self._on_task_end(offer, Cause.BROKEN, api.Outcome.LOST)
         self._end_attempt(offer, api.Outcome.LOST, why=why)
 
     def on_overdue(self, offer: Offer) -> None:
         self._end_attempt(offer, api.Outcome.TIMED_OUT)
 
-    def _on_task_end(self, offer: Offer, cause: int, outcome: api.Outcome) -> None:
+    def on_end_after_loss(self, offer: Offer, end: TaskEnd) -> None:
+        """Tell the end of a task that was told as over before, while it may have run.
+
+        Its owner waits for a while then.  If it has found the task running after that, it has handed it to
+        another scheduler, which the machine need not tell of the end."""
+        loss, settle_ns = offer.loss, self.module.settings.settle_ns
+        if loss is None or not settle_ns or self.find(offer.id) is not None:
+            return
+        if self._loop.now_ns() >= loss.told_ns + settle_ns:
+            self._report.line("task.cut", machine=offer.machine, task=offer.id)
+            self.notify_owner(loss.owner, Message(Kind.RELEASE, offer.id, get_owner_cause(end.cause)))
+
+    def _on_task_end(self, offer: Offer, cause: int | None, outcome: api.Outcome) -> None:
         """A running task has ended: notify its owner, unless the owner ended it or had it moved.
 
         A machine reports that it was cancelled also if a scheduler caused that which does not hold it any
-        more, such as this one, by a release of an earlier attempt.  For its owner it was cut off then."""
+        more, such as this one, by a release of an earlier attempt."""
         task = self._find_task(offer)
         if task is None or task.leg.state is not State.ESTABLISHED:
             return
@@ -404,8 +420,7 @@
         self._apply_owner_step(task, Step.RELEASE)
         if outcome is api.Outcome.CANCELLED:
             self._report.line("task.cut", machine=offer.machine, task=offer.id)
-            cause = Cause.BROKEN
-        self.notify_owner(task.owner, Message(Kind.RELEASE, task.request.id, cause))
+        self.notify_owner(task.owner, Message(Kind.RELEASE, task.request.id, get_owner_cause(cause)))
 
     def _end_attempt(
         self, offer: Offer, outcome: api.Outcome, reason: api.Reason = api.Reason.UNKNOWN, why: str = ""
--- a/tests/platform/bed.py
+++ b/tests/platform/bed.py
@@ -204,7 +204,7 @@
 
     def __init__(
         self, folder: Path, *scripts: Script, sockets: int = 256, caught_up: bool = True,
-        handshake: float = 0, schedulers: int = 1, idle_ns: int = 30 * S,
+        handshake: float = 0, schedulers: int = 1, idle_ns: int = 30 * S, settle_ns: int = 0,
     ) -> None:  # fmt: skip
         self.clock = ManualClock(START_NS)
         self.errors: list[str] = []
@@ -220,6 +220,7 @@
             "journal": self.journal.address, "settings": settings() | {
                 "prices": {"handshake": handshake}, "balancers": schedulers, "ordinal": schedulers - 1,
                 "ceilings": settings()["ceilings"] | {"conn-idle-ns": idle_ns},
+                "specifics": settings()["specifics"] | {"settle-ns": settle_ns},
             },
             "known": {"pos": 1, "entries": [known]},
         }  # fmt: skip
--- a/tests/platform/test_hand_overs.py
+++ b/tests/platform/test_hand_overs.py
@@ -30,6 +30,7 @@
     Cut,
     confirm_releases,
     count_logged,
+    cut_until_given_up,
     get_releases,
 )
 
@@ -313,3 +314,41 @@
     bed.run(span_ns=3 * S)
     assert 0 < told_before == count_told()
     assert asked.id in cut.link.running
+
+
+@pytest.mark.parametrize("cause", [CANCELLED, NORMAL])
+def test_the_end_of_a_task_that_was_given_up_is_told_although_another_scheduler_may_hold_it(
+    beds: Any, cause: int
+) -> None:
+    # Guards against an end that nobody tells: the machine reported it to the scheduler that had the task cut.
+    bed = beds(confirm_releases, settle_ns=OWNER_WAITS_NS)
+    owner = Owner(bed)
+    asked, repeatable = place_task(bed, owner, "bill"), place_task(bed, owner, "web")
+    cut = cut_until_given_up(bed)
+    assert sorted(get_told(owner)) == [(asked.id, BROKEN), (repeatable.id, BROKEN)]
+    bed.run(span_ns=OWNER_WAITS_NS)
+    if cause == NORMAL:
+        cut.machine.on_accept = lambda conn: conn.send(release(asked.id, NORMAL))
+    cut.end()
+    bed.run(span_ns=3 * S)
+    assert not cut.link.tasks.has_duties()
+    assert get_told(owner)[2:] == [(asked.id, BROKEN if cause == CANCELLED else cause)]
+
+
+@pytest.mark.parametrize(("script", "waited_ns"), [(confirm_releases, 0), (say_nothing_of_releases, 9 * S)])
+def test_a_task_that_was_given_up_is_told_once_if_nobody_can_hold_it(
+    beds: Any, script: Any, waited_ns: int
+) -> None:
+    # Its owner still waits to see whether it runs, or the machine did not run it when the release came.
+    bed = beds(script, settle_ns=OWNER_WAITS_NS)
+    owner = Owner(bed)
+    asked = place_task(bed, owner, "bill")
+    cut = Cut(bed)
+    for _ in range(8):
+        if not get_told(owner):
+            bed.run(span_ns=S)
+    bed.run(span_ns=waited_ns)
+    cut.end()
+    bed.run(span_ns=3 * S)
+    assert get_releases(cut.machine) == [asked.id] and not cut.link.tasks.has_duties()
+    assert get_told(owner) == [(asked.id, BROKEN)]
