Platform: the end of a task whose answer was not heard is told, if its owner may hold it since

Evidence: tests/platform/test_hand_overs.py -k answer_was_not_heard failed before.

Why it works: the attempts that were given up are remembered, not their ids alone, and their end is told under the same conditions, and only for a cause that a machine gives after its answer.

Also: a hand-over withdraws no release of a task that may be started twice. Its owner asks again after a loss and hands nothing over, so that hand-over was sent before the loss was heard, and the copy would run on without an owner (-k although_a_hand_over_crosses; found by reading the change once more).

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True)
 class Loss:
-    """That an owner was told of the end of its task while the task may run, and when."""
+    """That an attempt was given up while its task may run, whom that was told to, and when."""
 
     owner: TaskOwner
     told_ns: int
@@ -51,7 +51,7 @@
         self.conn: Conn | None = None
         self.written = self.started = False
         self.early_end: TaskEnd | None = None  # received on another connection before the answer was read
-        self.loss: Loss | None = None  # if the task was told as over although it may run
+        self.loss: Loss | None = None  # if it was given up although the task may run
 
 
 class OfferListener(Protocol):
@@ -78,7 +78,7 @@
         """After it was written, its connection closed or received invalid data, or its machine was lost."""
 
     def on_end_after_loss(self, offer: Offer, end: TaskEnd) -> None:
-        """The machine has reported the end of a task that had been reported as broken though it might run."""
+        """The machine has reported the end of a task whose attempt had been given up though it might run."""
 
     def on_overdue(self, offer: Offer) -> None:
         """Its time ran out, and it was given up at the machine."""
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -16,7 +16,7 @@
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step
 from ladderhub.signalling.table import TEST_PASSED
 
-MAX_ENDED_ATTEMPTS = 256  # ids remembered for each machine, for messages that arrive late
+MAX_ENDED_ATTEMPTS = 256  # remembered for each machine, for messages that arrive late
 
 
 class Link:
@@ -28,7 +28,7 @@
         self.loop, self.report = pool.loop, pool.report
         self.conns: list[Conn] = []
         self.tasks = RunningTasks(pool.listener)
-        self.ended_attempts: dict[str, None] = {}
+        self.ended_attempts: dict[str, Offer | None] = {}  # given up or broken without an answer, by task
         self._restart_check = RestartCheck(self, pool.connect_timeout_ns)
         self._lost_ends = LostEnds()
         self._connected_count = 0
@@ -194,8 +194,8 @@
                 offer.conn.send(Message(Kind.RELEASE, offer.id, Cause.NORMAL))
 
     def _remember_ended(self, offer: Offer) -> None:
-        """Remember its id: late messages about this attempt must not be taken for a later attempt's."""
-        self.ended_attempts[offer.id] = None
+        """Remember it: late messages about this attempt must not be taken for a later attempt's."""
+        self.ended_attempts[offer.id] = offer
         if len(self.ended_attempts) > MAX_ENDED_ATTEMPTS:
             del self.ended_attempts[next(iter(self.ended_attempts))]
 
@@ -443,17 +443,21 @@
         elif message.id in self.running:
             self._end_task(message.id, end)
         elif (pending := self.tasks.releases.confirm(message.id)) is not None:
-            if pending.lost is not None:
-                self.pool.listener.on_end_after_loss(pending.lost, end)
-            self._end_task(message.id, end)
+            self._on_end_after_loss(message.id, pending.lost, end)
             self._write_held_back()
             if self.is_removed():
                 self._clean_up()
         elif message.id in self.ended_attempts:
-            self.pool.on_early_end(self.name, message.id, end)
+            self._on_end_after_loss(message.id, self.ended_attempts[message.id], end)
         else:
             self._on_early_end(message.id, end)
 
+    def _on_end_after_loss(self, id: str, lost: Offer | None, end: TaskEnd) -> None:
+        """A task has ended whose attempt was given up before, if it was."""
+        if lost is not None:
+            self.pool.listener.on_end_after_loss(lost, end)
+        self._end_task(id, end)
+
     def _end_task(self, id: str, end: TaskEnd) -> None:
         """A task does not run here any more, if it did; nothing is reported if that is known already.
 
--- a/ladderhub/platform/pending_releases.py
+++ b/ladderhub/platform/pending_releases.py
@@ -40,10 +40,11 @@
     That report may be lost too, and a machine says nothing about a task that it does not know.  So it is
     enough that the machine has read the release: it has when it answers a ping sent behind it.
 
-    A release belongs to one attempt.  A task that was given up may be handed over again by its owner, which
-    is a new attempt, so a release that was never sent is withdrawn then.  Where the owner looks whether the
-    task runs before it asks again, there is no hurry: the release is not sent to a machine that hangs, whose
-    kernel would take it and have it read after the task was handed over."""
+    A release belongs to one attempt.  The owner of a task that must not be started twice looks whether it
+    runs after a loss, and hands it over then, which is a new attempt: a release that was never sent is
+    withdrawn.  Until then there is no hurry, so it is not sent to a machine that hangs, whose kernel would
+    take it and have it read after the task was handed over.  The owner of a task that may be started twice
+    asks for it again instead; a hand-over that arrives after the loss was sent before it was heard of."""
 
     def __init__(self) -> None:
         self._releases: dict[str, PendingRelease] = {}
@@ -70,10 +71,10 @@
             pending.lost = offer
 
     def withdraw(self, id: str) -> bool:
-        """The task was handed over again: drop the release of its earlier attempt, if it was never sent.
-        Return whether there was one."""
+        """The task was handed over again: drop the release of its earlier attempt, if it was never sent and
+        the owner had looked whether the task runs.  Return whether it was dropped."""
         pending = self._releases.get(id)
-        if pending is None or pending.lost is None or pending.was_sent:
+        if pending is None or pending.lost is None or pending.lost.repeatable or pending.was_sent:
             return False
         del self._releases[id]
         return True
--- a/ladderhub/platform/tasks.py
+++ b/ladderhub/platform/tasks.py
@@ -26,6 +26,7 @@
 from ladderhub.signalling import Cause, Code, Kind, Message, State, Step
 
 MS = 1_000_000
+CAUSES_AFTER_ANSWER = (Cause.NORMAL, Cause.CANCELLED)  # a machine gives them for tasks that have run
 POSTPONE_NS = 5 * MS  # until a set-up whose owner has sent more than was read is looked at again
 
 
@@ -387,24 +388,31 @@
         self._end_attempt(offer, api.Outcome.NEVER_SENT)
 
     def on_broken(self, offer: Offer, why: str) -> None:
-        task = self._find_task(offer)
-        if task is not None and task.leg.state is State.ESTABLISHED and not offer.repeatable:
-            offer.loss = Loss(task.owner, self._loop.now_ns())
+        self._record_loss(offer)
         self._on_task_end(offer, Cause.BROKEN, api.Outcome.LOST)
         self._end_attempt(offer, api.Outcome.LOST, why=why)
 
     def on_overdue(self, offer: Offer) -> None:
+        self._record_loss(offer)
         self._end_attempt(offer, api.Outcome.TIMED_OUT)
 
+    def _record_loss(self, offer: Offer) -> None:
+        """Record that its owner is told of the end of this attempt, and looks whether the task runs."""
+        task = self._find_task(offer)
+        if task is not None and offer.written and not offer.repeatable:
+            offer.loss = Loss(task.owner, self._loop.now_ns())
+
     def on_end_after_loss(self, offer: Offer, end: TaskEnd) -> None:
-        """Tell the end of a task that was told as over before, while it may have run.
+        """Tell the end of a task whose attempt was given up before, while it may have run.
 
         Its owner waits for a while then.  If it has found the task running after that, it has handed it to
         another scheduler, which the machine need not tell of the end."""
         loss, settle_ns = offer.loss, self.module.settings.settle_ns
         if loss is None or not settle_ns or self.find(offer.id) is not None:
             return
-        if self._loop.now_ns() >= loss.told_ns + settle_ns:
+        has_run = offer.started or end.cause in CAUSES_AFTER_ANSWER
+        if has_run and self._loop.now_ns() >= loss.told_ns + settle_ns:
+            offer.loss = None  # a machine may report an end twice
             self._report.line("task.cut", machine=offer.machine, task=offer.id)
             self.notify_owner(loss.owner, Message(Kind.RELEASE, offer.id, get_owner_cause(end.cause)))
 
--- a/tests/platform/test_hand_overs.py
+++ b/tests/platform/test_hand_overs.py
@@ -122,6 +122,21 @@
     assert not link.tasks.has_duties() and bed.service.tasks.find(asked.id) is None
 
 
+def test_a_task_that_may_be_started_twice_is_released_although_a_hand_over_crosses_its_loss(
+    beds: Any,
+) -> None:
+    # Guards against copies without an owner, who asks again as soon as it hears of the loss.
+    bed = beds(confirm_releases)
+    owner = Owner(bed)
+    asked = place_task(bed, owner, "web")
+    cut = cut_until_given_up(bed)
+    hand_over(bed, owner, asked)
+    cut.end()
+    bed.run(span_ns=4 * S)
+    assert get_releases(cut.machine) == [asked.id] and not cut.link.tasks.has_duties()
+    assert get_told(owner) == [(asked.id, BROKEN)] * 2
+
+
 @pytest.mark.parametrize("klass", ["web", "bill"])
 def test_a_task_that_another_scheduler_had_cut_is_told_to_its_owner(beds: Any, klass: str) -> None:
     # Guards against an end that a scheduler caused which gave the machine up, while this one holds the task.
@@ -352,3 +367,25 @@
     bed.run(span_ns=3 * S)
     assert get_releases(cut.machine) == [asked.id] and not cut.link.tasks.has_duties()
     assert get_told(owner) == [(asked.id, BROKEN)]
+
+
+def test_the_end_of_a_task_whose_answer_was_not_heard_is_told_if_another_scheduler_may_hold_it(
+    beds: Any,
+) -> None:
+    # Guards against an end that nobody tells: the release of a set-up that was out of time had cut the task.
+    bed = beds(ignore_all, settle_ns=OWNER_WAITS_NS)
+    machine, owner = bed.machines[0], Owner(bed)
+    asked, refused = bed.setup("bill", left=1000), bed.setup("bill", left=1000)
+    owner.send(asked, refused)
+    bed.run(lambda: len(machine.received(Kind.SETUP)) == 2)
+    bed.run(span_ns=S)
+    assert sorted(get_told(owner)) == [(asked.id, BROKEN), (refused.id, BROKEN)]
+    place_again = bed.setup("web", left=2000)  # so that the machine has a connection
+    machine.script = accept_all
+    bed.run(span_ns=OWNER_WAITS_NS)
+    owner.send(place_again)
+    bed.run(lambda: owner.received(Kind.ANSWER))
+    for _ in range(2):
+        machine.conns[-1].send(release(asked.id, CANCELLED), release(refused.id, 34))
+    bed.run(span_ns=S)
+    assert get_told(owner)[2:] == [(asked.id, BROKEN)]
