Platform: the first connection that a hung machine will open is left open until it is heard

What callers saw: a machine hung for 3 to 6 s, too short to be given up, and one of its tasks ended meanwhile. The end was never told, and the task counted as running for ever.

Cause: the kernel of a machine that hangs accepts connections. The scheduler dialled the machine after 3 s of silence and each second or two from then on, and closed each of these connections as silent. When the machine went on it opened the first of them, closed by then, told the end there, where it was lost, and told it on no other (PROTOCOL.md: it sends its release "on the next one opened as well"). LostEnds counted the later dials as ones on which ends would be told again.

Why it works: the oldest connection that came up since the machine was last heard is not closed as silent, or after a set-up on it was out of time, while anything is owed to the machine or by it (Link._find_unopened). It is used for nothing until data arrives on it, so the machine is dialled as before; if a later connection is heard first, it is pinged and closed if it stays silent.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -124,6 +124,7 @@
         self.left_unanswered = False  # a set-up on it got no answer in time: what follows may be lost too
         self.closing = False
         self.has_received = False  # data arrived on it
+        self.is_spared = False  # it is left open while its machine is silent, see `Link._find_unopened`
         self.closed_for_room = False  # closed to free a descriptor: not dialled again at once
         self.ping_timer: Timer | None = None  # runs while a ping must be answered before set-ups are written
         self.pings_sent = self.pongs_received = 0
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -32,6 +32,7 @@
         self._restart_check = RestartCheck(self, pool.connect_timeout_ns)
         self._lost_ends = LostEnds()
         self._connected_count = 0
+        self._latest_heard_order = -1  # the highest order of a connection on which data arrived
         self.liveness = Liveness(pool.loop.now_ns())
         self.setups_blocked = False  # no new set-up is written
         self._removed_ns: int | None = None  # when it left the list; dropped once nothing is open
@@ -41,11 +42,19 @@
         """The tasks that run there, as far as is known, by id."""
         return self.tasks.offers
 
+    def get_usable_conns(self) -> list[Conn]:
+        """The connections that messages may be sent on, or that are being opened."""
+        return [conn for conn in self.conns if not conn.is_spared]
+
     def on_activity(self, conn: Conn) -> None:
         """Data arrived from the machine, so it is alive."""
         self.liveness.record_heard(self.loop.now_ns())
         if conn.order is not None:
             self._restart_check.record_heard(conn.order)
+            self._latest_heard_order = max(self._latest_heard_order, conn.order)
+        for other in [each for each in self.conns if each.is_spared and each is not conn]:
+            self.require_pong(other)  # it is of no use unless it is heard now as well
+        conn.is_spared = False
 
     def set_address(self, address: Address) -> None:
         """Use a new address: connections to the old one get no new set-ups."""
@@ -59,7 +68,7 @@
         loop = self.loop
         offer.timer = loop.call_at(offer.until_ns, self._on_timeout, offer)
         now = loop.now_ns()
-        conn = connection_choice.find_idle(self.conns, offer, now, self.pool.idle_timeout_ns)
+        conn = connection_choice.find_idle(self.get_usable_conns(), offer, now, self.pool.idle_timeout_ns)
         quiet = self.liveness.get_silence_ns(now) > PING_INTERVAL_NS
         if quiet and (self.running or self.liveness.unresponsive):
             conn = None  # it did not answer a ping or a dial: only a new connection shows whether it is alive
@@ -68,11 +77,11 @@
             # before the set-up is written.
             self.require_pong(conn)
         if conn is None and self.pool.share_connections and offer.repeatable:
-            conn = connection_choice.find_shareable(self.conns, offer, recently_heard=not quiet)
+            conn = connection_choice.find_shareable(self.get_usable_conns(), offer, recently_heard=not quiet)
         if conn is None and self.pool.make_room():
             conn = self.dial("setup")
         if conn is None:
-            conn = connection_choice.find_least_loaded(self.conns, offer)
+            conn = connection_choice.find_least_loaded(self.get_usable_conns(), offer)
         if conn is None:
             self.report.line("machine.no_descriptor", machine=self.name)
             loop.call_soon(self._report_unreached, offer)
@@ -238,7 +247,7 @@
         return self._needs_dial_for_releases() or self._needs_dial_for_ends()
 
     def _needs_dial_for_releases(self) -> bool:
-        return not self.conns and self.tasks.releases.has_unsent()
+        return not self.get_usable_conns() and self.tasks.releases.has_unsent()
 
     def _needs_dial_for_ends(self) -> bool:
         """Whether ends of tasks may be lost, and no connection is being opened on which they are reported."""
@@ -257,23 +266,24 @@
     def get_need(self, conn: Conn) -> Need:
         if self.tasks.releases.is_awaited_on(conn):
             return Need.RELEASE
-        return Need.TASK_ENDS if self.tasks.has_duties() and self.conns == [conn] else Need.NOTHING
+        is_wanted = conn.is_spared or self.conns == [conn]
+        return Need.TASK_ENDS if self.tasks.has_duties() and is_wanted else Need.NOTHING
 
     def find_live_connection(self) -> Conn | None:
-        return next((conn for conn in reversed(self.conns) if conn.is_live()), None)
+        return next((conn for conn in reversed(self.get_usable_conns()) if conn.is_live()), None)
 
     def ensure_connected(self) -> None:
         """Dial a machine that runs tasks and has no connection, if there is room for one.  Otherwise
         `check_liveness` reconnects to such machines in turn."""
         has_room = self.pool.connection_count < self.pool.max_connections()
-        if self.tasks.has_wanted() and not self.conns and has_room:
+        if self.tasks.has_wanted() and not self.get_usable_conns() and has_room:
             self.dial("line")
 
     def check_liveness(self, now: int) -> None:
         """Called each second: check that the machine is alive while it runs tasks of ours, and reach it while
         releases wait for it."""
         for conn in self.conns:
-            if not conn.open_offers and not conn.reusable:
+            if not conn.open_offers and not conn.reusable and not self._spare(conn):
                 conn.start_closing()
         self._drop_releases_in_vain(now)
         if not self.tasks.has_duties():
@@ -283,7 +293,8 @@
         if self.liveness.get_silence_ns(now) > 2 * PING_INTERVAL_NS:
             for conn in list(self.conns):
                 conn.read_pending()
-        match self.liveness.choose_action(now, bool(self.conns), bool(self.running)):
+        is_connected = bool(self.get_usable_conns())
+        match self.liveness.choose_action(now, is_connected, bool(self.running)):
             case LivenessAction.GIVE_UP:
                 self.report.line("machine.silent", machine=self.name, tasks=len(self.running))
                 self.tasks.give_up("silent")
@@ -292,7 +303,7 @@
                 self._retry(now)
             case LivenessAction.WAIT:
                 return
-            case LivenessAction.RECONNECT if self.conns:
+            case LivenessAction.RECONNECT if is_connected:
                 self._abort_silent_connections()
             case LivenessAction.RECONNECT:
                 self._reconnect(now)
@@ -313,7 +324,26 @@
     def _abort_silent_connections(self) -> None:
         for conn in [each for each in self.conns if each.is_live() and not each.open_offers]:
             assert conn.stream is not None
-            conn.stream.abort(TimeoutError("silent"))
+            if not self._spare(conn):
+                conn.stream.abort(TimeoutError("silent"))
+
+    def _spare(self, conn: Conn) -> bool:
+        """Whether this connection is left open, though it is of no use at present: an end of a task may be
+        told on it."""
+        conn.is_spared = self.tasks.has_duties() and conn is self._find_unopened()
+        return conn.is_spared
+
+    def _find_unopened(self) -> Conn | None:
+        """The connection that the machine opens first if it hangs and goes on, among those that came up since
+        it was heard last: its kernel accepts connections meanwhile.
+
+        Ends of tasks that it could not tell before are told on that one alone."""
+        unheard = [
+            (conn.order, conn)
+            for conn in self.conns
+            if conn.order is not None and conn.order > self._latest_heard_order and conn.is_live()
+        ]
+        return min(unheard)[1] if unheard else None
 
     def _reconnect(self, now: int) -> None:
         """Dial a machine that needs a connection and has none: it reports on the new one what has ended.
