Platform: the release of a set-up that must not be started twice is kept until it is confirmed

What callers saw: a set-up was out of time while its machine hung, and was answered as failed; the task ran, and was handed over. When the machine went on it read the release that had been written as the time was out, and cut the task; its report went to the connection of the set-up, closed by then. The owner was told nothing, and the task counted as running for ever.

Cause: Link.give_up wrote that release once and kept nothing of it. What was said of pending releases before (the end that they cause is told) did not hold for it.

Evidence: tests/platform/test_hand_overs.py -k lies_unread failed before.

Why it works: where the task may be handed over, the release is kept as any other until the machine reports the end or answers a ping behind it, and is sent again on another connection. A task handed over meanwhile then ends as released, and its owner is told. For set-ups that may be started twice nothing changes: they are not handed over, and a further attempt at the same machine does not wait.

--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -197,10 +197,17 @@
             return
         offer.leg.step(Step.RELEASE)
         self._remember_ended(offer)
-        if offer.conn is not None:
-            offer.conn.reusable = False
-            if offer.conn.is_live():
-                offer.conn.send(Message(Kind.RELEASE, offer.id, Cause.NORMAL))
+        if offer.conn is None:
+            return
+        offer.conn.reusable = False
+        if not offer.conn.is_live():
+            return
+        if offer.repeatable:
+            offer.conn.send(Message(Kind.RELEASE, offer.id, Cause.NORMAL))
+        else:
+            # The machine may read it after the task, which may run, was handed over.
+            self.tasks.releases.add_lost(offer, at_once=True)
+            self._send_releases(offer.conn)
 
     def _remember_ended(self, offer: Offer) -> None:
         """Remember it: late messages about this attempt must not be taken for a later attempt's."""
--- a/ladderhub/platform/pending_releases.py
+++ b/ladderhub/platform/pending_releases.py
@@ -60,12 +60,12 @@
         if pending.stage is _Stage.PROBED:
             self._mark_unsent(pending)
 
-    def add_lost(self, offer: Offer) -> None:
+    def add_lost(self, offer: Offer, at_once: bool = False) -> None:
         """Add the release of an attempt that was given up, though its task may run; one that is wanted
-        anyhow stays as it is."""
+        anyhow stays as it is.  `at_once`: it is sent without waiting for a hand-over."""
         pending = self._releases.get(offer.id)
         if pending is None:
-            needs_probe = not offer.repeatable
+            needs_probe = not (offer.repeatable or at_once)
             self._releases[offer.id] = PendingRelease(Cause.NORMAL, offer, needs_probe)
         elif pending.lost is not None:
             pending.lost = offer
--- a/tests/platform/test_hand_overs.py
+++ b/tests/platform/test_hand_overs.py
@@ -389,3 +389,24 @@
         machine.conns[-1].send(release(asked.id, CANCELLED), release(refused.id, 34))
     bed.run(span_ns=S)
     assert get_told(owner)[2:] == [(asked.id, BROKEN)]
+
+
+def test_a_task_handed_over_while_the_release_of_its_set_up_lies_unread_is_told_as_over(beds: Any) -> None:
+    # Guards against a task that counts as running for ever: it was cut by the release of a set-up that had
+    # been out of time, and the machine's report went to a connection that was closed by then.
+    bed = beds(say_nothing_of_releases)
+    machine, owner = bed.machines[0], Owner(bed)
+    machine.script = ignore_all
+    asked = bed.setup("bill", left=1000)
+    owner.send(asked)
+    bed.run(lambda: machine.received(Kind.SETUP))
+    hang = Hang(bed)
+    bed.run(span_ns=S)
+    assert get_told(owner) == [(asked.id, BROKEN)]
+    bed.run(span_ns=OWNER_WAITS_NS)
+    hand_over(bed, owner, asked)
+    hang.end()
+    bed.run(span_ns=2 * S)
+    assert asked.id in get_releases(machine)
+    assert get_told(owner) == [(asked.id, BROKEN)] * 2
+    assert not bed.service.links.get("m0").tasks.has_duties()
