Tests: random outages with owners that look whether a task runs and hand it over

The random outages asked again for each unsafe task that was told as over, whether it ran or not, and had no machine that hangs. The judge is that of outages.py, unchanged; it is shown to fail on manipulated runs of this kind too. outages.py itself plays as before.

--- a/tests/platform/outages.py
+++ b/tests/platform/outages.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -159,8 +160,8 @@
 
     def __init__(self, folder: Path, seed: int) -> None:
         self.rng = random.Random(f"outages {seed}")
-        self.bed = Bed(folder)
-        self.machines = [OutageMachine(self.bed, f"m{at}", self.rng) for at in range(MACHINES)]
+        self.bed = self.make_bed(folder)
+        self.machines = [self.make_machine(f"m{at}") for at in range(MACHINES)]
         self.position = 1
         self.tell_list(*self.machines)
         self.owner = Owner(self.bed)
@@ -168,6 +169,16 @@
         self.heard = 0  # messages of the owner that were looked at
         self.trace: list[str] = []
 
+    def make_bed(self, folder: Path) -> Bed:
+        return Bed(folder)
+
+    def make_machine(self, name: str) -> OutageMachine:
+        return OutageMachine(self.bed, name, self.rng)
+
+    def is_out(self, machine: OutageMachine) -> bool:
+        """Whether an outage of this machine goes on."""
+        return machine.is_cut_off
+
     def note(self, text: str) -> None:
         self.trace.append(f"{self.bed.clock.now_ns() / S % 1000:.3f} {text}")
 
@@ -194,6 +205,8 @@
             asked = self.asked.get(message.id)
             if asked is None or message.kind not in (Kind.ANSWER, Kind.RELEASE, Kind.MOVE):
                 continue
+            if not self.is_news(asked):
+                continue
             self.note(f"hears {message.kind.name} {message.id} {message.cause}")
             if message.kind is Kind.ANSWER:
                 asked.stands = True
@@ -201,13 +214,21 @@
                 asked.is_over = True
                 self.ask_again_later(asked)
 
+    def is_news(self, asked: Asked) -> bool:
+        """Whether the owner has to act on what it hears of this task."""
+        return True
+
     def ask_again_later(self, asked: Asked) -> None:
         if asked.unsafe:
             self.bed.loop.call_later(OWNER_WAITS_NS, self.ask, True, asked.key)
 
-    def end_one(self) -> None:
+    def find_held(self) -> list[Asked]:
+        """The tasks that the owner holds through this scheduler."""
         held = [each for each in self.asked.values() if each.stands and not each.is_over]
-        held = [each for each in held if not each.ended_by_owner]
+        return [each for each in held if not each.ended_by_owner]
+
+    def end_one(self) -> None:
+        held = self.find_held()
         if held:
             asked = self.rng.choice(held)
             asked.ended_by_owner = True
@@ -229,7 +250,7 @@
 
     def begin_outage(self) -> None:
         machine = self.rng.choice(self.machines)
-        if machine.is_cut_off:
+        if self.is_out(machine):
             return
         is_cold, span_ns = self.rng.random() < 0.5, self.rng.randrange(*OUTAGE_RANGE_NS)
         self.note(f"{machine.name} {'vanishes' if is_cold else 'is cut off'} for {span_ns // MS} ms")
@@ -259,11 +280,11 @@
             self.begin_outage()
         elif what < 0.88:
             machine = self.rng.choice(self.machines)
-            if not machine.is_cut_off:
+            if not self.is_out(machine):
                 self.note(f"{machine.name} restarts")
                 self.restart(machine)
         elif what < 0.94:
-            conns = [conn for machine in self.machines if not machine.is_cut_off for conn in machine.conns]
+            conns = [conn for machine in self.machines if not self.is_out(machine) for conn in machine.conns]
             if conns:
                 conn = self.rng.choice(conns)
                 self.note(f"a connection to {conn.machine.name} is reset")
@@ -273,7 +294,7 @@
     def run(self) -> None:
         for _ in range(STEPS):
             self.step()
-        while any(machine.is_cut_off for machine in self.machines):
+        while any(self.is_out(machine) for machine in self.machines):
             self.run_for(S)
         for _ in range(SETTLE_NS // S):
             self.run_for(S)
@@ -303,10 +324,12 @@
         return found
 
 
-def run_seed(seed: int, folder: Path | None = None) -> tuple[list[str], int]:
+def run_seed(
+    seed: int, folder: Path | None = None, make_run: Callable[[Path, int], OutageRun] = OutageRun
+) -> tuple[list[str], int]:
     """Run one seed; return the faults found and the number of set-ups.  The trace goes to `folder`."""
     with tempfile.TemporaryDirectory() as scratch:
-        outage_run = OutageRun(Path(scratch), seed)
+        outage_run = make_run(Path(scratch), seed)
         try:
             outage_run.run()
             found = outage_run.find_faults()
@@ -317,11 +340,11 @@
             outage_run.bed.close()
 
 
-def main() -> None:
+def main(make_run: Callable[[Path, int], OutageRun] = OutageRun) -> None:
     """Run the seeds from the first to the last one given; traces of those with faults go to the third."""
     folder = Path(sys.argv[3]) if len(sys.argv) > 3 else None
     for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
-        found, count = run_seed(seed, folder)
+        found, count = run_seed(seed, folder, make_run)
         print(f"seed {seed}: {count} set-ups, {len(found)} faults {found[:4]}", flush=True)
 
 
--- a/tests/platform/test_outages.py
+++ b/tests/platform/test_outages.py
@@ -9,6 +9,7 @@
 
 from tests.platform import outages
 from tests.platform.outages import Asked, OutageMachine, OutageRun, Standing, run_seed
+from tests.platform.outages_hand_overs import HandOverRun
 
 
 @pytest.mark.parametrize("seed", [*range(1, 11), 223, 287, 429])
@@ -18,6 +19,20 @@
     assert count > 30 and faults == []
 
 
+@pytest.mark.parametrize("seed", [6, 9, 16, 19, 20, 24, 33, 110])
+def test_tasks_that_are_handed_over_after_random_outages_stand_or_are_told_as_over(
+    tmp_path: Path, seed: int
+) -> None:
+    # Guards against releases of earlier attempts that cut what is held, and ends that nobody is told of.
+    hand_over_run = HandOverRun(tmp_path, seed)
+    try:
+        hand_over_run.run()
+        assert hand_over_run.find_faults() == []
+        assert len(hand_over_run.asked) > 30 and hand_over_run.counts["handed over"] > 0
+    finally:
+        hand_over_run.bed.close()
+
+
 def find_standing(outage_run: OutageRun) -> tuple[OutageMachine, str, Standing]:
     return next(
         (machine, id, standing)
@@ -70,15 +85,19 @@
     return f"{machine.name}: releases are still pending"
 
 
+@pytest.mark.parametrize("make_run", [OutageRun, HandOverRun])
 @pytest.mark.parametrize(
     "manipulate",
     [leave_unanswered, tell_as_over, end_by_owner, lose_without_a_word, stand_twice, owe_a_release],
 )
 def test_the_judge_finds_each_fault_in_a_manipulated_run(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, manipulate: Callable[[OutageRun], str]
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    manipulate: Callable[[OutageRun], str],
+    make_run: Callable[[Path, int], OutageRun],
 ) -> None:
     monkeypatch.setattr(outages, "STEPS", 20)
-    outage_run = OutageRun(tmp_path, 1)
+    outage_run = make_run(tmp_path, 1)
     try:
         outage_run.run()
         assert outage_run.find_faults() == []
