Platform: what is kept of attempts that were given up holds no descriptions

The connection that is kept open while a machine is silent is decided on in a module of its own (unopened_connection.py), and costs nothing while no machine is silent.

--- a/ladderhub/platform/conn.py
+++ b/ladderhub/platform/conn.py
@@ -53,6 +53,10 @@
         self.early_end: TaskEnd | None = None  # received on another connection before the answer was read
         self.loss: Loss | None = None  # if it was given up although the task may run
 
+    def discard_description(self) -> None:
+        """Free the description of its set-up, which is not written any more."""
+        self.setup.description = None
+
 
 class OfferListener(Protocol):
     """Receives the events of offers; the end of each offer is reported exactly once."""
@@ -124,7 +128,6 @@
         self.left_unanswered = False  # a set-up on it got no answer in time: what follows may be lost too
         self.closing = False
         self.has_received = False  # data arrived on it
-        self.is_spared = False  # it is left open while its machine is silent, see `Link._find_unopened`
         self.closed_for_room = False  # closed to free a descriptor: not dialled again at once
         self.ping_timer: Timer | None = None  # runs while a ping must be answered before set-ups are written
         self.pings_sent = self.pongs_received = 0
--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -13,10 +13,11 @@
 from ladderhub.platform.pool import ConnectionPool
 from ladderhub.platform.restart_check import RestartCheck
 from ladderhub.platform.running_tasks import RunningTasks
+from ladderhub.platform.unopened_connection import UnopenedConnection
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step
 from ladderhub.signalling.table import TEST_PASSED
 
-MAX_ENDED_ATTEMPTS = 256  # remembered for each machine, for messages that arrive late
+MAX_ENDED_ATTEMPTS = 256  # ids remembered for each machine, for messages that arrive late
 
 
 class Link:
@@ -28,11 +29,11 @@
         self.loop, self.report = pool.loop, pool.report
         self.conns: list[Conn] = []
         self.tasks = RunningTasks(pool.listener)
-        self.ended_attempts: dict[str, Offer | None] = {}  # given up or broken without an answer, by task
+        self.ended_attempts: dict[str, None] = {}
         self._restart_check = RestartCheck(self, pool.connect_timeout_ns)
         self._lost_ends = LostEnds()
         self._connected_count = 0
-        self._latest_heard_order = -1  # the highest order of a connection on which data arrived
+        self._unopened = UnopenedConnection()
         self.liveness = Liveness(pool.loop.now_ns())
         self.setups_blocked = False  # no new set-up is written
         self._removed_ns: int | None = None  # when it left the list; dropped once nothing is open
@@ -44,17 +45,17 @@
 
     def get_usable_conns(self) -> list[Conn]:
         """The connections that messages may be sent on, or that are being opened."""
-        return [conn for conn in self.conns if not conn.is_spared]
+        kept = self._unopened.kept
+        return self.conns if kept is None else [conn for conn in self.conns if conn is not kept]
 
     def on_activity(self, conn: Conn) -> None:
         """Data arrived from the machine, so it is alive."""
         self.liveness.record_heard(self.loop.now_ns())
         if conn.order is not None:
             self._restart_check.record_heard(conn.order)
-            self._latest_heard_order = max(self._latest_heard_order, conn.order)
-        for other in [each for each in self.conns if each.is_spared and each is not conn]:
-            self.require_pong(other)  # it is of no use unless it is heard now as well
-        conn.is_spared = False
+        unheard = self._unopened.record_heard(conn)
+        if unheard is not None:
+            self.require_pong(unheard)
 
     def set_address(self, address: Address) -> None:
         """Use a new address: connections to the old one get no new set-ups."""
@@ -210,8 +211,8 @@
             self._send_releases(offer.conn)
 
     def _remember_ended(self, offer: Offer) -> None:
-        """Remember it: late messages about this attempt must not be taken for a later attempt's."""
-        self.ended_attempts[offer.id] = offer
+        """Remember its id: late messages about this attempt must not be taken for a later attempt's."""
+        self.ended_attempts[offer.id] = None
         if len(self.ended_attempts) > MAX_ENDED_ATTEMPTS:
             del self.ended_attempts[next(iter(self.ended_attempts))]
 
@@ -273,7 +274,7 @@
     def get_need(self, conn: Conn) -> Need:
         if self.tasks.releases.is_awaited_on(conn):
             return Need.RELEASE
-        is_wanted = conn.is_spared or self.conns == [conn]
+        is_wanted = conn is self._unopened.kept or self.conns == [conn]
         return Need.TASK_ENDS if self.tasks.has_duties() and is_wanted else Need.NOTHING
 
     def find_live_connection(self) -> Conn | None:
@@ -290,7 +291,7 @@
         """Called each second: check that the machine is alive while it runs tasks of ours, and reach it while
         releases wait for it."""
         for conn in self.conns:
-            if not conn.open_offers and not conn.reusable and not self._spare(conn):
+            if not conn.open_offers and not conn.reusable and not self._is_kept(conn):
                 conn.start_closing()
         self._drop_releases_in_vain(now)
         if not self.tasks.has_duties():
@@ -331,26 +332,13 @@
     def _abort_silent_connections(self) -> None:
         for conn in [each for each in self.conns if each.is_live() and not each.open_offers]:
             assert conn.stream is not None
-            if not self._spare(conn):
+            if not self._is_kept(conn):
                 conn.stream.abort(TimeoutError("silent"))
 
-    def _spare(self, conn: Conn) -> bool:
-        """Whether this connection is left open, though it is of no use at present: an end of a task may be
-        told on it."""
-        conn.is_spared = self.tasks.has_duties() and conn is self._find_unopened()
-        return conn.is_spared
-
-    def _find_unopened(self) -> Conn | None:
-        """The connection that the machine opens first if it hangs and goes on, among those that came up since
-        it was heard last: its kernel accepts connections meanwhile.
-
-        Ends of tasks that it could not tell before are told on that one alone."""
-        unheard = [
-            (conn.order, conn)
-            for conn in self.conns
-            if conn.order is not None and conn.order > self._latest_heard_order and conn.is_live()
-        ]
-        return min(unheard)[1] if unheard else None
+    def _is_kept(self, conn: Conn) -> bool:
+        """Whether this connection is left open although it is of no use at present: the end of a task may be
+        reported on it."""
+        return self.tasks.has_duties() and self._unopened.keep(conn, self.conns)
 
     def _reconnect(self, now: int) -> None:
         """Dial a machine that needs a connection and has none: it reports on the new one what has ended.
@@ -480,21 +468,17 @@
         elif message.id in self.running:
             self._end_task(message.id, end)
         elif (pending := self.tasks.releases.confirm(message.id)) is not None:
-            self._on_end_after_loss(message.id, pending.lost, end)
+            if pending.lost is not None:
+                self.pool.listener.on_end_after_loss(pending.lost, end)
+            self._end_task(message.id, end)
             self._write_held_back()
             if self.is_removed():
                 self._clean_up()
         elif message.id in self.ended_attempts:
-            self._on_end_after_loss(message.id, self.ended_attempts[message.id], end)
+            self._end_task(message.id, end)
         else:
             self._on_early_end(message.id, end)
 
-    def _on_end_after_loss(self, id: str, lost: Offer | None, end: TaskEnd) -> None:
-        """A task has ended whose attempt was given up before, if it was."""
-        if lost is not None:
-            self.pool.listener.on_end_after_loss(lost, end)
-        self._end_task(id, end)
-
     def _end_task(self, id: str, end: TaskEnd) -> None:
         """A task does not run here any more, if it did; nothing is reported if that is known already.
 
@@ -532,6 +516,7 @@
 
     def on_closed(self, conn: Conn, fault: BaseException | None) -> None:
         self.conns.remove(conn)
+        self._unopened.record_closed(conn)
         self.pool.remove_closed(conn)
         if conn.ping_timer is not None:
             conn.ping_timer.cancel()
--- a/ladderhub/platform/pending_releases.py
+++ b/ladderhub/platform/pending_releases.py
@@ -63,6 +63,7 @@
     def add_lost(self, offer: Offer, at_once: bool = False) -> None:
         """Add the release of an attempt that was given up, though its task may run; one that is wanted
         anyhow stays as it is.  `at_once`: it is sent without waiting for a hand-over."""
+        offer.discard_description()
         pending = self._releases.get(offer.id)
         if pending is None:
             needs_probe = not (offer.repeatable or at_once)
