--- a/ladderhub/platform/link.py
+++ b/ladderhub/platform/link.py
@@ -8,12 +8,11 @@
 from ladderhub.loop.stream import Address, connect
 from ladderhub.platform import connection_choice
 from ladderhub.platform.conn import Conn, Need, Offer, TaskEnd, is_refused
-from ladderhub.platform.liveness import PING_INTERVAL_NS, RELEASE_DEADLINE_NS, Liveness, LivenessAction
-from ladderhub.platform.lost_ends import LostEnds
+from ladderhub.platform.liveness import PING_INTERVAL_NS, RELEASE_DEADLINE_NS, Liveness
 from ladderhub.platform.pool import ConnectionPool
+from ladderhub.platform.reconnector import Reconnector
 from ladderhub.platform.restart_check import RestartCheck
 from ladderhub.platform.running_tasks import RunningTasks
-from ladderhub.platform.unopened_connection import UnopenedConnection
 from ladderhub.signalling import Cause, Code, Kind, Message, SignalError, State, Step
 from ladderhub.signalling.table import TEST_PASSED
 
@@ -31,10 +30,9 @@
         self.tasks = RunningTasks(pool.listener)
         self.ended_attempts: dict[str, None] = {}
         self._restart_check = RestartCheck(self, pool.connect_timeout_ns)
-        self._lost_ends = LostEnds()
         self._connected_count = 0
-        self._unopened = UnopenedConnection()
         self.liveness = Liveness(pool.loop.now_ns())
+        self.reconnector = Reconnector(self)
         self.setups_blocked = False  # no new set-up is written
         self._removed_ns: int | None = None  # when it left the list; dropped once nothing is open
 
@@ -45,7 +43,7 @@
 
     def get_usable_conns(self) -> list[Conn]:
         """The connections that messages may be sent on, or that are being opened."""
-        kept = self._unopened.kept
+        kept = self.reconnector.unopened.kept
         return self.conns if kept is None else [conn for conn in self.conns if conn is not kept]
 
     def on_activity(self, conn: Conn) -> None:
@@ -53,7 +51,7 @@
         self.liveness.record_heard(self.loop.now_ns())
         if conn.order is not None:
             self._restart_check.record_heard(conn.order)
-        unheard = self._unopened.record_heard(conn)
+        unheard = self.reconnector.unopened.record_heard(conn)
         if unheard is not None:
             self.require_pong(unheard)
 
@@ -109,7 +107,7 @@
     def dial(self, why: str) -> Conn:
         self.report.count(f"dial.{why}")
         self.liveness.record_request(self.loop.now_ns())
-        conn = Conn(self, self._lost_ends.record_dial())
+        conn = Conn(self, self.reconnector.lost_ends.record_dial())
         self.conns.append(conn)
         self.pool.connection_count += 1
         conn.stream = connect(
@@ -122,7 +120,7 @@
         conn.order = self._connected_count
         self._connected_count += 1
         self._restart_check.record_heard(conn.order)
-        self._lost_ends.record_connected(conn.number)
+        self.reconnector.lost_ends.record_connected(conn.number)
         self.pool.add_connected(conn)
         self._send_releases(conn)
         if not self.tasks.releases.is_awaited_on(conn):
@@ -239,7 +237,7 @@
         if not self.running:
             self.liveness.last_heard_ns = self.loop.now_ns()
         self.tasks.add(offer)
-        self.loop.call_soon(self.ensure_connected)
+        self.loop.call_soon(self.reconnector.ensure_connected)
 
     def release(self, offer: Offer, cause: int) -> None:
         """End a running task; the machine confirms with a release of its own, or by answering a ping."""
@@ -250,18 +248,6 @@
         else:
             self._send_releases(conn)
 
-    def needs_dial(self) -> bool:
-        """Whether a new connection is needed ahead of the machine's turn."""
-        return self._needs_dial_for_releases() or self._needs_dial_for_ends()
-
-    def _needs_dial_for_releases(self) -> bool:
-        return not self.get_usable_conns() and self.tasks.releases.has_unsent()
-
-    def _needs_dial_for_ends(self) -> bool:
-        """Whether ends of tasks may be lost, and no connection is being opened on which they are reported."""
-        is_dialled = any(self._lost_ends.is_reported_again_on(conn.number) for conn in self.conns)
-        return bool(self.running) and self._lost_ends.are_suspected() and not is_dialled
-
     def _send_releases(self, conn: Conn) -> None:
         releases = self.tasks.releases
         unsent = releases.take_unsent(conn)
@@ -274,81 +260,20 @@
     def get_need(self, conn: Conn) -> Need:
         if self.tasks.releases.is_awaited_on(conn):
             return Need.RELEASE
-        is_wanted = conn is self._unopened.kept or self.conns == [conn]
+        is_wanted = conn is self.reconnector.unopened.kept or self.conns == [conn]
         return Need.TASK_ENDS if self.tasks.has_duties() and is_wanted else Need.NOTHING
 
     def find_live_connection(self) -> Conn | None:
         return next((conn for conn in reversed(self.get_usable_conns()) if conn.is_live()), None)
 
-    def ensure_connected(self) -> None:
-        """Dial a machine that runs tasks and has no connection, if there is room for one.  Otherwise
-        `check_liveness` reconnects to such machines in turn."""
-        has_room = self.pool.connection_count < self.pool.max_connections()
-        if self.tasks.has_wanted() and not self.get_usable_conns() and has_room:
-            self.dial("line")
-
     def check_liveness(self, now: int) -> None:
         """Called each second: check that the machine is alive while it runs tasks of ours, and reach it while
         releases wait for it."""
         for conn in self.conns:
-            if not conn.open_offers and not conn.reusable and not self._is_kept(conn):
+            if not conn.open_offers and not conn.reusable and not self.reconnector.is_kept(conn):
                 conn.start_closing()
         self._drop_releases_in_vain(now)
-        if not self.tasks.has_duties():
-            return
-        if self._needs_dial_for_ends():
-            self.pool.request_dial(self.name)
-        if self.liveness.get_silence_ns(now) > 2 * PING_INTERVAL_NS:
-            for conn in list(self.conns):
-                conn.read_pending()
-        is_connected = bool(self.get_usable_conns())
-        match self.liveness.choose_action(now, is_connected, bool(self.running)):
-            case LivenessAction.GIVE_UP:
-                self.report.line("machine.silent", machine=self.name, tasks=len(self.running))
-                self.tasks.give_up("silent")
-                self._retry(now)
-            case LivenessAction.RETRY:
-                self._retry(now)
-            case LivenessAction.WAIT:
-                return
-            case LivenessAction.RECONNECT if is_connected:
-                self._abort_silent_connections()
-            case LivenessAction.RECONNECT:
-                self._reconnect(now)
-            case LivenessAction.PING if (live := self.find_live_connection()) is not None:
-                self.liveness.record_request(now)
-                live.ping()
-            case _:
-                self.ensure_connected()
-                if self._needs_dial_for_releases():
-                    self.pool.request_dial(self.name)
-
-    def _retry(self, now: int) -> None:
-        """Dial a machine that was given up, for the releases that wait for it."""
-        self._abort_silent_connections()
-        if all(conn.order is not None for conn in self.conns):  # no dial is under way
-            self._reconnect(now)
-
-    def _abort_silent_connections(self) -> None:
-        for conn in [each for each in self.conns if each.is_live() and not each.open_offers]:
-            assert conn.stream is not None
-            if not self._is_kept(conn):
-                conn.stream.abort(TimeoutError("silent"))
-
-    def _is_kept(self, conn: Conn) -> bool:
-        """Whether this connection is left open although it is of no use at present: the end of a task may be
-        reported on it."""
-        return self.tasks.has_duties() and self._unopened.keep(conn, self.conns)
-
-    def _reconnect(self, now: int) -> None:
-        """Dial a machine that needs a connection and has none: it reports on the new one what has ended.
-
-        Without this, ends would be reported too late and the machine would count as silent.  So the limit on
-        connections may be exceeded if none can be closed, but not into the descriptors that the journal and
-        the log need."""
-        self.liveness.record_request(now)
-        if self.pool.make_room() or self.pool.free_descriptors() > 0:
-            self.dial("visit")
+        self.reconnector.check(now)
 
     def fail_running_tasks(self, why: str) -> None:
         """Report all running tasks as broken: the machine does not run them any more."""
@@ -375,7 +300,7 @@
         self.tasks.give_up("gone")
         if (live := self.find_live_connection()) is not None:
             self._send_releases(live)
-        elif self._needs_dial_for_releases():
+        elif self.reconnector.needs_dial_for_releases():
             self.pool.request_dial(self.name)
         self._clean_up()
 
@@ -516,7 +441,7 @@
 
     def on_closed(self, conn: Conn, fault: BaseException | None) -> None:
         self.conns.remove(conn)
-        self._unopened.record_closed(conn)
+        self.reconnector.unopened.record_closed(conn)
         self.pool.remove_closed(conn)
         if conn.ping_timer is not None:
             conn.ping_timer.cancel()
@@ -526,7 +451,7 @@
         if not up or not (conn.has_received or conn.closed_for_room):
             self.liveness.unresponsive = True
         if conn.may_have_lost_data():
-            self._lost_ends.record_loss()
+            self.reconnector.lost_ends.record_loss()
         if not up:
             self.report.line("machine.unreached", machine=self.name, why=repr(fault)[:80])
         elif conn.open_offers:
@@ -559,9 +484,9 @@
         if (live := self.find_live_connection()) is not None:
             self._send_releases(live)
         if up and not conn.closed_for_room:
-            self.ensure_connected()
+            self.reconnector.ensure_connected()
         has_answered = not (was_unresponsive and self.liveness.unresponsive)
-        if has_answered and self._needs_dial_for_releases():
+        if has_answered and self.reconnector.needs_dial_for_releases():
             # One dial may come to nothing; a machine that misses two in a row is dialled by `check_liveness`.
             self.pool.request_dial(self.name)
         if self.is_removed():
--- a/ladderhub/platform/links.py
+++ b/ladderhub/platform/links.py
@@ -139,7 +139,7 @@
     def _dial_requested(self) -> None:
         while self._dial_queue.may_begin(self.max_connections()):
             link = self._links.get(self._dial_queue.get_next())
-            if link is None or not link.needs_dial():
+            if link is None or not link.reconnector.needs_dial():
                 self._dial_queue.drop_next()
             elif self.make_room(Need.TASK_ENDS):
                 conn = link.dial("ahead")
@@ -152,7 +152,7 @@
     def request_due_dials(self) -> None:
         """Dial each machine that needs it, as soon as there is room."""
         for name, link in self._links.items():
-            if link.needs_dial():
+            if link.reconnector.needs_dial():
                 self.request_dial(name)
 
     def count_pending_releases(self) -> int:
